--- /dev/null
+++ b/directory.go
@@ -0,0 +1,31 @@
+package endive
+
+import "context"
+
+// ConfigNews is what is new of the operators' configuration.
+type ConfigNews struct {
+	// Config is nil where nothing changed.
+	Config   *CellConfig
+	Revision Revision
+}
+
+// WorkersNews is what is new of the list of workers.
+type WorkersNews struct {
+	// Workers are those that registered or renewed their entry.
+	Workers []FleetWorker
+	// Gone are those whose entry is gone, or can't be read any more.
+	Gone     []WorkerID
+	Revision Revision
+}
+
+// Directory tells what the platform's operators and workers say. All errors are of
+// class ErrUnavailable, or ErrHistoryLost where everything must be read again from
+// revision 0.
+type Directory interface {
+	// Config returns the newest configuration, if it changed after a revision. It
+	// waits for a change for as long as wait says, unless after is 0.
+	Config(ctx context.Context, after Revision, wait Interval) (ConfigNews, error)
+	// Workers returns the entries of workers that changed after a revision; after
+	// 0 it returns all.
+	Workers(ctx context.Context, after Revision) (WorkersNews, error)
+}
--- /dev/null
+++ b/elect/events.go
@@ -0,0 +1,72 @@
+package elect
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Seen gives the lease's row as it was read; Version 0 says that there is none.
+type Seen struct {
+	Version endive.Version
+	Value   []byte
+}
+
+// Preference says how well this entry suits: the entry that waits shorter takes a
+// lease that has run out.
+type Preference struct{ Wait endive.Interval }
+
+// Fenced says that a worker or the store knows a higher epoch than one of this
+// entry.
+type Fenced struct{ Epoch endive.Epoch }
+
+// GiveUp asks to hand the pool over; nothing is taken any more.
+type GiveUp struct{}
+
+// Began is the action of beginning a tenure. FenceVersion is the version of the
+// fence row, which was written together with the lease.
+type Began struct {
+	Epoch        endive.Epoch
+	FenceVersion endive.Version
+	Until        time.Time
+}
+
+// Renewed is the action of telling until when the pool is held.
+type Renewed struct{ Until time.Time }
+
+// Lost is the action of ending a tenure.
+type Lost struct{ Reason string }
+
+// Record is the action of writing a transaction; it is answered by
+// endive.Committed.
+type Record struct{ Transaction endive.Transaction }
+
+// Look is the action of reading the lease's row; it is answered by Seen.
+type Look struct{}
+
+// IsEvent marks Seen as an event.
+func (Seen) IsEvent() {}
+
+// IsEvent marks Preference as an event.
+func (Preference) IsEvent() {}
+
+// IsEvent marks Fenced as an event.
+func (Fenced) IsEvent() {}
+
+// IsEvent marks GiveUp as an event.
+func (GiveUp) IsEvent() {}
+
+// IsAction marks Began as an action.
+func (Began) IsAction() {}
+
+// IsAction marks Renewed as an action.
+func (Renewed) IsAction() {}
+
+// IsAction marks Lost as an action.
+func (Lost) IsAction() {}
+
+// IsAction marks Record as an action.
+func (Record) IsAction() {}
+
+// IsAction marks Look as an action.
+func (Look) IsAction() {}
--- /dev/null
+++ b/elect/machine.go
@@ -0,0 +1,230 @@
+package elect
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Settings are the intervals of a Machine.
+type Settings struct {
+	// Lease is how long a lease lasts after it was written.
+	Lease endive.Interval
+	// Renewal lies between two writes of the lease by its holder.
+	Renewal endive.Interval
+	// Retry is the pause after a write that failed.
+	Retry endive.Interval
+}
+
+// margin is left between the end of our own lease and what others may think.
+const margin = 100 * time.Millisecond
+
+// Machine decides for one pool whether this entry holds it. It implements
+// endive.Machine.
+type Machine struct {
+	entry       endive.EntryID
+	incarnation endive.Incarnation
+	pool        endive.PoolName
+	fence       func(endive.Epoch) endive.Write
+	settings    Settings
+	clock       endive.PlatformClock
+	writeIDs    *endive.WriteIDs
+
+	now time.Time
+	out []endive.Action
+
+	// version and lease are the row as it was seen last.
+	version endive.Version
+	lease   Lease
+	seen    bool
+	// freeSince is when the lease was first found to have run out.
+	freeSince time.Time
+	wait      endive.Interval
+
+	holding bool
+	until   time.Time
+	giveUp  bool
+	// inFlight is the write on its way.
+	inFlight endive.WriteID
+	written  Lease
+	nextAt   time.Time
+}
+
+// New returns the machine of an entry for a pool. fence returns the write that
+// replaces the pool's fence row.
+func New(entry endive.EntryID, incarnation endive.Incarnation, pool endive.PoolName, fence func(endive.Epoch) endive.Write,
+	settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
+	return &Machine{
+		entry: entry, incarnation: incarnation, pool: pool, fence: fence,
+		settings: settings, clock: clock, writeIDs: writeIDs,
+	}
+}
+
+// Holding reports whether this entry holds the pool.
+func (m *Machine) Holding() bool { return m.holding }
+
+// Step implements endive.Machine.
+func (m *Machine) Step(now time.Time, event endive.Event) []endive.Action {
+	m.now, m.out = now, nil
+	switch e := event.(type) {
+	case Seen:
+		m.saw(e)
+	case Preference:
+		m.wait = e.Wait
+	case Fenced:
+		m.fenced(e)
+	case GiveUp:
+		m.giveUp = true
+		m.nextAt = now
+	case endive.Committed:
+		m.committed(e)
+	}
+	m.advance()
+	out := m.out
+	m.out = nil
+	return out
+}
+
+func (m *Machine) emit(action endive.Action) { m.out = append(m.out, action) }
+
+// saw takes in the row.
+func (m *Machine) saw(e Seen) {
+	if e.Version < m.version {
+		return
+	}
+	m.seen = true
+	m.version = e.Version
+	m.lease = Lease{}
+	if e.Version > 0 {
+		if err := json.Unmarshal(e.Value, &m.lease); err != nil {
+			// A row that can't be read belongs to nobody; its successor needs a
+			// higher epoch than any before, which the version is.
+			m.lease = Lease{Epoch: endive.Epoch(e.Version)}
+		}
+	}
+	if m.holding && (m.lease.Epoch != m.written.Epoch || m.lease.Incarnation != m.incarnation) {
+		m.lose(fmt.Sprintf("%s holds epoch %d", m.lease.Holder, m.lease.Epoch))
+	}
+}
+
+func (m *Machine) lose(reason string) {
+	m.holding = false
+	m.freeSince = time.Time{}
+	m.emit(Lost{Reason: reason})
+}
+
+// fenced ends a tenure whose epoch isn't the highest any more.
+func (m *Machine) fenced(e Fenced) {
+	if m.holding && e.Epoch == m.written.Epoch {
+		m.lose("a higher epoch is known")
+		m.seen = false
+		m.emit(Look{})
+	}
+}
+
+// advance does what is due.
+func (m *Machine) advance() {
+	if m.inFlight != "" || !m.clock.Known() || !m.seen {
+		return
+	}
+	if m.holding {
+		m.keep()
+		return
+	}
+	m.take()
+}
+
+// keep renews the lease, or gives it up.
+func (m *Machine) keep() {
+	if m.now.Before(m.nextAt) {
+		m.wake(m.nextAt)
+		return
+	}
+	next := m.written
+	next.Until = m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds())
+	next.Vacant = m.giveUp
+	m.write(next, false)
+}
+
+// take takes a lease that has run out, after a pause that leaves it to entries
+// which suit better.
+func (m *Machine) take() {
+	if m.giveUp {
+		return
+	}
+	// A lease of this very process that isn't held any more was lost to a fence,
+	// or taken by a write whose answer was lost; nobody else may take it.
+	ours := m.lease.Incarnation == m.incarnation
+	if m.version > 0 && !m.lease.Vacant && !ours {
+		over := m.clock.AtLeast(m.now) >= m.lease.Until
+		if !over {
+			m.freeSince = time.Time{}
+			m.wake(m.clock.Earliest(m.lease.Until).Add(margin))
+			return
+		}
+	}
+	if m.freeSince.IsZero() {
+		m.freeSince = m.now
+	}
+	due := m.wait.After(m.freeSince)
+	if m.now.Before(due) {
+		m.wake(due)
+		return
+	}
+	if m.now.Before(m.nextAt) {
+		m.wake(m.nextAt)
+		return
+	}
+	m.write(Lease{
+		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch + 1,
+		Until: m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds()),
+	}, true)
+}
+
+// write sends the lease's row, with the fence row for a new epoch.
+func (m *Machine) write(lease Lease, fence bool) {
+	txn := endive.Transaction{
+		WriteID:    m.writeIDs.Next(),
+		Conditions: []endive.Condition{{Key: Key(m.pool), Version: m.version}},
+		Writes:     []endive.Write{{Key: Key(m.pool), Value: lease.encode()}},
+	}
+	if fence {
+		txn.Writes = append(txn.Writes, m.fence(lease.Epoch))
+	}
+	m.inFlight = txn.WriteID
+	m.written = lease
+	m.nextAt = m.settings.Renewal.After(m.now)
+	m.emit(Record{Transaction: txn})
+}
+
+// committed takes in what became of a write.
+func (m *Machine) committed(e endive.Committed) {
+	if e.WriteID != m.inFlight {
+		return
+	}
+	m.inFlight = ""
+	if e.Status != endive.CommitApplied {
+		// Whatever the row is now, reading it tells.
+		m.nextAt = m.settings.Retry.After(m.now)
+		m.seen = false
+		m.emit(Look{})
+		return
+	}
+	m.version = e.Result.Versions[0]
+	m.lease = m.written
+	if m.written.Vacant {
+		m.lose("handed over")
+		return
+	}
+	m.until = m.clock.Earliest(m.written.Until).Add(-margin)
+	if m.holding {
+		m.emit(Renewed{Until: m.until})
+		return
+	}
+	m.holding = true
+	m.emit(Began{Epoch: m.written.Epoch, FenceVersion: e.Result.Versions[1], Until: m.until})
+}
+
+func (m *Machine) wake(at time.Time) { m.emit(endive.SetWake{At: at}) }
--- /dev/null
+++ b/entry/cell/adviser.go
@@ -0,0 +1,125 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+// adviceTimeout bounds one question to the advice service, which answers the
+// questions of a machine one after the other.
+const adviceTimeout = 2500 * time.Millisecond
+
+// maxQuestions bounds the questions that wait; what is beyond is left to the
+// pool's holder.
+const maxQuestions = 24
+
+// question asks which workers may run a step.
+type question struct {
+	step    endive.StepID
+	workers []endive.WorkerID
+	pool    *pool
+	// own questions come from the holder here; the others' answers are stored for
+	// the holder to see.
+	own bool
+}
+
+// adviser asks the advice service, one question at a time.
+type adviser struct {
+	cell *Cell
+	// holders' questions go before those of new work.
+	holders chan question
+	others  chan question
+}
+
+func newAdviser(c *Cell) *adviser {
+	return &adviser{cell: c, holders: make(chan question, maxQuestions), others: make(chan question, maxQuestions)}
+}
+
+// ask queues a question. It never blocks; one that finds no room is answered as
+// failed.
+func (a *adviser) ask(q question) {
+	queue := a.others
+	if q.own {
+		queue = a.holders
+	}
+	select {
+	case queue <- q:
+	default:
+		a.answer(q, endive.Advice{}, false)
+	}
+}
+
+func (a *adviser) run() {
+	for {
+		select {
+		case q := <-a.holders:
+			a.serve(q)
+			continue
+		default:
+		}
+		select {
+		case <-a.cell.ctx.Done():
+			return
+		case q := <-a.holders:
+			a.serve(q)
+		case q := <-a.others:
+			a.serve(q)
+		}
+	}
+}
+
+func (a *adviser) serve(q question) {
+	ctx, cancel := context.WithTimeout(a.cell.ctx, adviceTimeout)
+	defer cancel()
+	advice, err := a.cell.Advisor.Advise(ctx, q.step, q.workers)
+	if err != nil {
+		a.cell.Log.Warn("advice failed", "step", string(q.step), "workers", len(q.workers), "error", err.Error())
+	}
+	a.answer(q, advice, err == nil)
+}
+
+// answer gives the advice to whoever asked.
+func (a *adviser) answer(q question, advice endive.Advice, ok bool) {
+	if q.own {
+		q.pool.tell(flow.Advised{
+			Step: q.step, Asked: q.workers, OK: ok, Good: advice.Good, Expiry: advice.Validity.After(a.cell.Clock.Now()),
+		})
+		return
+	}
+	if ok {
+		go (&adviceNote{cell: a.cell, question: q, advice: advice, taken: a.cell.Clock.Now()}).run()
+	}
+}
+
+// adviceNote stores advice for the pool's holder. It helps to start work sooner;
+// if it is lost, the holder asks for itself.
+type adviceNote struct {
+	cell     *Cell
+	question question
+	advice   endive.Advice
+	taken    time.Time
+}
+
+func (n *adviceNote) run() {
+	until := n.cell.Platform.AtLeast(n.taken) + endive.PlatformTime(time.Duration(n.advice.Validity).Milliseconds())
+	value, err := json.Marshal(flow.AdviceRow{
+		Good: n.advice.Good, Bad: flow.BadOf(n.question.workers, n.advice.Good), Until: until,
+	})
+	if err != nil {
+		n.cell.Log.Error("advice can't be encoded", "step", string(n.question.step), "error", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.cell.ctx, time.Duration(n.cell.Settings.Timings.StoreTimeout))
+	defer cancel()
+	_, err = n.cell.Rows.Commit(ctx, endive.Transaction{
+		Writes: []endive.Write{{Key: flow.AdviceKey(n.question.pool.name, n.question.step), Value: value}},
+	})
+	n.cell.store.saw(err)
+	if err != nil {
+		n.cell.Log.Warn("advice isn't stored", "step", string(n.question.step), "error", err.Error())
+	}
+}
--- /dev/null
+++ b/entry/cell/calls.go
@@ -0,0 +1,110 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+// resultOf says what an error of an order means.
+func resultOf(err error) flow.OrderResult {
+	switch {
+	case err == nil:
+		return flow.OrderAnswered
+	case endive.ErrUnavailable.Has(err):
+		return flow.OrderNotSent
+	default:
+		return flow.OrderUnknown
+	}
+}
+
+// startCall sends an order to start.
+type startCall struct {
+	pool  *pool
+	order endive.StartOrder
+}
+
+func (c *startCall) run() {
+	answer, err := c.pool.cell.Fleet.Start(c.pool.cell.ctx, c.order)
+	c.pool.tell(flow.Started{Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Result: resultOf(err), Answer: answer})
+}
+
+// stopCall sends an order to stop.
+type stopCall struct {
+	pool  *pool
+	order endive.StopOrder
+}
+
+func (c *stopCall) run() {
+	answer, err := c.pool.cell.Fleet.Stop(c.pool.cell.ctx, c.order)
+	c.pool.tell(flow.Stopped{Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Result: resultOf(err), Answer: answer})
+}
+
+// paceCall sends an order to slow down.
+type paceCall struct {
+	pool  *pool
+	order endive.PaceOrder
+}
+
+func (c *paceCall) run() {
+	answer, err := c.pool.cell.Fleet.Pace(c.pool.cell.ctx, c.order)
+	c.pool.tell(flow.Paced{
+		Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Percent: c.order.Percent,
+		Result: resultOf(err), Answer: answer,
+	})
+}
+
+// holdCall looks at a worker.
+type holdCall struct {
+	pool  *pool
+	order endive.HoldOrder
+}
+
+func (c *holdCall) run() {
+	report, answer, err := c.pool.cell.Fleet.Hold(c.pool.cell.ctx, c.order)
+	c.pool.tell(flow.Held{Worker: c.order.Worker.ID, Result: resultOf(err), Report: report, Answer: answer})
+}
+
+// commitCall writes a transaction.
+type commitCall struct {
+	pool        *pool
+	to          machineKind
+	transaction endive.Transaction
+}
+
+func (c *commitCall) run() {
+	cell := c.pool.cell
+	ctx, cancel := context.WithTimeout(cell.ctx, time.Duration(cell.Settings.Timings.StoreTimeout))
+	defer cancel()
+	result, err := cell.Rows.Commit(ctx, c.transaction)
+	cell.store.saw(err)
+	c.pool.send(c.to, committedOf(c.transaction.WriteID, result, err))
+}
+
+// committedOf turns the result of a transaction into an event.
+func committedOf(id endive.WriteID, result endive.CommitResult, err error) endive.Committed {
+	event := endive.Committed{WriteID: id, Status: endive.CommitApplied, Result: result}
+	switch {
+	case err == nil:
+	case endive.ErrConflict.Has(err):
+		event.Status = endive.CommitConflict
+		event.Conflicts = conflictsOf(err)
+	case endive.ErrUnavailable.Has(err):
+		event.Status = endive.CommitUnavailable
+	default:
+		event.Status = endive.CommitUnknown
+	}
+	return event
+}
+
+// conflictsOf returns the rows that stood in a transaction's way.
+func conflictsOf(err error) []endive.Row {
+	var conflict *endive.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Rows
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/cell/cell.go
@@ -0,0 +1,151 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"endiveroute.example/endive"
+)
+
+// Cell runs one entry. It implements endive.Cell and is safe for concurrent use.
+type Cell struct {
+	Deps
+	system *actor.ActorSystem
+	// ctx ends when the entry does.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	config  *configLoop
+	workers *workersLoop
+	leases  *leaseLoop
+	adviser *adviser
+	store   *storeHealth
+	leaving atomic.Bool
+
+	mu    sync.Mutex
+	pools map[endive.PoolName]*pool
+}
+
+// New returns a cell that does nothing until Start.
+func New(deps Deps) *Cell {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Cell{
+		Deps: deps, system: newActorSystem(), ctx: ctx, cancel: cancel,
+		pools: make(map[endive.PoolName]*pool),
+	}
+	c.store = &storeHealth{clock: deps.Clock, log: deps.Log}
+	c.config = &configLoop{cell: c}
+	c.workers = newWorkersLoop(c)
+	c.leases = &leaseLoop{cell: c}
+	c.adviser = newAdviser(c)
+	return c
+}
+
+// Start begins to follow the platform.
+func (c *Cell) Start() {
+	go c.config.run()
+	go c.workers.run()
+	go c.leases.run()
+	go c.adviser.run()
+}
+
+// Ready reports whether callers can be served here.
+func (c *Cell) Ready() bool {
+	return !c.leaving.Load() && c.config.current() != nil && c.store.reachable()
+}
+
+// Leaving reports whether the entry is about to end.
+func (c *Cell) Leaving() bool { return c.leaving.Load() }
+
+// MaxBody returns the bound on a request's body; 0 means the default.
+func (c *Cell) MaxBody() endive.Bytes {
+	if config := c.config.current(); config != nil {
+		return config.MaxBody
+	}
+	return 0
+}
+
+// Leave takes no new callers and hands the pools over.
+func (c *Cell) Leave() {
+	c.leaving.Store(true)
+	for _, p := range c.allPools() {
+		p.giveUp()
+	}
+}
+
+// HoldsNone reports whether the entry holds no pool.
+func (c *Cell) HoldsNone() bool {
+	for _, p := range c.allPools() {
+		if p.holds.Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends all that the cell does.
+func (c *Cell) Close() {
+	c.cancel()
+	c.system.Shutdown()
+}
+
+// allPools returns the pools that are known.
+func (c *Cell) allPools() []*pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pools := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+// poolNamed returns a pool, or nil if it isn't known.
+func (c *Cell) poolNamed(name endive.PoolName) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pools[name]
+}
+
+// configured makes the pools that a new configuration names.
+func (c *Cell) configured(config *endive.CellConfig) {
+	var added []*pool
+	c.mu.Lock()
+	for _, one := range config.Pools {
+		if c.pools[one.Name] == nil {
+			p := newPool(c, one.Name)
+			c.pools[one.Name] = p
+			added = append(added, p)
+		}
+	}
+	c.mu.Unlock()
+	for _, p := range added {
+		p.start()
+	}
+	c.workers.publishAll()
+}
+
+// held counts the pools that this entry holds.
+func (c *Cell) held() int {
+	count := 0
+	for _, p := range c.allPools() {
+		if p.holds.Load() {
+			count++
+		}
+	}
+	return count
+}
+
+// pause waits, unless the cell ends.
+func (c *Cell) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/cell/counters.go
@@ -0,0 +1,69 @@
+package cell
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+// Counters are the cell's metrics. They are safe for concurrent use.
+type Counters struct {
+	scope   tally.Scope
+	steps   tally.Counter
+	spent   tally.Counter
+	submits tally.Histogram
+	// way is the shortest time that a short call of the store took, in
+	// nanoseconds.
+	way atomic.Int64
+}
+
+// latencies are the bounds of the histograms.
+var latencies = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second,
+}
+
+// NewCounters returns the metrics that are kept in a scope.
+func NewCounters(scope tally.Scope) *Counters {
+	return &Counters{
+		scope: scope, steps: scope.Counter("machineSteps"), spent: scope.Counter("machineMicroseconds"),
+		submits: scope.Histogram("submitSeconds", latencies),
+	}
+}
+
+func (c *Counters) stepped(took time.Duration) {
+	c.steps.Inc(1)
+	c.spent.Inc(took.Microseconds())
+}
+
+func (c *Counters) noted(n flow.Note) {
+	c.scope.Tagged(map[string]string{"kind": string(n.Kind), "outcome": n.Outcome}).Counter("decisions").Inc(1)
+}
+
+func (c *Counters) submitted(status endive.SubmitStatus, took time.Duration) {
+	c.scope.Tagged(map[string]string{"outcome": string(status)}).Counter("submissions").Inc(1)
+	c.submits.RecordDuration(took)
+}
+
+// Called counts a call to the platform or to a worker by what it does. Status 0
+// says that no answer came.
+func (c *Counters) Called(name string, status int, took time.Duration) {
+	scope := c.scope.Tagged(map[string]string{"call": name, "status": strconv.Itoa(status)})
+	scope.Counter("calls").Inc(1)
+	scope.Histogram("callSeconds", latencies).RecordDuration(took)
+}
+
+// storeWay returns the shortest time that the store took to answer.
+func (c *Counters) storeWay() time.Duration { return time.Duration(c.way.Load()) }
+
+// sawWay takes in how long a short call of the store took.
+func (c *Counters) sawWay(took time.Duration) {
+	if old := c.way.Load(); old == 0 || int64(took) < old {
+		c.way.Store(int64(took))
+	}
+}
--- /dev/null
+++ b/entry/cell/deps.go
@@ -0,0 +1,29 @@
+package cell
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/setup"
+)
+
+// Rows is the platform's store as the cell uses it.
+type Rows interface {
+	endive.Table
+	endive.RowFeed
+}
+
+// Deps is what a Cell is built on.
+type Deps struct {
+	Settings    setup.Cell
+	Incarnation endive.Incarnation
+	Clock       endive.Clock
+	// Platform is the time of the store.
+	Platform  endive.PlatformClock
+	Log       hclog.Logger
+	Counters  *Counters
+	Rows      Rows
+	Directory endive.Directory
+	Fleet     endive.Fleet
+	Advisor   endive.Advisor
+}
--- /dev/null
+++ b/entry/cell/perform.go
@@ -0,0 +1,88 @@
+package cell
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/elect"
+	"endiveroute.example/endive/flow"
+)
+
+// perform carries out one action of a machine. Everything that takes time goes to
+// a goroutine of its own, which sends the answer back as an event.
+func (p *pool) perform(from machineKind, action endive.Action) {
+	switch a := action.(type) {
+	case endive.SetWake:
+		p.wakeAt(from, a.At)
+	case elect.Record:
+		go (&commitCall{pool: p, to: toElect, transaction: a.Transaction}).run()
+	case elect.Look:
+		p.look()
+	case elect.Began:
+		p.tenureBegan(a)
+	case elect.Renewed:
+		p.tell(flow.TenureRenewed{Until: a.Until})
+	case elect.Lost:
+		p.cell.Log.Info("pool is lost", "pool", string(p.name), "reason", a.Reason)
+		p.endFollow()
+		p.tell(flow.TenureEnded{})
+	case flow.Fenced:
+		p.send(toElect, elect.Fenced{Epoch: a.Epoch})
+	case flow.Load:
+		p.endFollow()
+		p.follow = newFollow(p, a.Epoch)
+		go p.follow.run()
+	case flow.Record:
+		go (&commitCall{pool: p, to: toFlow, transaction: a.Transaction}).run()
+	case flow.Hold:
+		go (&holdCall{pool: p, order: a.Order}).run()
+	case flow.Start:
+		go (&startCall{pool: p, order: a.Order}).run()
+	case flow.Stop:
+		go (&stopCall{pool: p, order: a.Order}).run()
+	case flow.Pace:
+		go (&paceCall{pool: p, order: a.Order}).run()
+	case flow.Ask:
+		p.cell.adviser.ask(question{step: a.Step, workers: a.Workers, pool: p, own: true})
+	case flow.Note:
+		p.logNote(a)
+	}
+}
+
+func (p *pool) tenureBegan(a elect.Began) {
+	p.cell.Log.Info("pool is held", "pool", string(p.name), "epoch", uint64(a.Epoch))
+	workers, _ := p.cell.workers.of(p.name)
+	p.tell(flow.WorkersSeen{Workers: workers})
+	p.tell(flow.TenureBegan{Epoch: a.Epoch, FenceVersion: a.FenceVersion, Until: a.Until})
+}
+
+func (p *pool) endFollow() {
+	if p.follow != nil {
+		p.follow.cancel()
+		p.follow = nil
+	}
+}
+
+// wakeAt replaces the wake-up of a machine.
+func (p *pool) wakeAt(machine machineKind, at time.Time) {
+	if p.alarms[machine] != nil {
+		p.alarms[machine].Stop()
+	}
+	alarm := &alarm{pool: p, machine: machine}
+	p.alarms[machine] = time.AfterFunc(max(0, at.Sub(p.cell.Clock.Now())), alarm.ring)
+}
+
+// alarm wakes one machine of a pool.
+type alarm struct {
+	pool    *pool
+	machine machineKind
+}
+
+func (a *alarm) ring() { a.pool.send(a.machine, endive.Wake{}) }
+
+// logNote writes a decision to the log.
+func (p *pool) logNote(n flow.Note) {
+	p.cell.Counters.noted(n)
+	p.cell.Log.Info("decision", "pool", string(p.name), "kind", string(n.Kind), "job", string(n.Job), "task", string(n.Task),
+		"run", int64(n.Run), "worker", string(n.Worker), "outcome", n.Outcome, "reason", n.Reason)
+}
--- /dev/null
+++ b/entry/cell/pool.go
@@ -0,0 +1,165 @@
+package cell
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/elect"
+	"endiveroute.example/endive/flow"
+)
+
+// pool is the actor that owns the two machines of a pool: who holds it, and what
+// its holder decides.
+type pool struct {
+	name   endive.PoolName
+	cell   *Cell
+	pid    *actor.PID
+	elect  *elect.Machine
+	flow   *flow.Machine
+	alarms [2]*time.Timer
+	// follow reads the rows of the current tenure; nil without one.
+	follow *follow
+	// pending is what callers are told of waiting workflows.
+	pending pendingView
+	// holds mirrors whether this entry holds the pool.
+	holds atomic.Bool
+}
+
+// message is an event for one of a pool's machines.
+type message struct {
+	to    machineKind
+	event endive.Event
+}
+
+// machineKind tells a pool's machines apart.
+type machineKind int
+
+const (
+	toElect machineKind = iota
+	toFlow
+)
+
+func newPool(c *Cell, name endive.PoolName) *pool {
+	id := c.Settings.Name
+	p := &pool{name: name, cell: c}
+	p.elect = elect.New(id, c.Incarnation, name, p.fence, elect.Settings{
+		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
+	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
+	p.flow = flow.New(name, flow.Settings{
+		Grant: c.Settings.Bounds.MaxGrant / 4 * 3, MaxGrant: c.Settings.Bounds.MaxGrant,
+		GangWait: c.Settings.Bounds.GangWait, StopTime: c.Settings.Bounds.StopTime,
+		RemoteFactor: c.Settings.Bounds.RemoteFactor, Retention: c.Settings.Bounds.Retention, Harm: c.Settings.Bounds.Harm,
+	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)))
+	return p
+}
+
+const (
+	// renewalsPerLease is how often a lease is renewed before it would end.
+	renewalsPerLease = 3
+	// electRetry is the pause after a write of the lease that failed.
+	electRetry = endive.Interval(250 * time.Millisecond)
+)
+
+// fence returns the write that begins an epoch for the pool's rows.
+func (p *pool) fence(epoch endive.Epoch) endive.Write { return flow.FenceWrite(p.name, epoch) }
+
+// start spawns the actor and reads the lease.
+func (p *pool) start() {
+	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: p.cell.Log}))
+	p.pid = p.cell.system.Root.Spawn(props)
+	p.send(toElect, elect.Preference{Wait: p.preference()})
+	p.look()
+}
+
+// Receive implements actor.Actor.
+func (p *pool) Receive(c actor.Context) {
+	if m, ok := c.Message().(message); ok {
+		p.step(m)
+	}
+}
+
+// step feeds one event to a machine and carries out its actions.
+func (p *pool) step(m message) {
+	start := time.Now()
+	now := p.cell.Clock.Now()
+	var actions []endive.Action
+	if m.to == toElect {
+		actions = p.elect.Step(now, m.event)
+		p.holds.Store(p.elect.Holding())
+	} else {
+		actions = p.flow.Step(now, m.event)
+	}
+	p.cell.Counters.stepped(time.Since(start))
+	for _, action := range actions {
+		p.perform(m.to, action)
+	}
+}
+
+// send queues an event for a machine. It never blocks.
+func (p *pool) send(to machineKind, event endive.Event) {
+	p.cell.system.Root.Send(p.pid, message{to: to, event: event})
+}
+
+// tell queues an event for the machine that decides on the workers.
+func (p *pool) tell(event endive.Event) { p.send(toFlow, event) }
+
+// giveUp hands the pool over.
+func (p *pool) giveUp() { p.send(toElect, elect.GiveUp{}) }
+
+// sawLease takes in the row of the pool's lease.
+func (p *pool) sawLease(row endive.Row) {
+	seen := elect.Seen{Version: row.Version, Value: row.Value}
+	if row.Deleted {
+		seen = elect.Seen{}
+	}
+	p.send(toElect, elect.Preference{Wait: p.preference()})
+	p.send(toElect, seen)
+}
+
+const (
+	// heldWait is how much longer an entry waits for each pool that it holds, so
+	// that pools spread over the entries.
+	heldWait = 300 * time.Millisecond
+	// spreadWait bounds the differences between entries that suit equally.
+	spreadWait = 120 * time.Millisecond
+	// distanceWait is how much longer an entry waits for each millisecond of way
+	// to the store, since its holder asks it often.
+	distanceWait = 4
+)
+
+// preference returns how long this entry leaves a free pool to others.
+func (p *pool) preference() endive.Interval {
+	spread := time.Duration(endive.Rendezvous(p.cell.Settings.Name, string(p.name)) % uint64(spreadWait))
+	wait := spread + time.Duration(p.cell.held())*heldWait + distanceWait*p.cell.Counters.storeWay()
+	return endive.Interval(wait)
+}
+
+// look reads the lease's row until it can be read.
+func (p *pool) look() { go (&leaseLook{pool: p}).run() }
+
+// leaseLook reads the row of a lease.
+type leaseLook struct{ pool *pool }
+
+func (l *leaseLook) run() {
+	c := l.pool.cell
+	for c.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(c.ctx, time.Duration(c.Settings.Timings.StoreTimeout))
+		rows, err := c.Rows.Read(ctx, elect.Key(l.pool.name))
+		cancel()
+		c.store.saw(err)
+		if err != nil {
+			c.pause(followRetry)
+			continue
+		}
+		if len(rows) == 0 {
+			l.pool.send(toElect, elect.Seen{})
+		} else {
+			l.pool.sawLease(rows[0])
+		}
+		return
+	}
+}
--- /dev/null
+++ b/entry/cell/questions.go
@@ -0,0 +1,146 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// Match implements endive.Cell.
+func (c *Cell) Match(host, path string) endive.QueueMatch {
+	config := c.config.current()
+	if config == nil {
+		return endive.QueueMatch{}
+	}
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	match := endive.QueueMatch{ConfigVersion: config.Version}
+	for _, queue := range config.Queues {
+		if !strings.EqualFold(queue.Host, host) || !strings.HasPrefix(path, queue.Prefix) {
+			continue
+		}
+		if !match.Found || len(queue.Prefix) > len(match.Queue.Prefix) {
+			match.Queue, match.Found = queue, true
+			match.Rest = path[len(queue.Prefix):]
+		}
+	}
+	return match
+}
+
+// State implements endive.Cell.
+func (c *Cell) State(ctx context.Context, queue endive.Queue, id endive.JobID) (endive.WorkflowState, error) {
+	progress, _, err := c.find(ctx, queue, id)
+	return progress.State, err
+}
+
+// find returns what is recorded of a workflow and the pool where it is: the
+// queue's, or one that the queue belonged to before.
+func (c *Cell) find(ctx context.Context, queue endive.Queue, id endive.JobID) (flow.Progress, endive.PoolName, error) {
+	pools := []endive.PoolName{queue.Pool}
+	for _, p := range c.allPools() {
+		if p.name != queue.Pool {
+			pools = append(pools, p.name)
+		}
+	}
+	for _, pool := range pools {
+		rows, err := c.read(ctx, flow.StateKey(pool, id))
+		if err != nil {
+			return flow.Progress{}, "", err
+		}
+		if len(rows) == 0 {
+			continue
+		}
+		var progress flow.Progress
+		if err := json.Unmarshal(rows[0].Value, &progress); err != nil {
+			return flow.Progress{}, "", endive.ErrUnavailable.New("the state of %s can't be read: %w", id, err)
+		}
+		return progress, pool, nil
+	}
+	return flow.Progress{}, "", endive.ErrNotFound.New("there is no workflow %s", id)
+}
+
+// read reads a row, and tries again where the store didn't answer.
+func (c *Cell) read(ctx context.Context, key string) ([]endive.Row, error) {
+	for {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(c.Settings.Timings.StoreTimeout))
+		rows, err := c.Rows.Read(limited, key)
+		cancel()
+		c.store.saw(err)
+		if err == nil || ctx.Err() != nil || !c.store.reachable() {
+			return rows, err
+		}
+		c.pause(storeRetry)
+	}
+}
+
+// Cancel implements endive.Cell.
+func (c *Cell) Cancel(ctx context.Context, queue endive.Queue, id endive.JobID) error {
+	progress, pool, err := c.find(ctx, queue, id)
+	if err == nil && !progress.State.Ended() {
+		err = c.writeCancel(ctx, pool, id)
+	}
+	outcome := "recorded"
+	if err != nil {
+		outcome = err.Error()
+	}
+	c.Log.Info("decision", "kind", "cancel", "job", string(id), "queue", string(queue.Name), "outcome", outcome)
+	return err
+}
+
+func (c *Cell) writeCancel(ctx context.Context, pool endive.PoolName, id endive.JobID) error {
+	txn := endive.Transaction{Writes: []endive.Write{{Key: flow.CancelKey(pool, id), Value: []byte("{}")}}}
+	for try := 1; ; try++ {
+		err := c.commit(ctx, txn)
+		if err == nil || try == submitTries || ctx.Err() != nil {
+			return err
+		}
+		c.pause(storeRetry)
+	}
+}
+
+// pendingAge is how old the counts of waiting workflows may be that callers are
+// told.
+const pendingAge = 500 * time.Millisecond
+
+// pendingView is a copy of a pool's counts.
+type pendingView struct {
+	mu     sync.Mutex
+	counts map[endive.QueueName]int
+	readAt time.Time
+}
+
+// Pending implements endive.Cell.
+func (c *Cell) Pending(ctx context.Context, queue endive.Queue) (int, error) {
+	p := c.poolNamed(queue.Pool)
+	if p == nil {
+		return 0, nil
+	}
+	p.pending.mu.Lock()
+	defer p.pending.mu.Unlock()
+	now := c.Clock.Now()
+	if !p.pending.readAt.IsZero() && now.Sub(p.pending.readAt) < pendingAge {
+		return p.pending.counts[queue.Name], nil
+	}
+	rows, err := c.read(ctx, flow.PendingKey(queue.Pool))
+	if err != nil {
+		return 0, err
+	}
+	var read flow.Pending
+	for _, row := range rows {
+		if err := json.Unmarshal(row.Value, &read); err != nil {
+			return 0, endive.ErrUnavailable.New("the counts can't be read: %w", err)
+		}
+	}
+	p.pending.counts, p.pending.readAt = read.Queues, now
+	return read.Queues[queue.Name], nil
+}
--- /dev/null
+++ b/entry/cell/submit.go
@@ -0,0 +1,138 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+const (
+	// storeRetry is the pause before a write is tried again whose answer was lost.
+	storeRetry = 30 * time.Millisecond
+	// submitTries is how often a submission is written before its caller is told
+	// that its fate isn't known.
+	submitTries = 3
+	// storeAwayRetry is when a caller should come back while the store is away.
+	storeAwayRetry = endive.Interval(time.Second)
+)
+
+// Submit implements endive.Cell.
+func (c *Cell) Submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
+	start := c.Clock.Now()
+	result := c.submit(ctx, match, workflow)
+	c.Counters.submitted(result.Status, c.Clock.Now().Sub(start))
+	c.Log.Info("decision", "kind", "submit", "job", string(workflow.ID), "queue", string(match.Queue.Name),
+		"configVersion", int64(match.ConfigVersion), "steps", len(workflow.Steps), "outcome", string(result.Status),
+		"reason", result.Reason, "millis", c.Clock.Now().Sub(start).Milliseconds())
+	if result.Status == endive.SubmitAccepted && result.Reason == reasonStored {
+		c.askForRoots(match.Queue, workflow)
+	}
+	return result
+}
+
+// reasonStored says that this submission was the one that stored the workflow.
+const reasonStored = "stored"
+
+func (c *Cell) submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
+	pool := match.Queue.Pool
+	if !c.store.reachable() || !c.Platform.Known() {
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: "the store is away"}
+	}
+	job, err := json.Marshal(endive.Submission{
+		Workflow: workflow, Policy: match.Queue, ConfigVersion: match.ConfigVersion,
+		Accepted: c.Platform.AtLeast(c.Clock.Now()),
+	})
+	if err != nil {
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "it can't be encoded: " + err.Error()}
+	}
+	state, err := json.Marshal(flow.Progress{State: endive.WorkflowQueued})
+	if err != nil {
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "its state can't be encoded: " + err.Error()}
+	}
+	key := flow.JobKey(pool, workflow.ID)
+	txn := endive.Transaction{
+		Conditions: []endive.Condition{{Key: key}},
+		Writes: []endive.Write{
+			{Key: key, Value: job},
+			{Key: flow.StateKey(pool, workflow.ID), Value: state},
+		},
+	}
+	return c.commitSubmission(ctx, txn)
+}
+
+// commitSubmission writes a submission. Once an answer was lost, nothing but a
+// later answer can tell whether it is stored, and it is never called refused.
+func (c *Cell) commitSubmission(ctx context.Context, txn endive.Transaction) endive.SubmitResult {
+	lost := false
+	for try := 1; ; try++ {
+		err := c.commit(ctx, txn)
+		switch {
+		case err == nil:
+			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: reasonStored}
+		case endive.ErrConflict.Has(err):
+			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "is stored already"}
+		case endive.ErrUnknown.Has(err):
+			lost = true
+		}
+		if try == submitTries || ctx.Err() != nil {
+			if lost {
+				return endive.SubmitResult{Status: endive.SubmitUnknown, Reason: err.Error()}
+			}
+			return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: err.Error()}
+		}
+		c.pause(storeRetry)
+	}
+}
+
+// commit writes a transaction within the bound of one call.
+func (c *Cell) commit(ctx context.Context, txn endive.Transaction) error {
+	limited, cancel := context.WithTimeout(ctx, time.Duration(c.Settings.Timings.StoreTimeout))
+	defer cancel()
+	_, err := c.Rows.Commit(limited, txn)
+	c.store.saw(err)
+	return err
+}
+
+// askForRoots asks early which workers may run the steps that come first, so that
+// the questions of all entries are answered side by side.
+func (c *Cell) askForRoots(queue endive.Queue, workflow endive.Workflow) {
+	if !queue.Advice.Required() || workflow.Schedule.Occurrences > 0 {
+		return
+	}
+	p := c.poolNamed(queue.Pool)
+	if p == nil {
+		return
+	}
+	workers, _ := c.workers.of(queue.Pool)
+	for i, step := range workflow.Steps {
+		if len(step.After) > 0 {
+			continue
+		}
+		id := endive.StepID(string(workflow.ID) + ".0." + itoa(i))
+		if named := ableWorkers(workers, step); len(named) > 0 {
+			c.adviser.ask(question{step: id, workers: named, pool: p})
+		}
+	}
+}
+
+// maxAdviceWorkers is how many workers one question may name.
+const maxAdviceWorkers = 100
+
+// ableWorkers returns the workers that could run a task of the step, were they
+// empty.
+func ableWorkers(workers []endive.FleetWorker, step endive.Step) []endive.WorkerID {
+	var able []endive.WorkerID
+	for _, w := range workers {
+		if w.Draining || !step.Reserved().Fits(w.Capacity) || step.Label != "" && !w.HasLabel(step.Label) {
+			continue
+		}
+		able = append(able, w.ID)
+		if len(able) == maxAdviceWorkers {
+			break
+		}
+	}
+	return able
+}
--- /dev/null
+++ b/entry/cell/workersloop.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"context"
+	"reflect"
+	"sort"
+	"sync"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+// lapseGrace is how long after the store's return workers whose entries have
+// lapsed meanwhile may take to be back in the list.
+const lapseGrace = 2 * time.Second
+
+// workersLoop follows the list of workers.
+type workersLoop struct {
+	cell *Cell
+
+	mu      sync.Mutex
+	workers map[endive.WorkerID]endive.FleetWorker
+	// missing are workers whose entries are gone since the store was away.
+	missing map[endive.WorkerID]bool
+	changed bool
+	ready   bool
+}
+
+func newWorkersLoop(c *Cell) *workersLoop {
+	return &workersLoop{
+		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), missing: make(map[endive.WorkerID]bool),
+	}
+}
+
+func (l *workersLoop) run() {
+	var after endive.Revision
+	for l.cell.ctx.Err() == nil {
+		news, err := l.next(after)
+		l.cell.store.saw(err)
+		switch {
+		case endive.ErrHistoryLost.Has(err):
+			after = 0
+			continue
+		case err == nil:
+			l.take(news, after == 0)
+			after = news.Revision
+		}
+		l.cell.pause(time.Duration(l.cell.Settings.Timings.Poll))
+	}
+}
+
+func (l *workersLoop) next(after endive.Revision) (endive.WorkersNews, error) {
+	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
+	defer cancel()
+	return l.cell.Directory.Workers(ctx, after)
+}
+
+// take takes in what is new, and tells the pools if anything changed that matters.
+func (l *workersLoop) take(news endive.WorkersNews, all bool) {
+	l.mu.Lock()
+	seen := make(map[endive.WorkerID]bool, len(news.Workers))
+	for _, w := range news.Workers {
+		seen[w.ID] = true
+		delete(l.missing, w.ID)
+		if old, ok := l.workers[w.ID]; !ok || !reflect.DeepEqual(old, w) {
+			l.workers[w.ID] = w
+			l.changed = true
+		}
+	}
+	gone := news.Gone
+	if all {
+		for id := range l.workers {
+			if !seen[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		if _, ok := l.workers[id]; ok {
+			l.missing[id] = true
+		}
+	}
+	l.dropMissing()
+	publish := l.changed || !l.ready
+	l.changed, l.ready = false, true
+	l.mu.Unlock()
+	if publish {
+		l.publishAll()
+	}
+}
+
+// dropMissing forgets the workers whose entries are gone. After an outage of the
+// store they get the time to register again.
+func (l *workersLoop) dropMissing() {
+	if l.cell.Clock.Now().Before(l.cell.store.returned().Add(lapseGrace)) {
+		return
+	}
+	for id := range l.missing {
+		delete(l.workers, id)
+		delete(l.missing, id)
+		l.changed = true
+	}
+}
+
+// of returns the workers of a pool in the order of their ids, and whether the list
+// has been read.
+func (l *workersLoop) of(pool endive.PoolName) ([]endive.FleetWorker, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var workers []endive.FleetWorker
+	for _, w := range l.workers {
+		if w.Pool == pool {
+			workers = append(workers, w)
+		}
+	}
+	sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
+	return workers, l.ready
+}
+
+// publishAll tells each pool its workers.
+func (l *workersLoop) publishAll() {
+	for _, p := range l.cell.allPools() {
+		if workers, ok := l.of(p.name); ok {
+			p.tell(flow.WorkersSeen{Workers: workers})
+		}
+	}
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -25,6 +25,8 @@
   entry --settings entry-1.toml --check   checks the file and exits: 0 if it is
                                           good, 2 with all findings if not
   entry --settings entry-1.toml           runs until SIGTERM or SIGINT
+  entry --cell cell.toml                  runs workflows on the users' platform
+                                          (deploy/cell.toml is the template)
 
 SIGTERM is a graceful stop: the readiness check fails, requests in flight are
 finished, slices are handed to other entries. A second signal ends the process
@@ -32,10 +34,18 @@
 
 func main() {
 	app := kingpin.New("entry", usage)
-	path := app.Flag("settings", "The settings file (TOML).").Required().String()
+	path := app.Flag("settings", "The settings file (TOML).").String()
+	cellPath := app.Flag("cell", "The settings file (TOML) of an entry that runs workflows on the users' platform.").String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
+	switch {
+	case *path == "" && *cellPath == "" || *path != "" && *cellPath != "":
+		app.Fatalf("name either --settings or --cell")
+	case *cellPath != "":
+		runCell(*cellPath, *check)
+		return
+	}
 	settings, err := setup.Load(*path)
 	if *check || err != nil {
 		setup.Report(os.Stderr, settings, err)
@@ -49,3 +59,19 @@
 		os.Exit(exitFailed)
 	}
 }
+
+// runCell checks the settings of a cell's entry, and runs it.
+func runCell(path string, check bool) {
+	settings, err := setup.LoadCell(path)
+	if check || err != nil {
+		setup.Report(os.Stderr, settings, err)
+		if err != nil {
+			os.Exit(exitSettings)
+		}
+		return
+	}
+	if err := newCellProgram(settings, path).run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -12,6 +12,8 @@
 	// ErrConflict means that a transaction's condition didn't hold. Nothing was
 	// written.
 	ErrConflict = errs.Class("conflict")
+	// ErrHistoryLost means that the changes since a revision are forgotten.
+	ErrHistoryLost = errs.Class("history lost")
 	// ErrNotFound means that there is nothing under the given name.
 	ErrNotFound = errs.Class("not found")
 	// ErrInvalid means that the input is wrong. The error wraps Findings.
--- /dev/null
+++ b/flow/actions.go
@@ -0,0 +1,87 @@
+package flow
+
+import "endiveroute.example/endive"
+
+// Load asks for the pool's rows, and to follow the table of work from then on. It
+// is answered by Loaded.
+type Load struct{ Epoch endive.Epoch }
+
+// Hold sends an order to renew leases and to look. It is answered by Held.
+type Hold struct{ Order endive.HoldOrder }
+
+// Start sends an order to start a task. It is answered by Started.
+type Start struct{ Order endive.StartOrder }
+
+// Stop sends an order to stop a run. It is answered by Stopped.
+type Stop struct{ Order endive.StopOrder }
+
+// Pace sends an order to slow a run down. It is answered by Paced.
+type Pace struct{ Order endive.PaceOrder }
+
+// Ask asks the advice service. It is answered by Advised. One question is asked
+// at a time.
+type Ask struct {
+	Step    endive.StepID
+	Workers []endive.WorkerID
+}
+
+// Record writes a transaction. It is answered by endive.Committed with the same
+// write id.
+type Record struct{ Transaction endive.Transaction }
+
+// Fenced says that another entry holds the pool with a higher epoch.
+type Fenced struct{ Epoch endive.Epoch }
+
+// Note is one decision for the log.
+type Note struct {
+	Kind   NoteKind
+	Job    endive.JobID
+	Task   endive.TaskID
+	Run    endive.RunNumber
+	Worker endive.WorkerID
+	// Outcome is what was decided, Reason the inputs that decided it.
+	Outcome string
+	Reason  string
+}
+
+// NoteKind says what a Note is about.
+type NoteKind string
+
+// The kinds of notes.
+const (
+	NoteJob    NoteKind = "job"
+	NoteStart  NoteKind = "start"
+	NoteEnd    NoteKind = "end"
+	NoteStop   NoteKind = "stop"
+	NoteWorker NoteKind = "worker"
+	NoteTenure NoteKind = "tenure"
+	NoteAdvice NoteKind = "advice"
+	NoteRecord NoteKind = "record"
+)
+
+// IsAction marks Load as an action.
+func (Load) IsAction() {}
+
+// IsAction marks Hold as an action.
+func (Hold) IsAction() {}
+
+// IsAction marks Start as an action.
+func (Start) IsAction() {}
+
+// IsAction marks Stop as an action.
+func (Stop) IsAction() {}
+
+// IsAction marks Pace as an action.
+func (Pace) IsAction() {}
+
+// IsAction marks Ask as an action.
+func (Ask) IsAction() {}
+
+// IsAction marks Record as an action.
+func (Record) IsAction() {}
+
+// IsAction marks Fenced as an action.
+func (Fenced) IsAction() {}
+
+// IsAction marks Note as an action.
+func (Note) IsAction() {}
--- /dev/null
+++ b/flow/advice.go
@@ -0,0 +1,238 @@
+package flow
+
+import (
+	"sort"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// tickets are what is known of the workers that may run a step.
+type tickets struct {
+	good map[endive.WorkerID]ticket
+	// bad workers never may.
+	bad map[endive.WorkerID]bool
+	// askAt is when the holder may ask for itself.
+	askAt  time.Time
+	asking bool
+	// asks counts the holder's own questions.
+	asks int
+}
+
+type ticket struct {
+	ticket endive.AdviceTicket
+	until  time.Time
+}
+
+// valid reports whether there is a ticket that a worker will accept.
+func (t *tickets) valid(id endive.WorkerID, now time.Time) bool {
+	one, ok := t.good[id]
+	return ok && now.Add(ticketMargin).Before(one.until)
+}
+
+// known reports whether a worker is known to be good.
+func (t *tickets) known(id endive.WorkerID) bool {
+	_, ok := t.good[id]
+	return ok
+}
+
+// of returns the ticket for a worker; empty if there is none.
+func (t *tickets) of(id endive.WorkerID) endive.AdviceTicket { return t.good[id].ticket }
+
+// drop forgets that a ticket is valid; the worker stays known to be good.
+func (t *tickets) drop(id endive.WorkerID) {
+	if one, ok := t.good[id]; ok {
+		one.until = time.Time{}
+		t.good[id] = one
+	}
+}
+
+func (t *tickets) take(good []endive.AdviceGrant, bad []endive.WorkerID, until time.Time) {
+	if t.good == nil {
+		t.good = make(map[endive.WorkerID]ticket)
+		t.bad = make(map[endive.WorkerID]bool)
+	}
+	for _, one := range good {
+		t.good[one.Worker] = ticket{ticket: one.Ticket, until: until}
+	}
+	for _, id := range bad {
+		t.bad[id] = true
+	}
+}
+
+// advice is the state of the questions to the advice service, which answers this
+// entry one after the other.
+type advice struct {
+	asking bool
+	// wanted lists the steps that could use an answer, in the order of the pass.
+	wanted []*step
+	// nextAt is when the next question may be asked; zero for never.
+	nextAt  time.Time
+	retryAt time.Time
+}
+
+func (m *Machine) needsTicket(s *step) bool { return s.occ.job.policy.Advice.Required() }
+
+// want notes that a step could use an answer of the advice service.
+func (m *Machine) want(s *step) {
+	if m.needsTicket(s) && !s.tickets.asking && !s.occ.job.inheritedUnseen(m) {
+		m.advice.wanted = append(m.advice.wanted, s)
+	}
+}
+
+// inheritedUnseen reports whether tasks of the job may run unseen, so that tickets
+// for them would be of no use yet.
+func (j *job) inheritedUnseen(m *Machine) bool { return j.inherited && !m.tenure.settled }
+
+// foresee asks early for a step whose predecessors are about to end, since an
+// answer takes as long as a part of a task.
+func (m *Machine) foresee(s *step) {
+	if !m.needsTicket(s) || s.tickets.asking || s.tickets.asks > 0 {
+		return
+	}
+	cost := time.Duration(s.occ.job.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
+	for _, before := range s.spec.After {
+		b := s.occ.steps[before]
+		if b.left == 0 {
+			continue
+		}
+		if b.waiting > 0 || b.began.IsZero() {
+			return
+		}
+		due := b.began.Add(time.Duration(b.spec.Estimate) - cost - foresight)
+		if due.After(m.now) {
+			m.passDue = true
+			m.passAt = earliest(m.passAt, due)
+			return
+		}
+	}
+	m.advice.wanted = append(m.advice.wanted, s)
+}
+
+const (
+	// foresight is how much earlier than needed advice is asked for.
+	foresight = 200 * time.Millisecond
+	// maxAdviceWorkers is how many workers a question may name.
+	maxAdviceWorkers = 100
+)
+
+// ask asks for the first step that can use an answer.
+func (m *Machine) ask() {
+	m.advice.nextAt = time.Time{}
+	if m.advice.asking || len(m.advice.wanted) == 0 {
+		return
+	}
+	if m.now.Before(m.advice.retryAt) {
+		m.advice.nextAt = m.advice.retryAt
+		return
+	}
+	for i, s := range m.advice.wanted {
+		if m.now.Before(s.tickets.askAt) {
+			m.advice.nextAt = earliest(m.advice.nextAt, s.tickets.askAt)
+			continue
+		}
+		workers := m.askAbout(s)
+		if len(workers) == 0 {
+			continue
+		}
+		m.advice.wanted = append(m.advice.wanted[:i:i], m.advice.wanted[i+1:]...)
+		m.advice.asking = true
+		s.tickets.asking = true
+		s.tickets.asks++
+		m.emit(Ask{Step: s.id, Workers: workers})
+		return
+	}
+}
+
+// askAbout returns the workers to name: those with room that may be good, and all
+// others of which nothing is known yet if no question was asked before. Which
+// workers are good never changes for a step, so bad ones aren't named again.
+func (m *Machine) askAbout(s *step) []endive.WorkerID {
+	var roomy, others []endive.WorkerID
+	for _, w := range m.ordered {
+		if !w.usable() || !w.couldRun(s) || s.tickets.valid(w.id, m.now) {
+			continue
+		}
+		if s.spec.Reserved().Fits(w.free()) {
+			roomy = append(roomy, w.id)
+		} else if !s.tickets.known(w.id) {
+			others = append(others, w.id)
+		}
+	}
+	if len(roomy) == 0 {
+		return nil
+	}
+	workers := append(roomy, others...)
+	return workers[:min(len(workers), maxAdviceWorkers)]
+}
+
+// advised takes in an answer to this entry's own question.
+func (m *Machine) advised(e Advised) {
+	m.advice.asking = false
+	s := m.stepOf(e.Step)
+	if !e.OK {
+		m.advice.retryAt = m.now.Add(adviceRetry)
+	}
+	m.passDue = true
+	if s == nil {
+		return
+	}
+	s.tickets.asking = false
+	if !e.OK {
+		s.tickets.askAt = m.now.Add(adviceRetry)
+		m.note(Note{Kind: NoteAdvice, Job: s.occ.job.id, Outcome: "none", Reason: "step " + string(e.Step) + ": no answer"})
+		return
+	}
+	m.takeAdvice(s, e.Good, BadOf(e.Asked, e.Good), e.Expiry)
+	if len(e.Good) == 0 {
+		s.tickets.askAt = m.now.Add(adviceRetry)
+	}
+}
+
+// BadOf returns the workers that were named in a question and aren't in its
+// answer; they never may run the step.
+func BadOf(asked []endive.WorkerID, good []endive.AdviceGrant) []endive.WorkerID {
+	isGood := make(map[endive.WorkerID]bool, len(good))
+	for _, one := range good {
+		isGood[one.Worker] = true
+	}
+	var bad []endive.WorkerID
+	for _, id := range asked {
+		if !isGood[id] {
+			bad = append(bad, id)
+		}
+	}
+	sort.Slice(bad, func(i, j int) bool { return bad[i] < bad[j] })
+	return bad
+}
+
+// adviceRow takes in an answer that another entry got.
+func (m *Machine) adviceRow(step endive.StepID, value []byte) {
+	s := m.stepOf(step)
+	if s == nil || !m.clock.Known() {
+		return
+	}
+	var row AdviceRow
+	if err := decode(value, &row); err != nil {
+		m.note(Note{Kind: NoteAdvice, Outcome: "skipped", Reason: "step " + string(step) + ": " + err.Error()})
+		return
+	}
+	m.takeAdvice(s, row.Good, row.Bad, m.clock.Earliest(row.Until))
+}
+
+func (m *Machine) takeAdvice(s *step, good []endive.AdviceGrant, bad []endive.WorkerID, until time.Time) {
+	s.tickets.take(good, bad, until)
+	s.tickets.askAt = time.Time{}
+	m.passDue = true
+	m.note(Note{Kind: NoteAdvice, Job: s.occ.job.id, Outcome: "taken", Reason: "step " + string(s.id) + ": " +
+		number(int64(len(good))) + " good, " + number(int64(len(bad))) + " bad, for " + until.Sub(m.now).Round(time.Millisecond).String()})
+}
+
+// stepOf returns a step that is still of interest.
+func (m *Machine) stepOf(id endive.StepID) *step {
+	t := m.tasks[endive.TaskID(string(id)+".0")]
+	if t == nil {
+		return nil
+	}
+	return t.step
+}
--- /dev/null
+++ b/flow/events.go
@@ -0,0 +1,127 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// TenureBegan says that this entry took the pool over. The fence row was written
+// with the epoch in the same transaction.
+type TenureBegan struct {
+	Epoch        endive.Epoch
+	FenceVersion endive.Version
+	// Until is when the lease of the pool ends.
+	Until time.Time
+}
+
+// TenureRenewed says until when the pool is held.
+type TenureRenewed struct{ Until time.Time }
+
+// TenureEnded says that another entry holds the pool, or may.
+type TenureEnded struct{}
+
+// Loaded gives the pool's rows as they were when the tenure began.
+type Loaded struct {
+	Epoch  endive.Epoch
+	Work   []endive.Row
+	States []endive.Row
+	Roster []endive.WorkerID
+}
+
+// WorkChanged gives rows of the pool's table of work that were written.
+type WorkChanged struct{ Rows []endive.Row }
+
+// WorkersSeen gives all workers of the pool that are listed.
+type WorkersSeen struct{ Workers []endive.FleetWorker }
+
+// OrderResult says what became of an order.
+type OrderResult string
+
+// The results of an order.
+const (
+	// OrderAnswered means that there is an answer.
+	OrderAnswered OrderResult = "answered"
+	// OrderNotSent means that the order never arrived and never will.
+	OrderNotSent OrderResult = "notSent"
+	// OrderUnknown means that the order may be carried out, also later.
+	OrderUnknown OrderResult = "unknown"
+)
+
+// Held is the answer to a Hold.
+type Held struct {
+	Worker endive.WorkerID
+	Result OrderResult
+	Report endive.HoldReport
+	Answer endive.OrderAnswer
+}
+
+// Started is the answer to a Start.
+type Started struct {
+	Worker endive.WorkerID
+	Task   endive.TaskID
+	Run    endive.RunNumber
+	Result OrderResult
+	Answer endive.OrderAnswer
+}
+
+// Stopped is the answer to a Stop.
+type Stopped struct {
+	Worker endive.WorkerID
+	Task   endive.TaskID
+	Run    endive.RunNumber
+	Result OrderResult
+	Answer endive.OrderAnswer
+}
+
+// Paced is the answer to a Pace.
+type Paced struct {
+	Worker  endive.WorkerID
+	Task    endive.TaskID
+	Run     endive.RunNumber
+	Percent int
+	Result  OrderResult
+	Answer  endive.OrderAnswer
+}
+
+// Advised is the answer to an Ask.
+type Advised struct {
+	Step   endive.StepID
+	Asked  []endive.WorkerID
+	OK     bool
+	Good   []endive.AdviceGrant
+	Expiry time.Time
+}
+
+// IsEvent marks TenureBegan as an event.
+func (TenureBegan) IsEvent() {}
+
+// IsEvent marks TenureRenewed as an event.
+func (TenureRenewed) IsEvent() {}
+
+// IsEvent marks TenureEnded as an event.
+func (TenureEnded) IsEvent() {}
+
+// IsEvent marks Loaded as an event.
+func (Loaded) IsEvent() {}
+
+// IsEvent marks WorkChanged as an event.
+func (WorkChanged) IsEvent() {}
+
+// IsEvent marks WorkersSeen as an event.
+func (WorkersSeen) IsEvent() {}
+
+// IsEvent marks Held as an event.
+func (Held) IsEvent() {}
+
+// IsEvent marks Started as an event.
+func (Started) IsEvent() {}
+
+// IsEvent marks Stopped as an event.
+func (Stopped) IsEvent() {}
+
+// IsEvent marks Paced as an event.
+func (Paced) IsEvent() {}
+
+// IsEvent marks Advised as an event.
+func (Advised) IsEvent() {}
--- /dev/null
+++ b/flow/gang.go
@@ -0,0 +1,180 @@
+package flow
+
+import (
+	"sort"
+
+	"endiveroute.example/endive"
+)
+
+// gang is the state of a step whose tasks work only together.
+type gang struct {
+	// run is the run number that all members share while they run; 0 otherwise.
+	run endive.RunNumber
+	// failures counts the runs that failed; failedRun is the newest of them.
+	failures  int
+	failedRun endive.RunNumber
+}
+
+// placeGang starts all tasks of a gang at once, or sets room aside for them.
+func (m *Machine) placeGang(s *step) {
+	for _, t := range s.tasks {
+		if !m.startable(t) {
+			return
+		}
+	}
+	chosen := m.chooseGang(s)
+	if chosen == nil {
+		m.want(s)
+		m.setAside(s)
+		return
+	}
+	n := m.nextRun(s.tasks...)
+	s.gang.run = n
+	for i, t := range s.tasks {
+		m.startRun(t, chosen[i], n, m.placeReason(s, chosen[i]))
+	}
+}
+
+// chooseGang returns a worker for each member, or nil. Members that are slow apart
+// go to one rack where one has room.
+func (m *Machine) chooseGang(s *step) []*worker {
+	if s.spec.SameRack {
+		for _, rack := range m.racks() {
+			if chosen := m.chooseMembers(s, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return m.chooseMembers(s, "")
+}
+
+// chooseMembers returns a worker for each member, on a rack unless it is empty.
+func (m *Machine) chooseMembers(s *step, rack endive.Label) []*worker {
+	var chosen []*worker
+	before := make(map[*worker]endive.Resources)
+	for range s.tasks {
+		w := m.chooseOn(s, rack)
+		if w == nil {
+			break
+		}
+		if _, ok := before[w]; !ok {
+			before[w] = w.setAside
+		}
+		w.setAside = w.setAside.Add(s.spec.Reserved())
+		s.perWorker[w.id]++
+		chosen = append(chosen, w)
+	}
+	for w, aside := range before {
+		w.setAside = aside
+	}
+	for _, w := range chosen {
+		s.perWorker[w.id]--
+		if s.perWorker[w.id] == 0 {
+			delete(s.perWorker, w.id)
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		return nil
+	}
+	return chosen
+}
+
+func (m *Machine) chooseOn(s *step, rack endive.Label) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range m.ordered {
+		if rack != "" && !w.self.HasLabel(rack) || !m.fits(s, w) {
+			continue
+		}
+		if score := m.score(s, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// racks returns the labels that workers share.
+func (m *Machine) racks() []endive.Label {
+	seen := make(map[endive.Label]bool)
+	var racks []endive.Label
+	for _, w := range m.ordered {
+		for _, label := range w.self.Labels {
+			if !seen[label] {
+				seen[label] = true
+				racks = append(racks, label)
+			}
+		}
+	}
+	sort.Slice(racks, func(i, j int) bool { return racks[i] < racks[j] })
+	return racks
+}
+
+// setAside keeps the room of the workers that are free soonest for a gang that
+// has none yet, so that small tasks of lower rank don't hold it up for ever.
+func (m *Machine) setAside(s *step) {
+	if s.occ.job.rank.tier == tierHopeless {
+		return
+	}
+	var able []*worker
+	for _, w := range m.ordered {
+		if w.usable() && w.couldRun(s) && (!m.needsTicket(s) || s.tickets.known(w.id)) && w.setAside == (endive.Resources{}) {
+			able = append(able, w)
+		}
+	}
+	if len(able) < len(s.tasks) {
+		return
+	}
+	sort.SliceStable(able, func(i, j int) bool {
+		return share(able[i].free(), able[i].self.Capacity) > share(able[j].free(), able[j].self.Capacity)
+	})
+	for _, w := range able[:len(s.tasks)] {
+		w.setAside = w.setAside.Add(s.spec.Reserved())
+	}
+}
+
+// gangConfirmed is told when a member of a gang has started.
+func (m *Machine) gangConfirmed(r *run) {
+	s := r.task.step
+	if s.spec.Gang && r.number != s.gang.run && r.state == runRunning {
+		m.stopRun(r, "its gang was given up")
+	}
+}
+
+// gangBroken ends all members of a gang of which one is missing.
+func (m *Machine) gangBroken(s *step, reason string) {
+	if !s.spec.Gang || s.gang.run == 0 {
+		return
+	}
+	s.gang.run = 0
+	for _, t := range s.tasks {
+		if t.run != nil && t.state == taskPlaced {
+			m.stopRun(t.run, reason)
+		}
+	}
+}
+
+// checkGangs ends gangs of earlier holders of which not all members run.
+func (m *Machine) checkGangs() {
+	for _, j := range m.jobs {
+		for _, occ := range j.sortedOccs() {
+			for _, s := range occ.steps {
+				if s.spec.Gang && s.gang.run > 0 && !s.gangWhole() {
+					m.gangBroken(s, "not all members run")
+				}
+			}
+		}
+	}
+}
+
+// gangWhole reports whether all members run under the gang's number, or are done.
+func (s *step) gangWhole() bool {
+	for _, t := range s.tasks {
+		if t.state >= taskSucceeded {
+			return true
+		}
+		if t.run == nil || t.run.number != s.gang.run {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/flow/job.go
@@ -0,0 +1,245 @@
+package flow
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// job is a workflow that hasn't ended, or whose end isn't recorded yet.
+type job struct {
+	id       endive.JobID
+	spec     endive.Workflow
+	policy   endive.Queue
+	accepted time.Time
+	state    endive.WorkflowState
+	occs     map[int]*occurrence
+	// nextOcc is the first occurrence that isn't due yet; finished counts those
+	// whose tasks have all succeeded.
+	nextOcc  int
+	finished int
+	begun    bool
+	// row says that the state row is older than what is known.
+	row rowAge
+	// rank is the job's place in the order of the last pass.
+	rank rank
+	// inherited jobs were accepted before this tenure.
+	inherited bool
+	objective time.Time
+}
+
+// rowAge says whether a job's row has to be written.
+type rowAge int
+
+const (
+	rowCurrent rowAge = iota
+	// rowLazy means that nobody waits for the news.
+	rowLazy
+	// rowUrgent means that an end waits for it.
+	rowUrgent
+)
+
+// occurrence is one run through the steps.
+type occurrence struct {
+	job    *job
+	number int
+	due    time.Time
+	steps  []*step
+	// left counts the steps that haven't succeeded.
+	left int
+}
+
+// step is a step of one occurrence.
+type step struct {
+	occ   *occurrence
+	index int
+	id    endive.StepID
+	spec  *endive.Step
+	tasks []*task
+	// waiting counts tasks that could start as far as they themselves go; left
+	// counts those whose success isn't recorded.
+	waiting int
+	left    int
+	// began is when the first task of the step was started.
+	began time.Time
+	// perWorker counts the runs on each worker.
+	perWorker map[endive.WorkerID]int
+
+	tickets tickets
+	gang    gang
+}
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	id    endive.TaskID
+	state taskState
+	// run is what may be running of the task; nil while it waits.
+	run        *run
+	failures   int
+	failedRun  endive.RunNumber
+	checkpoint endive.Checkpoint
+	// notBefore delays the next start after a failure.
+	notBefore time.Time
+	// avoid is where the task ended badly last.
+	avoid endive.WorkerID
+	// inherited tasks may run on a worker that hasn't answered in this tenure.
+	inherited bool
+	// lastRun is the highest run number known of the task.
+	lastRun endive.RunNumber
+}
+
+// taskState says how far a task is.
+type taskState int
+
+const (
+	taskWaiting taskState = iota
+	taskPlaced
+	// taskSucceeded tasks have ended well; the end may not be recorded yet.
+	taskSucceeded
+	taskRecorded
+)
+
+// newJob returns a job of which nothing is recorded.
+func (m *Machine) newJob(s endive.Submission) *job {
+	j := &job{
+		id: s.Workflow.ID, spec: s.Workflow, policy: s.Policy, accepted: m.now,
+		state: endive.WorkflowQueued, occs: make(map[int]*occurrence),
+	}
+	if s.Accepted > 0 && m.clock.Known() {
+		if at := m.clock.Earliest(s.Accepted); at.Before(m.now) {
+			j.accepted = at
+		}
+	}
+	j.objective = j.accepted.Add(time.Duration(j.policy.SlackFactor*float64(j.chain())) + time.Duration(j.policy.Grace))
+	return j
+}
+
+// chain returns the longest chain of estimated work of one occurrence.
+func (j *job) chain() time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	var longest time.Duration
+	for i, step := range j.spec.Steps {
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += time.Duration(step.Estimate)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// lasts reports whether the job runs until it is cancelled.
+func (j *job) lasts() bool {
+	for _, step := range j.spec.Steps {
+		if step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// addOccurrence makes the tasks of an occurrence.
+func (m *Machine) addOccurrence(j *job, number int) *occurrence {
+	occ := &occurrence{job: j, number: number, due: j.spec.Schedule.Due(number), left: len(j.spec.Steps)}
+	for i := range j.spec.Steps {
+		s := &step{
+			occ: occ, index: i, spec: &j.spec.Steps[i],
+			id:        endive.StepID(fmt.Sprintf("%s.%d.%d", j.id, number, i)),
+			perWorker: make(map[endive.WorkerID]int),
+		}
+		s.left = s.spec.Tasks
+		s.waiting = s.spec.Tasks
+		for n := range s.spec.Tasks {
+			t := &task{step: s, index: n, id: endive.TaskID(string(s.id) + "." + strconv.Itoa(n)), inherited: j.inherited}
+			s.tasks = append(s.tasks, t)
+			m.tasks[t.id] = t
+		}
+		occ.steps = append(occ.steps, s)
+	}
+	j.occs[number] = occ
+	return occ
+}
+
+// dropOccurrence forgets the tasks of an occurrence that has ended.
+func (m *Machine) dropOccurrence(occ *occurrence) {
+	for _, s := range occ.steps {
+		for _, t := range s.tasks {
+			delete(m.tasks, t.id)
+		}
+	}
+}
+
+// sortedOccs returns the occurrences in the order of their numbers.
+func (j *job) sortedOccs() []*occurrence {
+	if len(j.occs) == 1 {
+		for _, occ := range j.occs {
+			return []*occurrence{occ}
+		}
+	}
+	occs := make([]*occurrence, 0, len(j.occs))
+	for _, occ := range j.occs {
+		occs = append(occs, occ)
+	}
+	sort.Slice(occs, func(a, b int) bool { return occs[a].number < occs[b].number })
+	return occs
+}
+
+// ready reports whether all steps before s have succeeded, and recorded so.
+func (s *step) ready() bool {
+	for _, before := range s.spec.After {
+		if s.occ.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// runs returns what may be running of the job.
+func (j *job) runs() []*run {
+	var runs []*run
+	for _, occ := range j.sortedOccs() {
+		for _, s := range occ.steps {
+			for _, t := range s.tasks {
+				if t.run != nil {
+					runs = append(runs, t.run)
+				}
+			}
+		}
+	}
+	return runs
+}
+
+// takeDue makes the occurrences whose time has come.
+func (m *Machine) takeDue() {
+	for _, j := range m.jobs {
+		if j.state.Ended() || j.spec.Schedule.Occurrences == 0 {
+			continue
+		}
+		for j.nextOcc < j.spec.Schedule.Count() && !m.now.Before(j.spec.Schedule.Due(j.nextOcc)) {
+			if j.occs[j.nextOcc] == nil {
+				m.addOccurrence(j, j.nextOcc)
+			}
+			j.nextOcc++
+			m.passDue = true
+		}
+	}
+}
+
+// nextDue returns when the next occurrence is due.
+func (m *Machine) nextDue() time.Time {
+	var next time.Time
+	for _, j := range m.jobs {
+		if !j.state.Ended() && j.spec.Schedule.Occurrences > 0 && j.nextOcc < j.spec.Schedule.Count() {
+			next = earliest(next, j.spec.Schedule.Due(j.nextOcc))
+		}
+	}
+	return next
+}
+
+// touch asks for the job's row to be written.
+func (j *job) touch(age rowAge) { j.row = max(j.row, age) }
--- /dev/null
+++ b/flow/machine.go
@@ -0,0 +1,173 @@
+package flow
+
+import (
+	"sort"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Machine decides for one pool. It implements endive.Machine. Its events and
+// actions are those of this package, endive.Committed, endive.Wake and
+// endive.SetWake.
+type Machine struct {
+	pool     endive.PoolName
+	settings Settings
+	clock    endive.PlatformClock
+	writeIDs *endive.WriteIDs
+
+	// now and out belong to the current step; steps counts them, to tell which of
+	// two answers was waited for first.
+	now   time.Time
+	out   []endive.Action
+	steps uint64
+
+	tenure   tenure
+	jobs     map[endive.JobID]*job
+	tasks    map[endive.TaskID]*task
+	workers  map[endive.WorkerID]*worker
+	ordered  []*worker
+	listed   []endive.FleetWorker
+	recorder recorder
+	advice   advice
+	pending  pendingCounts
+	ended    []endedJob
+	// passDue asks for a look at what could start; passAt is the earliest time.
+	passDue bool
+	passAt  time.Time
+	wakeAt  time.Time
+	// startsMade makes the run numbers of this epoch rise.
+	startsMade int64
+}
+
+// New returns the machine of a pool, which isn't held yet.
+func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
+	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs}
+	m.forget()
+	return m
+}
+
+// forget drops everything that is known in a tenure.
+func (m *Machine) forget() {
+	m.tenure = tenure{}
+	m.jobs = make(map[endive.JobID]*job)
+	m.tasks = make(map[endive.TaskID]*task)
+	m.workers = make(map[endive.WorkerID]*worker)
+	m.ordered = nil
+	m.recorder = recorder{}
+	m.advice = advice{}
+	m.pending = pendingCounts{}
+	m.ended = nil
+	m.startsMade = 0
+}
+
+// Step implements endive.Machine.
+func (m *Machine) Step(now time.Time, event endive.Event) []endive.Action {
+	m.now, m.out = now, nil
+	m.steps++
+	m.handle(event)
+	if m.tenure.active {
+		m.advance()
+	}
+	out := m.out
+	m.out = nil
+	return out
+}
+
+func (m *Machine) handle(event endive.Event) {
+	switch e := event.(type) {
+	case TenureBegan:
+		m.tenureBegan(e)
+		return
+	case TenureEnded:
+		m.tenureEnded()
+		return
+	case WorkersSeen:
+		m.listed = e.Workers
+		m.updateWorkers()
+		return
+	case endive.Wake:
+		m.wakeAt = time.Time{}
+		return
+	}
+	if !m.tenure.active {
+		return
+	}
+	switch e := event.(type) {
+	case TenureRenewed:
+		m.tenure.until = e.Until
+		m.passDue = true
+	case Loaded:
+		m.loaded(e)
+	case WorkChanged:
+		m.workChanged(e.Rows)
+	case Held:
+		m.held(e)
+	case Started:
+		m.started(e)
+	case Stopped:
+		m.stopped(e)
+	case Paced:
+		m.paced(e)
+	case Advised:
+		m.advised(e)
+	case endive.Committed:
+		m.committed(e)
+	}
+}
+
+// advance does what is due after any event.
+func (m *Machine) advance() {
+	if !m.tenure.loaded {
+		return
+	}
+	m.takeDue()
+	m.lookAtWorkers()
+	m.settleTakeover()
+	m.pass()
+	m.ask()
+	m.record()
+	if m.tenure.active {
+		m.setWake()
+	}
+}
+
+func (m *Machine) emit(action endive.Action) { m.out = append(m.out, action) }
+
+// sortWorkers keeps the workers in the order of their ids.
+func (m *Machine) sortWorkers() {
+	m.ordered = m.ordered[:0]
+	for _, w := range m.workers {
+		m.ordered = append(m.ordered, w)
+	}
+	sort.Slice(m.ordered, func(i, j int) bool { return m.ordered[i].id < m.ordered[j].id })
+}
+
+// setWake asks for a wake-up when something is due next.
+func (m *Machine) setWake() {
+	next := m.now.Add(time.Second)
+	next = earliest(next, m.nextDue())
+	for _, w := range m.ordered {
+		next = earliest(next, w.nextAt)
+	}
+	if m.passDue {
+		next = earliest(next, m.passAt)
+	}
+	next = earliest(next, m.recorder.nextAt)
+	next = earliest(next, m.advice.nextAt)
+	if next.Before(m.now) {
+		next = m.now
+	}
+	if m.wakeAt.IsZero() || next.Before(m.wakeAt) {
+		m.wakeAt = next
+		m.emit(endive.SetWake{At: next})
+	}
+}
+
+// earliest returns the earlier of two times; the zero time means never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/flow/pass.go
@@ -0,0 +1,161 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// pass starts whatever can start.
+func (m *Machine) pass() {
+	if !m.passDue || !m.mayStart() || m.now.Before(m.passAt) {
+		return
+	}
+	m.passDue = false
+	m.passAt = m.now.Add(passPause)
+	m.advice.wanted = m.advice.wanted[:0]
+	for _, w := range m.ordered {
+		w.setAside = endive.Resources{}
+	}
+	for _, j := range m.ranked() {
+		for _, occ := range j.sortedOccs() {
+			m.placeOccurrence(occ)
+		}
+	}
+}
+
+func (m *Machine) placeOccurrence(occ *occurrence) {
+	if occ.left == 0 {
+		return
+	}
+	for _, s := range occ.steps {
+		if s.left == 0 || s.waiting == 0 {
+			continue
+		}
+		if !s.ready() {
+			m.foresee(s)
+			continue
+		}
+		if s.spec.Gang {
+			m.placeGang(s)
+		} else {
+			m.placeTasks(s)
+		}
+	}
+}
+
+// placeTasks starts the waiting tasks of a step where there is room.
+func (m *Machine) placeTasks(s *step) {
+	for _, t := range s.tasks {
+		if !m.startable(t) {
+			continue
+		}
+		w := m.choose(s, t)
+		if w == nil {
+			m.want(s)
+			if t.avoid == "" {
+				return
+			}
+			continue
+		}
+		m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
+	}
+}
+
+// startable reports whether a task waits for nothing but room.
+func (m *Machine) startable(t *task) bool {
+	if t.state != taskWaiting || t.run != nil {
+		return false
+	}
+	if t.notBefore.After(m.now) {
+		m.passDue = true
+		m.passAt = earliest(latest(m.passAt, m.now), t.notBefore)
+		return false
+	}
+	return !m.mayRunUnseen(t)
+}
+
+// choose returns the best worker for a task, or nil.
+func (m *Machine) choose(s *step, t *task) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range m.ordered {
+		if !m.fits(s, w) {
+			continue
+		}
+		score := m.score(s, w)
+		if t != nil && t.avoid == w.id {
+			score -= scoreAvoid
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// fits reports whether a task of a step may start on a worker now.
+func (m *Machine) fits(s *step, w *worker) bool {
+	if !w.usable() || !m.recorder.roster[w.id] || m.now.Before(w.health.avoidUntil) {
+		return false
+	}
+	if !s.spec.Reserved().Fits(w.free()) {
+		return false
+	}
+	if s.spec.Label != "" && !w.self.HasLabel(s.spec.Label) {
+		return false
+	}
+	if s.spec.MaxPerWorker > 0 && s.perWorker[w.id] >= s.spec.MaxPerWorker {
+		return false
+	}
+	if s.spec.Opportunistic && w.serving > 0 || s.spec.Serves() && w.filling > 0 {
+		return false
+	}
+	return !m.needsTicket(s) || s.tickets.valid(w.id, m.now)
+}
+
+// Weights of a worker's score. The larger ones decide first.
+const (
+	scoreAvoid = 100
+	scoreData  = 50
+	scoreSick  = 30
+	// scorePacked prefers the worker that the task fills best.
+	scorePacked = 1
+)
+
+// score rates a worker for a task of a step; the highest is chosen.
+func (m *Machine) score(s *step, w *worker) float64 {
+	score := 0.0
+	if s.spec.DataRack != "" && w.self.HasLabel(s.spec.DataRack) {
+		score += scoreData
+	}
+	score -= scoreSick * w.health.doubt(m.now)
+	left := w.free().Sub(s.spec.Reserved())
+	score -= scorePacked * share(left, w.self.Capacity)
+	return score
+}
+
+// share returns which part of a capacity is left, averaged over its dimensions.
+func share(left, capacity endive.Resources) float64 {
+	sum, dimensions := 0.0, 0.0
+	for _, one := range [][2]int64{
+		{int64(left.Processors), int64(capacity.Processors)},
+		{int64(left.Memory), int64(capacity.Memory)},
+		{int64(left.Accelerators), int64(capacity.Accelerators)},
+	} {
+		if one[1] > 0 {
+			sum += float64(one[0]) / float64(one[1])
+			dimensions++
+		}
+	}
+	if dimensions == 0 {
+		return 0
+	}
+	return sum / dimensions
+}
+
+func (m *Machine) placeReason(s *step, w *worker) string {
+	j := s.occ.job
+	return "tier " + number(int64(j.rank.tier)) + ", " + number(int64(s.waiting)) + " of the step wait, " +
+		w.free().String() + " free, " + m.now.Sub(j.accepted).Round(time.Millisecond).String() + " after the acceptance"
+}
--- /dev/null
+++ b/flow/recorder.go
@@ -0,0 +1,317 @@
+package flow
+
+import (
+	"errors"
+	"sort"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// recorder writes what the holder knows to the store, one transaction at a time.
+type recorder struct {
+	fence        Fence
+	fenceVersion endive.Version
+	// roster are the recorded workers that may run something.
+	roster map[endive.WorkerID]bool
+
+	ends     []listedEnd
+	inFlight *recording
+	// nextAt is when the next write is due; zero for never.
+	nextAt time.Time
+	// retryAt delays the next write after one that failed.
+	retryAt time.Time
+	wroteAt time.Time
+}
+
+// listedEnd is an end that waits to be recorded.
+type listedEnd struct {
+	worker *worker
+	number endive.EndNumber
+	job    *job
+}
+
+// recording is a transaction on its way.
+type recording struct {
+	writeID endive.WriteID
+	ends    []listedEnd
+	jobs    []*job
+	roster  map[endive.WorkerID]bool
+	deleted int
+	pending map[endive.QueueName]int
+	sentAt  time.Time
+}
+
+// recordEnd has an end recorded together with the row of its job.
+func (m *Machine) recordEnd(w *worker, n endive.EndNumber, j *job) {
+	w.open[n] = true
+	j.touch(rowUrgent)
+	m.recorder.ends = append(m.recorder.ends, listedEnd{worker: w, number: n, job: j})
+}
+
+// record writes what is due.
+func (m *Machine) record() {
+	rec := &m.recorder
+	rec.nextAt = time.Time{}
+	if rec.inFlight != nil {
+		return
+	}
+	due := m.recordDue()
+	if due.IsZero() {
+		return
+	}
+	due = latest(due, rec.retryAt)
+	if due.After(m.now) {
+		rec.nextAt = due
+		return
+	}
+	m.writeRows()
+}
+
+// recordDue returns when something has to be written; zero for never.
+func (m *Machine) recordDue() time.Time {
+	var due time.Time
+	soon := latest(m.recorder.wroteAt.Add(recordPause), m.now)
+	if len(m.recorder.ends) > 0 || m.rosterGrows() {
+		due = earliest(due, soon)
+	}
+	for _, j := range m.jobs {
+		switch j.row {
+		case rowUrgent:
+			due = earliest(due, soon)
+		case rowLazy:
+			due = earliest(due, latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
+		}
+	}
+	due = earliest(due, m.pending.due(m))
+	for _, one := range m.ended {
+		due = earliest(due, one.deleteAt)
+	}
+	return due
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// rosterGrows reports whether a worker isn't in the roster yet.
+func (m *Machine) rosterGrows() bool {
+	for _, w := range m.ordered {
+		if w.listed && !m.recorder.roster[w.id] {
+			return true
+		}
+	}
+	return false
+}
+
+// writeRows sends one transaction of rows that have changed.
+func (m *Machine) writeRows() {
+	rec := &m.recorder
+	next := rec.fence
+	next.Sequence++
+	fenceKey := FenceKey(m.pool)
+	txn := endive.Transaction{
+		WriteID:    m.writeIDs.Next(),
+		Conditions: []endive.Condition{{Key: fenceKey, Version: rec.fenceVersion}},
+		Writes:     []endive.Write{{Key: fenceKey, Value: encode(next)}},
+	}
+	sent := &recording{writeID: txn.WriteID, sentAt: m.now}
+	for _, j := range m.dirtyJobs() {
+		sent.jobs = append(sent.jobs, j)
+		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: encode(j.progress())})
+		j.row = rowCurrent
+	}
+	sent.ends = rec.takeEnds()
+	if m.rosterGrows() || m.rosterShrinks() {
+		sent.roster = m.newRoster()
+		txn.Writes = append(txn.Writes, endive.Write{Key: RosterKey(m.pool), Value: encode(Roster{Workers: sorted(sent.roster)})})
+	}
+	if due := m.pending.due(m); !due.IsZero() && !due.After(m.now) {
+		sent.pending = m.pending.counted
+		txn.Writes = append(txn.Writes, endive.Write{Key: PendingKey(m.pool), Value: encode(Pending{Queues: sent.pending})})
+	}
+	txn.Writes = append(txn.Writes, m.deletions(rowsPerRecord-len(txn.Writes), sent)...)
+	rec.inFlight = sent
+	m.emit(Record{Transaction: txn})
+}
+
+// dirtyJobs returns the jobs whose rows go into the next transaction, those first
+// that somebody waits for.
+func (m *Machine) dirtyJobs() []*job {
+	var dirty []*job
+	for _, j := range m.jobs {
+		if j.row != rowCurrent {
+			dirty = append(dirty, j)
+		}
+	}
+	sort.Slice(dirty, func(a, b int) bool {
+		if dirty[a].row != dirty[b].row {
+			return dirty[a].row > dirty[b].row
+		}
+		return dirty[a].id < dirty[b].id
+	})
+	return dirty[:min(len(dirty), rowsPerRecord)]
+}
+
+// takeEnds returns the ends whose jobs' rows are current now.
+func (rec *recorder) takeEnds() []listedEnd {
+	var taken, kept []listedEnd
+	for _, end := range rec.ends {
+		if end.job.row == rowCurrent {
+			taken = append(taken, end)
+		} else {
+			kept = append(kept, end)
+		}
+	}
+	rec.ends = kept
+	return taken
+}
+
+// rosterShrinks reports whether many workers of the roster are gone.
+func (m *Machine) rosterShrinks() bool {
+	return m.tenure.settled && len(m.recorder.roster) > len(m.workers)
+}
+
+// newRoster returns the workers that may run something.
+func (m *Machine) newRoster() map[endive.WorkerID]bool {
+	roster := make(map[endive.WorkerID]bool, len(m.workers))
+	for id := range m.workers {
+		roster[id] = true
+	}
+	return roster
+}
+
+func sorted(ids map[endive.WorkerID]bool) []endive.WorkerID {
+	list := make([]endive.WorkerID, 0, len(ids))
+	for id := range ids {
+		list = append(list, id)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+// deletions returns writes that delete the rows of workflows that ended long ago.
+func (m *Machine) deletions(room int, sent *recording) []endive.Write {
+	var writes []endive.Write
+	for _, one := range m.ended {
+		if one.deleteAt.After(m.now) || len(writes)+3+len(one.steps) > room {
+			break
+		}
+		sent.deleted++
+		writes = append(writes,
+			endive.Write{Key: StateKey(m.pool, one.id), Delete: true},
+			endive.Write{Key: JobKey(m.pool, one.id), Delete: true},
+			endive.Write{Key: CancelKey(m.pool, one.id), Delete: true},
+		)
+		for _, step := range one.steps {
+			writes = append(writes, endive.Write{Key: AdviceKey(m.pool, step), Delete: true})
+		}
+	}
+	return writes
+}
+
+// committed takes in what became of a transaction.
+func (m *Machine) committed(e endive.Committed) {
+	rec := &m.recorder
+	sent := rec.inFlight
+	if sent == nil || sent.writeID != e.WriteID {
+		return
+	}
+	rec.inFlight = nil
+	if e.Status == endive.CommitApplied {
+		rec.fence.Sequence++
+		rec.fenceVersion = e.Result.Versions[0]
+		rec.wroteAt = m.now
+		m.recorded(sent)
+		return
+	}
+	m.notRecorded(sent)
+	rec.retryAt = m.now.Add(recordRetry)
+	m.note(Note{Kind: NoteRecord, Outcome: string(e.Status), Reason: number(int64(len(sent.ends))) + " ends wait"})
+	if e.Status == endive.CommitConflict {
+		m.conflict(e.Conflicts)
+	}
+}
+
+// conflict decides between a write of our own whose answer was lost, and another
+// holder.
+func (m *Machine) conflict(rows []endive.Row) {
+	rec := &m.recorder
+	for _, row := range rows {
+		fence, err := decodeFence(row)
+		if row.Key != FenceKey(m.pool) || err != nil {
+			continue
+		}
+		if fence.Epoch != rec.fence.Epoch {
+			m.fenced("the store")
+			return
+		}
+		rec.fence, rec.fenceVersion = fence, row.Version
+		rec.retryAt = m.now
+	}
+}
+
+// recorded draws what follows from rows that were written.
+func (m *Machine) recorded(sent *recording) {
+	if sent.roster != nil {
+		m.recorder.roster = sent.roster
+		m.passDue = true
+	}
+	if sent.pending != nil {
+		m.pending.wrote(sent.pending, m.now)
+	}
+	m.ended = m.ended[sent.deleted:]
+	for _, end := range sent.ends {
+		delete(end.worker.open, end.number)
+		if len(end.worker.open) == 0 {
+			end.worker.hold.again = m.now
+		}
+	}
+	for _, j := range sent.jobs {
+		if j.row == rowCurrent {
+			m.closeTasks(j)
+		}
+		m.release(j)
+	}
+}
+
+// closeTasks counts the tasks whose success is recorded, which may let the next
+// steps begin. Successes that came while the row was written wait for its next
+// writing.
+func (m *Machine) closeTasks(j *job) {
+	for _, occ := range j.occs {
+		if occ.left == 0 {
+			continue
+		}
+		for _, s := range occ.steps {
+			for _, t := range s.tasks {
+				if t.state == taskSucceeded {
+					t.state = taskRecorded
+					s.left--
+				}
+			}
+		}
+		m.closeSteps(occ)
+	}
+	m.passDue = true
+}
+
+// notRecorded puts back what wasn't written.
+func (m *Machine) notRecorded(sent *recording) {
+	m.recorder.ends = append(sent.ends, m.recorder.ends...)
+	for _, j := range sent.jobs {
+		j.touch(rowUrgent)
+	}
+}
+
+func decodeFence(row endive.Row) (Fence, error) {
+	var fence Fence
+	if row.Deleted {
+		return fence, errors.New("the fence row is deleted")
+	}
+	return fence, decode(row.Value, &fence)
+}
--- /dev/null
+++ b/flow/rows.go
@@ -0,0 +1,151 @@
+package flow
+
+import (
+	"encoding/json"
+	"strings"
+
+	"endiveroute.example/endive"
+)
+
+// Tables of a pool's rows. All rows of a pool are in one part, which its name
+// gives, so that one transaction can cover them.
+const (
+	tableWork  = "work."
+	tableState = "state."
+	tableFence = "fence"
+)
+
+// Kinds of rows in the table of work.
+const (
+	kindJob    = "j."
+	kindCancel = "c."
+	kindAdvice = "a."
+)
+
+// WorkPrefix returns what to scan and follow for a pool's new work.
+func WorkPrefix(pool endive.PoolName) string {
+	return tableWork + string(pool) + "/" + string(pool) + "/"
+}
+
+// StatePrefix returns what to scan for the progress of a pool's workflows.
+func StatePrefix(pool endive.PoolName) string {
+	return tableState + string(pool) + "/" + string(pool) + "/"
+}
+
+// FenceKey returns the row that each write of a pool's holder replaces.
+func FenceKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/fence" }
+
+// RosterKey returns the row that lists the workers that may run something.
+func RosterKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/roster" }
+
+// PendingKey returns the row of the counts of waiting workflows.
+func PendingKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/pending" }
+
+// JobKey returns the row of a submission.
+func JobKey(pool endive.PoolName, id endive.JobID) string {
+	return WorkPrefix(pool) + kindJob + string(id)
+}
+
+// CancelKey returns the row that asks for a workflow's cancelling.
+func CancelKey(pool endive.PoolName, id endive.JobID) string {
+	return WorkPrefix(pool) + kindCancel + string(id)
+}
+
+// AdviceKey returns the row of the advice for a step.
+func AdviceKey(pool endive.PoolName, step endive.StepID) string {
+	return WorkPrefix(pool) + kindAdvice + string(step)
+}
+
+// StateKey returns the row of a workflow's progress.
+func StateKey(pool endive.PoolName, id endive.JobID) string {
+	return StatePrefix(pool) + string(id)
+}
+
+// Fence is the row that fences the writes of a pool's holder: each write is
+// conditional on its version and replaces it.
+type Fence struct {
+	Epoch endive.Epoch `json:"epoch"`
+	// Sequence counts the writes of the epoch, so that a write whose answer was
+	// lost is recognized.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Roster is the row of the workers that may run something of the pool.
+type Roster struct {
+	Workers []endive.WorkerID `json:"workers"`
+}
+
+// Pending is the row of the counts of workflows of which no task has started.
+type Pending struct {
+	Queues map[endive.QueueName]int `json:"queues"`
+}
+
+// AdviceRow is the row of an answer of the advice service.
+type AdviceRow struct {
+	Good []endive.AdviceGrant `json:"good"`
+	// Bad lists the workers that were named and aren't good.
+	Bad []endive.WorkerID `json:"bad,omitempty"`
+	// Until is when the tickets end.
+	Until endive.PlatformTime `json:"until"`
+}
+
+// Progress is the row of a workflow's progress.
+type Progress struct {
+	State endive.WorkflowState `json:"state"`
+	// Occurrences lists those of which something is recorded.
+	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
+}
+
+// OccurrenceProgress is the recorded progress of one occurrence.
+type OccurrenceProgress struct {
+	Number int            `json:"number"`
+	Steps  []StepProgress `json:"steps"`
+}
+
+// StepProgress is the recorded progress of one step.
+type StepProgress struct {
+	// Succeeded has a 1 for each task that succeeded, in the order of their
+	// numbers; left out where all are as All says.
+	Succeeded string `json:"succeeded,omitempty"`
+	// All says that all tasks have succeeded.
+	All bool `json:"all,omitempty"`
+	// Tasks lists what else is known of single tasks.
+	Tasks []TaskProgress `json:"tasks,omitempty"`
+	// GangFailures counts the runs of a gang that failed, and GangFailedRun is the
+	// newest of them.
+	GangFailures  int              `json:"gangFailures,omitempty"`
+	GangFailedRun endive.RunNumber `json:"gangFailedRun,omitempty"`
+}
+
+// TaskProgress is what is recorded of a task that hasn't succeeded.
+type TaskProgress struct {
+	Index    int `json:"index"`
+	Failures int `json:"failures,omitempty"`
+	// FailedRun is the newest run that failed, so that an end which is told again
+	// isn't counted again.
+	FailedRun  endive.RunNumber  `json:"failedRun,omitempty"`
+	Checkpoint endive.Checkpoint `json:"checkpoint,omitempty"`
+}
+
+// workRow says what a row of the table of work is about.
+func workRow(pool endive.PoolName, key string) (kind, name string) {
+	rest, ok := strings.CutPrefix(key, WorkPrefix(pool))
+	if !ok || len(rest) < len(kindJob) {
+		return "", ""
+	}
+	return rest[:len(kindJob)], rest[len(kindJob):]
+}
+
+// encode returns the JSON of a row. The types of rows always have one.
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("flow: a row can't be encoded: " + err.Error())
+	}
+	return data
+}
+
+// FenceWrite returns the write that begins an epoch.
+func FenceWrite(pool endive.PoolName, epoch endive.Epoch) endive.Write {
+	return endive.Write{Key: FenceKey(pool), Value: encode(Fence{Epoch: epoch})}
+}
--- /dev/null
+++ b/flow/run.go
@@ -0,0 +1,334 @@
+package flow
+
+import (
+	"strconv"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// run is one start of a task on a worker, from its order until its end is listed
+// or certain.
+type run struct {
+	// task is nil for what runs there of an unknown workflow.
+	task   *task
+	id     endive.TaskID
+	number endive.RunNumber
+	worker *worker
+	need   endive.Resources
+	state  runState
+	// inFlight says that an order about the run has no answer yet.
+	inFlight bool
+	// uncertain says that an order to start was lost and may be carried out late.
+	uncertain bool
+	tries     int
+	retryAt   time.Time
+	// settled is the step of the answer after which a look tells for certain
+	// whether the run is there; 0 before.
+	settled uint64
+	began   time.Time
+
+	percent   int
+	percentAt time.Time
+	tail      endive.Interval
+	pace      int
+}
+
+// runState says how far a run is.
+type runState int
+
+const (
+	runStarting runState = iota
+	runRunning
+	runStopping
+)
+
+// runsPerEpoch leaves each epoch room for its own run numbers, so that they rise
+// over takeovers.
+const runsPerEpoch = 1_000_000
+
+// nextRun returns a run number that is higher than all before.
+func (m *Machine) nextRun(tasks ...*task) endive.RunNumber {
+	m.startsMade++
+	next := endive.RunNumber(int64(m.tenure.epoch)*runsPerEpoch + m.startsMade)
+	for _, t := range tasks {
+		next = max(next, t.lastRun+1)
+	}
+	return next
+}
+
+// addRun takes a worker's room for a run.
+func (m *Machine) addRun(w *worker, t *task, id endive.TaskID, n endive.RunNumber, state runState) *run {
+	r := &run{task: t, id: id, number: n, worker: w, state: state, began: m.now, percentAt: m.now, pace: fullPace}
+	if t == nil {
+		// What it takes isn't known, so nothing is started beside it.
+		r.need = w.self.Capacity
+	} else {
+		r.need = t.step.spec.Reserved()
+		if t.state == taskWaiting {
+			t.state = taskPlaced
+			t.step.waiting--
+		}
+		t.run = r
+		t.lastRun = max(t.lastRun, n)
+		t.step.perWorker[w.id]++
+		if t.step.began.IsZero() {
+			t.step.began = m.now
+		}
+		w.count(t.step.spec, 1)
+	}
+	w.used = w.used.Add(r.need)
+	w.runs[id] = r
+	return r
+}
+
+// count keeps the number of runs that serve and that are opportunistic.
+func (w *worker) count(spec *endive.Step, by int) {
+	if spec.Serves() {
+		w.serving += by
+	}
+	if spec.Opportunistic {
+		w.filling += by
+	}
+}
+
+// removeRun gives a worker's room back. The task can start again unless it has
+// ended.
+func (m *Machine) removeRun(r *run) {
+	w := r.worker
+	delete(w.runs, r.id)
+	w.used = w.used.Sub(r.need)
+	m.passDue = true
+	t := r.task
+	if t == nil {
+		return
+	}
+	w.count(t.step.spec, -1)
+	t.step.perWorker[w.id]--
+	if t.step.perWorker[w.id] == 0 {
+		delete(t.step.perWorker, w.id)
+	}
+	if t.run != r {
+		return
+	}
+	t.run = nil
+	if t.state == taskPlaced {
+		t.state = taskWaiting
+		t.step.waiting++
+	}
+	m.release(t.step.occ.job)
+}
+
+// loseRuns gives up all runs of a worker, which have surely ended unrecorded.
+func (m *Machine) loseRuns(w *worker, reason string) {
+	for _, r := range w.sortedRuns() {
+		m.note(Note{Kind: NoteEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "lost", Reason: reason})
+		m.removeRun(r)
+	}
+}
+
+// startRun orders a task to start on a worker under a run number.
+func (m *Machine) startRun(t *task, w *worker, n endive.RunNumber, reason string) {
+	r := m.addRun(w, t, t.id, n, runStarting)
+	m.note(Note{Kind: NoteStart, Job: t.step.occ.job.id, Task: t.id, Run: n, Worker: w.id, Outcome: "ordered", Reason: reason})
+	m.sendStart(r)
+	if w.hold.again.After(m.now) {
+		w.hold.again = m.now
+	}
+}
+
+func (m *Machine) sendStart(r *run) {
+	t, w := r.task, r.worker
+	r.inFlight = true
+	r.tries++
+	m.emit(Start{Order: endive.StartOrder{
+		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
+		LeaseEnd: m.leaseEnd(w), Epoch: m.tenure.epoch, Resume: t.checkpoint,
+		Ticket: t.step.tickets.of(w.id),
+	}})
+}
+
+// started takes in the answer to an order to start.
+func (m *Machine) started(e Started) {
+	r := m.runOf(e.Worker, e.Task, e.Run)
+	if r == nil {
+		return
+	}
+	r.inFlight = false
+	r.worker.read(e.Answer.Clock, m.now)
+	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
+		m.confirm(r)
+		return
+	}
+	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
+		m.fenced("worker " + string(e.Worker))
+		return
+	}
+	reason := string(e.Result)
+	if e.Result == OrderAnswered {
+		reason = string(e.Answer.Refused)
+	}
+	m.note(Note{Kind: NoteStart, Task: r.id, Run: r.number, Worker: e.Worker, Outcome: "not confirmed",
+		Reason: reason + ", try " + strconv.Itoa(r.tries)})
+	if e.Result == OrderUnknown {
+		r.uncertain = true
+	}
+	m.startFailed(r, e)
+}
+
+// confirm notes that a run is there.
+func (m *Machine) confirm(r *run) {
+	r.settled = m.steps
+	r.uncertain = false
+	if r.state == runStarting {
+		r.state = runRunning
+		r.began, r.percentAt = m.now, m.now
+	}
+	j := r.task.step.occ.job
+	if !j.begun {
+		j.begun = true
+		if !j.state.Ended() {
+			j.state = endive.WorkflowRunning
+			j.touch(rowLazy)
+		}
+	}
+	m.gangConfirmed(r)
+}
+
+// startFailed decides what becomes of a run whose order to start wasn't carried
+// out, or may not have been.
+func (m *Machine) startFailed(r *run, e Started) {
+	if r.state == runStopping {
+		m.sendStop(r)
+		return
+	}
+	t, w := r.task, r.worker
+	switch {
+	case e.Result == OrderUnknown:
+		if r.tries < startTries {
+			m.sendStart(r)
+			return
+		}
+	case e.Result == OrderNotSent:
+		w.health.avoidUntil = m.now.Add(refusedPause)
+		w.hold.again = m.now
+	case e.Answer.Refused == endive.RefusalLate && r.tries < startTries:
+		m.sendStart(r)
+		return
+	case e.Answer.Refused == endive.RefusalOldRun:
+		// It may have ended already; the next look tells.
+		r.settled = m.steps
+		r.uncertain = false
+		r.state = runRunning
+		return
+	case e.Answer.Refused == endive.RefusalTicket:
+		t.step.tickets.drop(w.id)
+	case e.Answer.Refused == endive.RefusalRoom, e.Answer.Refused == endive.RefusalUnhealthy:
+		w.health.avoidUntil = m.now.Add(refusedPause)
+	case e.Answer.Refused == endive.RefusalIncarnation:
+		w.stale = true
+	default:
+		t.notBefore = m.now.Add(refusedPause)
+		t.avoid = w.id
+	}
+	if r.uncertain {
+		m.stopRun(r, "its start may have been lost")
+	} else {
+		m.removeRun(r)
+	}
+	m.gangBroken(t.step, "a member could not be started")
+}
+
+// refusedPause is how long a worker that refused a start is left alone.
+const refusedPause = 500 * time.Millisecond
+
+// stopRun orders a run to end.
+func (m *Machine) stopRun(r *run, reason string) {
+	if r.state == runStopping {
+		return
+	}
+	m.note(Note{Kind: NoteStop, Task: r.id, Run: r.number, Worker: r.worker.id, Outcome: "ordered", Reason: reason})
+	r.state = runStopping
+	r.settled = 0
+	if !r.inFlight {
+		m.sendStop(r)
+	}
+}
+
+func (m *Machine) sendStop(r *run) {
+	r.inFlight = true
+	r.retryAt = time.Time{}
+	m.emit(Stop{Order: endive.StopOrder{Worker: r.worker.ref(), Task: r.id, Run: r.number, Epoch: m.tenure.epoch}})
+}
+
+// stopped takes in the answer to an order to stop.
+func (m *Machine) stopped(e Stopped) {
+	r := m.runOf(e.Worker, e.Task, e.Run)
+	if r == nil {
+		return
+	}
+	r.inFlight = false
+	r.worker.read(e.Answer.Clock, m.now)
+	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
+		m.fenced("worker " + string(e.Worker))
+		return
+	}
+	done := e.Result == OrderAnswered && e.Answer.Refused != endive.RefusalUnhealthy && e.Answer.Refused != endive.RefusalInvalid
+	if done {
+		// From now on a start of this run is refused there.
+		r.settled = m.steps
+		if r.worker.hold.again.After(m.now) {
+			r.worker.hold.again = m.now
+		}
+		return
+	}
+	r.retryAt = m.now.Add(stopRetry)
+}
+
+// stopRetry is the pause before an order to stop is sent again.
+const stopRetry = 100 * time.Millisecond
+
+// retryOrders sends again what wasn't answered.
+func (m *Machine) retryOrders(w *worker) {
+	for _, r := range w.runs {
+		if r.state != runStopping || r.inFlight || r.retryAt.IsZero() {
+			continue
+		}
+		if m.now.Before(r.retryAt) {
+			w.nextAt = earliest(w.nextAt, r.retryAt)
+			continue
+		}
+		m.sendStop(r)
+	}
+}
+
+// paced takes in the answer to an order to slow down.
+func (m *Machine) paced(e Paced) {
+	r := m.runOf(e.Worker, e.Task, e.Run)
+	if r != nil && e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
+		r.pace = e.Percent
+	}
+}
+
+// fullPace is the pace of a run that works undisturbed, in percent.
+const fullPace = 100
+
+// runOf returns the run that an answer is about, if it is still of interest.
+func (m *Machine) runOf(id endive.WorkerID, task endive.TaskID, n endive.RunNumber) *run {
+	w := m.workers[id]
+	if w == nil {
+		return nil
+	}
+	r := w.runs[task]
+	if r == nil || r.number != n {
+		return nil
+	}
+	return r
+}
+
+// read takes in a reading of the worker's clock.
+func (w *worker) read(clock endive.WorkerTime, now time.Time) {
+	if clock > 0 && clock >= w.clock.at {
+		w.clock = clockReading{at: clock, received: now}
+	}
+}
--- /dev/null
+++ b/flow/settings.go
@@ -0,0 +1,68 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Settings are the bounds and intervals of a Machine.
+type Settings struct {
+	// Grant is how long a lease of a worker's tasks lasts from the order that
+	// renews it. It has to outlast a takeover of the pool.
+	Grant endive.Interval
+	// MaxGrant is the longest lease that a worker accepts from anybody.
+	MaxGrant endive.Interval
+	// GangWait is how long a member of a gang waits on its worker for the others.
+	GangWait endive.Interval
+	// StopTime is how long a worker takes at most to end a run.
+	StopTime endive.Interval
+	// RemoteFactor is how much slower a task is on another rack than its data's.
+	RemoteFactor float64
+	// Retention is how long the rows of an ended workflow are kept.
+	Retention endive.Interval
+	// Harm is how long a task that serves may be over its latency target.
+	Harm endive.Interval
+}
+
+const (
+	// holdWait is how long a worker's answer waits for an end. It bounds how old
+	// the figures of running tasks get.
+	holdWait = endive.Interval(time.Second)
+	// idleLook is how often a worker without tasks is looked at, for its clock.
+	idleLook = 3 * time.Second
+	// holdRetry is the pause after a look that failed.
+	holdRetry = 150 * time.Millisecond
+	// clockRate is the slowest rate of a worker's steady clock.
+	clockRate = 0.98
+	// leaseMargin covers the time between reading the clock and sending an order.
+	leaseMargin = 60 * time.Millisecond
+	// startTries is how often an order to start is sent before the task is given
+	// up there.
+	startTries = 3
+	// passPause lies between two looks at what could start, so that one look
+	// serves several ends.
+	passPause = 4 * time.Millisecond
+	// recordRetry is the pause after a write that failed.
+	recordRetry = 150 * time.Millisecond
+	// recordPause lies between two writes of ends, which gathers ends of one
+	// moment.
+	recordPause = 15 * time.Millisecond
+	// lazyRecord is how long news that nobody waits for may stay unwritten.
+	lazyRecord = 700 * time.Millisecond
+	// pendingPeriod is how often the counts of waiting workflows are written.
+	pendingPeriod = 900 * time.Millisecond
+	// rowsPerRecord leaves room for the fence, the roster and the counts among
+	// the 100 rows of a transaction.
+	rowsPerRecord = 90
+	// ticketMargin is how long before its end a ticket isn't used any more.
+	ticketMargin = 150 * time.Millisecond
+	// adviceWait is how much longer than its cost the advice for a new workflow
+	// may take before the holder asks for itself.
+	adviceWait = 600 * time.Millisecond
+	// adviceRetry is the pause after a question that failed, or that named no
+	// good worker.
+	adviceRetry = 300 * time.Millisecond
+	// lateFactor times the objective is when a workflow earns nothing any more.
+	lateFactor = 3
+)
--- /dev/null
+++ b/flow/tenure.go
@@ -0,0 +1,125 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// tenure is the time in which this entry holds the pool under one epoch.
+type tenure struct {
+	active bool
+	loaded bool
+	epoch  endive.Epoch
+	// until is when the lease of the pool ends. Nothing is started after it; what
+	// runs is kept alive until another holder is heard of.
+	until time.Time
+	// unheardUntil is when everything that an earlier holder started on a worker
+	// that hasn't answered yet has surely ended.
+	unheardUntil time.Time
+	// settled says that no task can run on a worker that hasn't answered.
+	settled bool
+}
+
+func (m *Machine) tenureBegan(e TenureBegan) {
+	m.forget()
+	m.tenure = tenure{active: true, epoch: e.Epoch, until: e.Until}
+	m.tenure.unheardUntil = m.now.Add(slowest(time.Duration(m.settings.MaxGrant)) + leaseMargin)
+	m.recorder.fence = Fence{Epoch: e.Epoch}
+	m.recorder.fenceVersion = e.FenceVersion
+	m.note(Note{Kind: NoteTenure, Outcome: "began", Reason: "epoch " + number(int64(e.Epoch))})
+	m.emit(Load{Epoch: e.Epoch})
+	m.updateWorkers()
+}
+
+func (m *Machine) tenureEnded() {
+	if !m.tenure.active {
+		return
+	}
+	m.note(Note{Kind: NoteTenure, Outcome: "ended", Reason: "epoch " + number(int64(m.tenure.epoch))})
+	m.forget()
+}
+
+// fenced ends the tenure, since a worker or the store knows a higher epoch.
+func (m *Machine) fenced(by string) {
+	if !m.tenure.active {
+		return
+	}
+	epoch := m.tenure.epoch
+	m.note(Note{Kind: NoteTenure, Outcome: "fenced", Reason: "epoch " + number(int64(epoch)) + " is refused by " + by})
+	m.emit(Fenced{Epoch: epoch})
+	m.forget()
+}
+
+// mayStart reports whether tasks may be started now.
+func (m *Machine) mayStart() bool {
+	return m.tenure.loaded && m.now.Before(m.tenure.until)
+}
+
+// loaded takes in the pool's rows.
+func (m *Machine) loaded(e Loaded) {
+	if e.Epoch != m.tenure.epoch || m.tenure.loaded {
+		return
+	}
+	m.tenure.loaded = true
+	progress := make(map[endive.JobID]Progress)
+	for _, row := range e.States {
+		id, read, ok := m.readProgress(row)
+		if ok {
+			progress[id] = read
+		}
+	}
+	m.recorder.roster = make(map[endive.WorkerID]bool)
+	for _, id := range e.Roster {
+		m.recorder.roster[id] = true
+		if m.workers[id] == nil {
+			m.addUnlisted(id)
+		}
+	}
+	m.takeRows(e.Work, progress)
+	m.updateWorkers()
+	m.passDue = true
+	m.note(Note{Kind: NoteTenure, Outcome: "loaded",
+		Reason: number(int64(len(m.jobs))) + " live workflows, " + number(int64(len(e.Roster))) + " workers in the roster"})
+}
+
+// settleTakeover ends the time in which tasks of earlier holders may run unseen.
+func (m *Machine) settleTakeover() {
+	if m.tenure.settled {
+		return
+	}
+	if m.now.Before(m.tenure.unheardUntil) {
+		for _, w := range m.ordered {
+			if !w.adopted {
+				return
+			}
+		}
+	}
+	m.tenure.settled = true
+	m.passDue = true
+	for _, w := range m.ordered {
+		if !w.adopted && !w.listed {
+			delete(m.workers, w.id)
+		}
+	}
+	m.sortWorkers()
+	m.checkGangs()
+	m.note(Note{Kind: NoteTenure, Outcome: "settled", Reason: number(int64(len(m.ordered))) + " workers"})
+}
+
+// mayRunUnseen reports whether an earlier holder may have started a task on a
+// worker that hasn't answered yet.
+func (m *Machine) mayRunUnseen(t *task) bool {
+	if m.tenure.settled || !t.inherited {
+		return false
+	}
+	for _, w := range m.ordered {
+		if !w.adopted && w.couldRun(t.step) {
+			return true
+		}
+	}
+	return false
+}
+
+// slowest returns how long a length of time on a worker's clock can last.
+func slowest(d time.Duration) time.Duration { return time.Duration(float64(d) / clockRate) }
--- /dev/null
+++ b/flow/work.go
@@ -0,0 +1,264 @@
+package flow
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// takeRows takes in all rows of the table of work, with what is recorded of their
+// workflows.
+func (m *Machine) takeRows(rows []endive.Row, progress map[endive.JobID]Progress) {
+	for _, row := range rows {
+		kind, name := workRow(m.pool, row.Key)
+		if kind != kindJob || row.Deleted {
+			continue
+		}
+		id := endive.JobID(name)
+		done, known := progress[id]
+		if known && done.State.Ended() {
+			m.ended = append(m.ended, endedJob{id: id, deleteAt: m.now.Add(time.Duration(m.settings.Retention))})
+			continue
+		}
+		m.addJob(id, row.Value, done, true)
+	}
+	m.workChanged(rows)
+}
+
+// workChanged takes in new rows of the table of work.
+func (m *Machine) workChanged(rows []endive.Row) {
+	for _, row := range rows {
+		kind, name := workRow(m.pool, row.Key)
+		if row.Deleted {
+			continue
+		}
+		switch kind {
+		case kindJob:
+			if m.tenure.loaded && m.jobs[endive.JobID(name)] == nil && !m.hasEnded(endive.JobID(name)) {
+				m.addJob(endive.JobID(name), row.Value, Progress{}, false)
+			}
+		case kindCancel:
+			m.cancel(endive.JobID(name))
+		case kindAdvice:
+			m.adviceRow(endive.StepID(name), row.Value)
+		}
+	}
+}
+
+// hasEnded reports whether a workflow is known to have ended.
+func (m *Machine) hasEnded(id endive.JobID) bool {
+	for _, one := range m.ended {
+		if one.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// addJob takes in a submission, with what is recorded of it.
+func (m *Machine) addJob(id endive.JobID, value []byte, done Progress, inherited bool) {
+	var s endive.Submission
+	if err := json.Unmarshal(value, &s); err != nil {
+		m.note(Note{Kind: NoteJob, Job: id, Outcome: "skipped", Reason: "its row can't be read: " + err.Error()})
+		return
+	}
+	s.Workflow.ID = id
+	j := m.newJob(s)
+	j.inherited = inherited
+	m.jobs[id] = j
+	if done.State != "" {
+		j.state = done.State
+		j.begun = done.State != endive.WorkflowQueued
+	}
+	for _, one := range done.Occurrences {
+		m.restore(j, one)
+	}
+	if j.spec.Schedule.Occurrences == 0 && j.occs[0] == nil {
+		m.addOccurrence(j, 0)
+	}
+	if j.spec.Schedule.Occurrences == 0 {
+		j.nextOcc = 1
+	}
+	if !inherited {
+		j.awaitAdvice(m)
+	}
+	m.passDue = true
+	m.note(Note{Kind: NoteJob, Job: id, Outcome: "taken up", Reason: "queue " + string(j.policy.Name) +
+		", accepted " + m.now.Sub(j.accepted).Round(time.Millisecond).String() + " ago"})
+}
+
+// restore makes an occurrence from what is recorded of it.
+func (m *Machine) restore(j *job, done OccurrenceProgress) {
+	if done.Number < 0 || done.Number >= j.spec.Schedule.Count() || j.occs[done.Number] != nil {
+		return
+	}
+	occ := m.addOccurrence(j, done.Number)
+	for i, s := range occ.steps {
+		if i < len(done.Steps) {
+			s.restore(done.Steps[i])
+		}
+	}
+	m.closeSteps(occ)
+}
+
+// restore takes over the recorded progress of a step.
+func (s *step) restore(done StepProgress) {
+	for i, t := range s.tasks {
+		if done.All || i < len(done.Succeeded) && done.Succeeded[i] == '1' {
+			t.state = taskRecorded
+			s.left--
+			s.waiting--
+		}
+	}
+	for _, one := range done.Tasks {
+		if one.Index >= 0 && one.Index < len(s.tasks) {
+			t := s.tasks[one.Index]
+			t.failures, t.failedRun, t.checkpoint = one.Failures, one.FailedRun, one.Checkpoint
+		}
+	}
+	s.gang.failures, s.gang.failedRun = done.GangFailures, done.GangFailedRun
+}
+
+// closeSteps counts the steps of an occurrence that have succeeded.
+func (m *Machine) closeSteps(occ *occurrence) {
+	left := 0
+	for _, s := range occ.steps {
+		if s.left > 0 {
+			left++
+		}
+	}
+	if occ.left > 0 && left == 0 {
+		occ.job.finished++
+	}
+	occ.left = left
+}
+
+// readProgress reads a state row.
+func (m *Machine) readProgress(row endive.Row) (endive.JobID, Progress, bool) {
+	id, ok := strings.CutPrefix(row.Key, StatePrefix(m.pool))
+	if !ok || row.Deleted {
+		return "", Progress{}, false
+	}
+	var read Progress
+	if err := json.Unmarshal(row.Value, &read); err != nil {
+		m.note(Note{Kind: NoteJob, Job: endive.JobID(id), Outcome: "progress skipped", Reason: err.Error()})
+		return "", Progress{}, false
+	}
+	return endive.JobID(id), read, true
+}
+
+// progress returns what is to be recorded of a job.
+func (j *job) progress() Progress {
+	p := Progress{State: j.state}
+	if p.State.Ended() {
+		return p
+	}
+	for _, occ := range j.sortedOccs() {
+		one := OccurrenceProgress{Number: occ.number}
+		worth := false
+		for _, s := range occ.steps {
+			done := s.progress()
+			worth = worth || done.All || done.Succeeded != "" || len(done.Tasks) > 0 || done.GangFailures > 0
+			one.Steps = append(one.Steps, done)
+		}
+		if worth {
+			p.Occurrences = append(p.Occurrences, one)
+		}
+	}
+	return p
+}
+
+func (s *step) progress() StepProgress {
+	p := StepProgress{GangFailures: s.gang.failures, GangFailedRun: s.gang.failedRun}
+	succeeded := make([]byte, len(s.tasks))
+	count := 0
+	for i, t := range s.tasks {
+		succeeded[i] = '0'
+		if t.state >= taskSucceeded {
+			succeeded[i] = '1'
+			count++
+			continue
+		}
+		if t.failures > 0 || t.checkpoint != "" {
+			p.Tasks = append(p.Tasks, TaskProgress{
+				Index: i, Failures: t.failures, FailedRun: t.failedRun, Checkpoint: t.checkpoint,
+			})
+		}
+	}
+	switch count {
+	case 0:
+	case len(s.tasks):
+		p.All = true
+	default:
+		p.Succeeded = string(succeeded)
+	}
+	return p
+}
+
+// endedJob is a workflow whose rows are deleted after a while.
+type endedJob struct {
+	id       endive.JobID
+	deleteAt time.Time
+	steps    []endive.StepID
+}
+
+// finish gives a job its final state and stops what still runs of it.
+func (m *Machine) finish(j *job, state endive.WorkflowState, reason string) {
+	if j.state.Ended() {
+		return
+	}
+	j.state = state
+	j.touch(rowUrgent)
+	m.note(Note{Kind: NoteJob, Job: j.id, Outcome: string(state), Reason: reason +
+		", " + m.now.Sub(j.accepted).Round(time.Millisecond).String() + " after its acceptance"})
+	for _, r := range j.runs() {
+		if state != endive.WorkflowSucceeded {
+			m.stopRun(r, string(state))
+		}
+	}
+}
+
+// cancel ends a workflow on its caller's request.
+func (m *Machine) cancel(id endive.JobID) {
+	j := m.jobs[id]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	m.finish(j, endive.WorkflowCancelled, "cancelled by its caller")
+}
+
+// release forgets a job whose end is recorded and of which nothing runs.
+func (m *Machine) release(j *job) {
+	if m.jobs[j.id] != j || !j.state.Ended() || j.row != rowCurrent || len(j.runs()) > 0 {
+		return
+	}
+	one := endedJob{id: j.id, deleteAt: m.now.Add(time.Duration(m.settings.Retention))}
+	for _, occ := range j.sortedOccs() {
+		for _, s := range occ.steps {
+			if len(one.steps) < maxAdviceRows {
+				one.steps = append(one.steps, s.id)
+			}
+		}
+		m.dropOccurrence(occ)
+	}
+	delete(m.jobs, j.id)
+	m.ended = append(m.ended, one)
+}
+
+// maxAdviceRows bounds the rows of advice that are deleted with a workflow.
+const maxAdviceRows = 16
+
+// awaitAdvice leaves the first questions about a new job to the entry that accepted
+// it.
+func (j *job) awaitAdvice(m *Machine) {
+	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
+	for _, occ := range j.occs {
+		for _, s := range occ.steps {
+			if len(s.spec.After) == 0 {
+				s.tickets.askAt = m.now.Add(cost + adviceWait)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/flow/worker.go
@@ -0,0 +1,251 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// worker is one incarnation of a worker.
+type worker struct {
+	id   endive.WorkerID
+	self endive.FleetWorker
+	// listed says that the platform lists the worker.
+	listed bool
+	// adopted says that the worker has answered in this tenure, so that all that
+	// runs there is known.
+	adopted bool
+	// stale says that another incarnation answers at the address.
+	stale bool
+
+	runs map[endive.TaskID]*run
+	used endive.Resources
+	// serving and filling count the runs that serve users, and the opportunistic
+	// ones that may harm them.
+	serving int
+	filling int
+
+	hold hold
+	// clock is the newest reading of the worker's clock.
+	clock clockReading
+	// leaseEnd is the latest end of a lease in any order that was sent.
+	leaseEnd endive.WorkerTime
+
+	// newestEnd is the highest end that was taken in; open are those before it that
+	// aren't recorded yet.
+	newestEnd endive.EndNumber
+	open      map[endive.EndNumber]bool
+
+	// failures counts looks in a row that weren't answered.
+	failures int
+	health   health
+	// nextAt is when the worker wants to be looked at next; zero for never.
+	nextAt time.Time
+	// set aside in the current pass for work that comes first.
+	setAside endive.Resources
+}
+
+// hold is the state of the looks at a worker.
+type hold struct {
+	inFlight bool
+	// sentStep is the machine's step in which the last look was sent.
+	sentStep uint64
+	sentAt   time.Time
+	// again is when the next look is due.
+	again time.Time
+}
+
+// clockReading relates a worker's clock to ours: the worker's showed at when the
+// answer was on its way, and the answer came at received.
+type clockReading struct {
+	at       endive.WorkerTime
+	received time.Time
+}
+
+// guess returns the worker's time now if its clock isn't slow.
+func (c clockReading) guess(now time.Time) endive.WorkerTime {
+	return c.at + endive.WorkerTime(now.Sub(c.received).Milliseconds())
+}
+
+// surely returns our time at which the worker's clock has surely reached t.
+func (c clockReading) surely(t endive.WorkerTime) time.Time {
+	return c.received.Add(slowest(time.Duration(t-c.at) * time.Millisecond))
+}
+
+// ref returns whom orders to the worker are for.
+func (w *worker) ref() endive.WorkerRef {
+	return endive.WorkerRef{ID: w.id, Address: w.self.Address}
+}
+
+// free returns what is left of the worker's capacity.
+func (w *worker) free() endive.Resources { return w.self.Capacity.Sub(w.used).Sub(w.setAside) }
+
+// usable reports whether tasks may be started on the worker at all.
+func (w *worker) usable() bool {
+	return w.listed && w.adopted && !w.stale && !w.self.Draining && w.failures == 0
+}
+
+// couldRun reports whether a task of a step could run on the worker, were it empty.
+func (w *worker) couldRun(s *step) bool {
+	if w.self.ID == "" {
+		return true
+	}
+	if !s.spec.Reserved().Fits(w.self.Capacity) {
+		return false
+	}
+	if s.spec.Label != "" && !w.self.HasLabel(s.spec.Label) {
+		return false
+	}
+	return !s.tickets.bad[w.id]
+}
+
+// surelyOver returns when all leases that were granted have run out.
+func (w *worker) surelyOver() time.Time {
+	if w.clock.received.IsZero() {
+		return time.Time{}
+	}
+	return w.clock.surely(w.leaseEnd).Add(leaseMargin)
+}
+
+// addUnlisted adds a worker of the roster that isn't listed: something may run
+// there that nobody has recorded.
+func (m *Machine) addUnlisted(id endive.WorkerID) {
+	m.workers[id] = newWorker(id)
+	m.sortWorkers()
+}
+
+func newWorker(id endive.WorkerID) *worker {
+	return &worker{id: id, runs: make(map[endive.TaskID]*run), open: make(map[endive.EndNumber]bool)}
+}
+
+// updateWorkers takes over the list of workers.
+func (m *Machine) updateWorkers() {
+	if !m.tenure.active {
+		return
+	}
+	seen := make(map[endive.WorkerID]bool, len(m.listed))
+	for _, self := range m.listed {
+		seen[self.ID] = true
+		m.updateWorker(self)
+	}
+	for _, w := range m.workers {
+		if w.listed && !seen[w.id] {
+			w.listed = false
+			m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "unlisted", Reason: number(int64(len(w.runs))) + " runs there"})
+		}
+	}
+	m.sortWorkers()
+	m.passDue = true
+}
+
+func (m *Machine) updateWorker(self endive.FleetWorker) {
+	w := m.workers[self.ID]
+	if w != nil && w.self.ID != "" && !w.self.Born.Equal(self.Born) {
+		m.loseRuns(w, "the worker has started anew")
+		w = nil
+	}
+	if w == nil {
+		w = newWorker(self.ID)
+		m.workers[self.ID] = w
+	}
+	if !w.listed {
+		m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "listed", Reason: self.Capacity.String()})
+	}
+	began := self.Draining && !w.self.Draining
+	if w.stale && w.self.Address != self.Address {
+		w.stale = false
+	}
+	w.self, w.listed = self, true
+	if began {
+		m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "draining", Reason: "leaves in " + self.LeavesIn.String()})
+		m.evacuate(w)
+	}
+}
+
+// lookAtWorkers sends the looks that are due and gives up what has surely ended.
+func (m *Machine) lookAtWorkers() {
+	gone := false
+	for _, w := range m.ordered {
+		if w.failures > 0 && len(w.runs) > 0 && !w.surelyOver().IsZero() && !m.now.Before(w.surelyOver()) {
+			m.loseRuns(w, "its leases have run out")
+		}
+		if !w.listed && m.tenure.settled && len(w.runs) == 0 {
+			delete(m.workers, w.id)
+			gone = true
+			continue
+		}
+		m.look(w)
+		m.retryOrders(w)
+	}
+	if gone {
+		m.sortWorkers()
+	}
+}
+
+// look sends a hold if one is due, and says when to come back otherwise.
+func (m *Machine) look(w *worker) {
+	w.nextAt = time.Time{}
+	if w.hold.inFlight {
+		return
+	}
+	if w.self.ID == "" {
+		// Only its id is known, from the roster.
+		return
+	}
+	due := w.hold.again
+	if due.After(m.now) {
+		w.nextAt = due
+		return
+	}
+	wait := holdWait
+	switch {
+	case !w.adopted || w.failures > 0 || len(w.open) > 0 || len(w.runs) == 0:
+		wait = 0
+	case w.inDoubt():
+		wait = doubtWait
+	}
+	order := endive.HoldOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.recorded(), Wait: wait}
+	if w.extends() {
+		order.LeaseEnd = m.leaseEnd(w)
+	}
+	w.hold.inFlight = true
+	w.hold.sentStep = m.steps
+	w.hold.sentAt = m.now
+	m.emit(Hold{Order: order})
+}
+
+// doubtWait is how long a look waits while something there is uncertain.
+const doubtWait = endive.Interval(80 * time.Millisecond)
+
+// inDoubt reports whether the next look can settle something.
+func (w *worker) inDoubt() bool {
+	for _, r := range w.runs {
+		if r.state == runStopping || r.uncertain {
+			return true
+		}
+	}
+	return false
+}
+
+// extends reports whether leases there are to be renewed. Those of a worker that
+// doesn't answer are left to run out, so that its tasks can go elsewhere.
+func (w *worker) extends() bool {
+	return w.adopted && w.failures < 2 && len(w.runs) > 0
+}
+
+// leaseEnd returns the end of a lease that begins now, on the worker's clock, and
+// notes that it was granted.
+func (m *Machine) leaseEnd(w *worker) endive.WorkerTime {
+	end := w.clock.guess(m.now) + endive.WorkerTime(time.Duration(m.settings.Grant).Milliseconds())
+	w.leaseEnd = max(w.leaseEnd, end)
+	return end
+}
+
+// recorded returns the newest end that, with all before it, needn't be told again.
+func (w *worker) recorded() endive.EndNumber {
+	recorded := w.newestEnd
+	for n := range w.open {
+		recorded = min(recorded, n-1)
+	}
+	return recorded
+}
--- /dev/null
+++ b/setup/cell.go
@@ -0,0 +1,161 @@
+package setup
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/files"
+	"endiveroute.example/endive/strict"
+)
+
+// Cell is what an entry is told that runs workflows on the users' platform.
+type Cell struct {
+	// Name is the entry's id.
+	Name   endive.EntryID `toml:"name" json:"name"`
+	Region endive.Region  `toml:"region" json:"region"`
+	Zone   endive.Zone    `toml:"zone" json:"zone"`
+	// LogLevel is trace, debug, info, warn or error.
+	LogLevel string       `toml:"logLevel" json:"logLevel"`
+	Listen   CellListen   `toml:"listen" json:"listen"`
+	Platform CellPlatform `toml:"platform" json:"platform"`
+	Bounds   CellBounds   `toml:"bounds" json:"bounds"`
+	Timings  CellTimings  `toml:"timings" json:"timings"`
+}
+
+// CellListen holds the addresses that the entry listens on.
+type CellListen struct {
+	// Callers is for submissions and questions about them.
+	Callers endive.Address `toml:"callers" json:"callers"`
+	// Health is for the balancer's checks.
+	Health endive.Address `toml:"health" json:"health"`
+	// Metrics is for counters and latency histograms.
+	Metrics endive.Address `toml:"metrics" json:"metrics"`
+}
+
+// CellPlatform holds the addresses of the platform's services.
+type CellPlatform struct {
+	Store  endive.Address `toml:"store" json:"store"`
+	Advice endive.Address `toml:"advice" json:"advice"`
+	Cloud  endive.Address `toml:"cloud" json:"cloud"`
+}
+
+// CellBounds are what the platform and the workers promise and ask for.
+type CellBounds struct {
+	// MaxGrant is the longest lease that a worker accepts.
+	MaxGrant endive.Interval `toml:"maxGrant" json:"maxGrant"`
+	// GangWait is how long a member of a gang waits for the others.
+	GangWait endive.Interval `toml:"gangWait" json:"gangWait"`
+	// StopTime is how long a worker takes at most to end a run.
+	StopTime endive.Interval `toml:"stopTime" json:"stopTime"`
+	// StopGrace is how long the entry has between the signal to stop and its end.
+	StopGrace endive.Interval `toml:"stopGrace" json:"stopGrace"`
+	// Retention is how long the state of an ended workflow can be asked for.
+	Retention endive.Interval `toml:"retention" json:"retention"`
+	// Harm is how long a task that serves may be over its latency target.
+	Harm endive.Interval `toml:"harm" json:"harm"`
+	// RemoteFactor is how much slower a task is on another rack than its data's.
+	RemoteFactor float64 `toml:"remoteFactor" json:"remoteFactor"`
+}
+
+// CellTimings are the entry's own intervals.
+type CellTimings struct {
+	// PoolLease is how long a pool stays with its holder after a renewal.
+	PoolLease endive.Interval `toml:"poolLease" json:"poolLease"`
+	// Poll lies between two looks at the leases and at the list of workers.
+	Poll endive.Interval `toml:"poll" json:"poll"`
+	// StoreTimeout bounds one call of the store.
+	StoreTimeout endive.Interval `toml:"storeTimeout" json:"storeTimeout"`
+}
+
+// Defaults of the cell's settings.
+const (
+	DefaultPoolLease    = endive.Interval(2200 * time.Millisecond)
+	DefaultPoll         = endive.Interval(400 * time.Millisecond)
+	DefaultStoreTimeout = endive.Interval(900 * time.Millisecond)
+	DefaultGangWait     = endive.Interval(3 * time.Second)
+	DefaultMaxGrant     = endive.Interval(6 * time.Second)
+	DefaultStopTime     = endive.Interval(400 * time.Millisecond)
+	DefaultStopGrace    = endive.Interval(6 * time.Second)
+	DefaultRetention    = endive.Interval(2 * time.Minute)
+	DefaultHarm         = endive.Interval(4 * time.Second)
+)
+
+// LoadCell reads the settings from a TOML file of any name, fills in the defaults
+// and validates them. Where the contents are wrong, the error wraps a *files.Error
+// with all findings.
+func LoadCell(path string) (Cell, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Cell{}, fmt.Errorf("LoadCell: %w", err)
+	}
+	var c Cell
+	reading := strict.TOML(data, &c)
+	c.Defaults()
+	return c, files.Check(path, reading, c.Validate())
+}
+
+// Defaults fills in what was left out.
+func (c *Cell) Defaults() {
+	if c.LogLevel == "" {
+		c.LogLevel = DefaultLogLevel
+	}
+	c.Bounds.MaxGrant.Default(DefaultMaxGrant)
+	c.Bounds.GangWait.Default(DefaultGangWait)
+	c.Bounds.StopTime.Default(DefaultStopTime)
+	c.Bounds.StopGrace.Default(DefaultStopGrace)
+	c.Bounds.Retention.Default(DefaultRetention)
+	c.Bounds.Harm.Default(DefaultHarm)
+	if c.Bounds.RemoteFactor == 0 {
+		c.Bounds.RemoteFactor = 1
+	}
+	c.Timings.PoolLease.Default(DefaultPoolLease)
+	c.Timings.Poll.Default(DefaultPoll)
+	c.Timings.StoreTimeout.Default(DefaultStoreTimeout)
+}
+
+// Validate returns everything wrong with c.
+func (c Cell) Validate() endive.Findings {
+	var f endive.Findings
+	endive.ValidateName(&f, "name", string(c.Name))
+	endive.ValidateName(&f, "region", string(c.Region))
+	endive.ValidateName(&f, "zone", string(c.Zone))
+	validateLogLevel(&f, c.LogLevel)
+	validateAddress(&f, "listen.callers", c.Listen.Callers)
+	validateAddress(&f, "listen.health", c.Listen.Health)
+	validateAddress(&f, "listen.metrics", c.Listen.Metrics)
+	validateRemote(&f, "platform.store", c.Platform.Store)
+	if c.Platform.Advice != "" {
+		validateRemote(&f, "platform.advice", c.Platform.Advice)
+	}
+	if c.Platform.Cloud != "" {
+		validateRemote(&f, "platform.cloud", c.Platform.Cloud)
+	}
+	for _, one := range []struct {
+		place string
+		value endive.Interval
+	}{
+		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.gangWait", c.Bounds.GangWait},
+		{"bounds.stopTime", c.Bounds.StopTime}, {"bounds.stopGrace", c.Bounds.StopGrace},
+		{"bounds.retention", c.Bounds.Retention}, {"bounds.harm", c.Bounds.Harm},
+		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poll", c.Timings.Poll},
+		{"timings.storeTimeout", c.Timings.StoreTimeout},
+	} {
+		if one.value < MinTiming || one.value > MaxTiming {
+			f.Add(one.place, "is %s; it must be from %s to %s", one.value, MinTiming, MaxTiming)
+		}
+	}
+	if c.Bounds.RemoteFactor < 1 {
+		f.Add("bounds.remoteFactor", "is %g; it must be at least 1", c.Bounds.RemoteFactor)
+	}
+	if c.Timings.PoolLease < RenewalsPerLease*c.Timings.Poll {
+		f.Add("timings.poolLease", "is %s; it must be at least %d times timings.poll", c.Timings.PoolLease, RenewalsPerLease)
+	}
+	return f
+}
+
+// String names the entry and where it is.
+func (c Cell) String() string {
+	return fmt.Sprintf("entry %s in zone %s of region %s, store %s", c.Name, c.Zone, c.Region, c.Platform.Store)
+}
--- a/setup/report.go
+++ b/setup/report.go
@@ -10,7 +10,7 @@
 
 // Report writes what a check of settings has found to w: a line for each finding
 // and how many there are, or that the settings are good.
-func Report(w io.Writer, settings Settings, err error) {
+func Report(w io.Writer, settings fmt.Stringer, err error) {
 	var wrong *files.Error
 	switch {
 	case err == nil:
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -54,11 +54,7 @@
 	endive.ValidateName(&f, "name", string(s.Name))
 	endive.ValidateName(&f, "region", string(s.Region))
 	endive.ValidateName(&f, "zone", string(s.Zone))
-	switch s.LogLevel {
-	case "trace", "debug", "info", "warn", "error":
-	default:
-		f.Add("logLevel", "is %q; it must be trace, debug, info, warn or error", s.LogLevel)
-	}
+	validateLogLevel(&f, s.LogLevel)
 	s.Listen.validate(&f)
 	s.Platform.validate(&f)
 	s.Peers.validate(&f, s)
@@ -71,3 +67,12 @@
 func (s Settings) String() string {
 	return fmt.Sprintf("entry %s in zone %s of region %s with %d peers", s.Name, s.Zone, s.Region, len(s.Peers))
 }
+
+// validateLogLevel adds a finding unless level is one of the logger's.
+func validateLogLevel(f *endive.Findings, level string) {
+	switch level {
+	case "trace", "debug", "info", "warn", "error":
+	default:
+		f.Add("logLevel", "is %q; it must be trace, debug, info, warn or error", level)
+	}
+}
--- a/table.go
+++ b/table.go
@@ -44,6 +44,8 @@
 	Revision Revision `json:"revision"`
 	// Versions are the new versions of the written rows, in their order.
 	Versions []Version `json:"versions"`
+	// Now is the platform's time of the answer; 0 where the table tells none.
+	Now PlatformTime `json:"-"`
 }
 
 // Changes is the answer to a scan.
@@ -53,6 +55,8 @@
 	// Revision is the newest change of the table that the scan has seen. Scanning
 	// after it misses nothing.
 	Revision Revision `json:"revision"`
+	// Now is the platform's time of the answer; 0 where the table tells none.
+	Now PlatformTime `json:"-"`
 }
 
 // Table is the platform's transactional table service.
@@ -69,3 +73,13 @@
 	// error is of class ErrUnavailable.
 	Scan(ctx context.Context, prefix string, after Revision) (Changes, error)
 }
+
+// RowFeed tells of changed rows as soon as they change.
+type RowFeed interface {
+	// Follow returns the rows below prefix that were changed after a revision,
+	// deleted ones included. It waits for the first change until the context's
+	// deadline, or for as long as wait says. Its error is of class ErrUnavailable,
+	// or ErrHistoryLost where the changes since then are forgotten: the rows must
+	// be read again.
+	Follow(ctx context.Context, prefix string, after Revision, wait Interval) (Changes, error)
+}
