Advice is asked by all entries; a job's cancel is read after the job; feeds are asked again each second

Change: entries register in the store, link by the peer mesh, and the holder spreads its questions; entries that the store turns away relay calls through others.

--- a/entry/cell/adviser.go
+++ b/entry/cell/adviser.go
@@ -7,6 +7,7 @@
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
 )
 
 // adviceTimeout bounds one question to the advice service, which answers the
@@ -22,9 +23,12 @@
 	step    endive.StepID
 	workers []endive.WorkerID
 	pool    *pool
-	// own questions come from the holder here; the others' answers are stored for
-	// the holder to see.
-	own bool
+	// own questions come from the holder here, and from is set for those of other
+	// entries' holders. Answers to all others are stored for the holder to see.
+	own  bool
+	from endive.EntryID
+	tag  uint64
+	cost endive.Interval
 }
 
 // adviser asks the advice service, one question at a time.
@@ -43,7 +47,7 @@
 // failed.
 func (a *adviser) ask(q question) {
 	queue := a.others
-	if q.own {
+	if q.own || q.from != "" {
 		queue = a.holders
 	}
 	select {
@@ -84,6 +88,10 @@
 
 // answer gives the advice to whoever asked.
 func (a *adviser) answer(q question, advice endive.Advice, ok bool) {
+	if q.from != "" {
+		a.send(q, advice, ok)
+		return
+	}
 	if q.own {
 		q.pool.tell(flow.Advised{
 			Step: q.step, Asked: q.workers, OK: ok, Good: advice.Good, Expiry: advice.Validity.After(a.cell.Clock.Now()),
@@ -95,6 +103,24 @@
 	}
 }
 
+// askFor queues a question of another entry's holder.
+func (a *adviser) askFor(from endive.EntryID, m *wire.AdviceAsk) {
+	q := question{step: endive.StepID(m.GetStep()), from: from, tag: m.GetTag()}
+	for _, id := range m.GetWorkers() {
+		q.workers = append(q.workers, endive.WorkerID(id))
+	}
+	a.ask(q)
+}
+
+// send gives the advice to the entry that asked.
+func (a *adviser) send(q question, advice endive.Advice, ok bool) {
+	message := &wire.AdviceAnswer{Tag: q.tag, Answered: ok, ValidityMillis: time.Duration(advice.Validity).Milliseconds()}
+	for _, one := range advice.Good {
+		message.Good = append(message.Good, &wire.AdviceGrant{Worker: string(one.Worker), Ticket: string(one.Ticket)})
+	}
+	a.cell.peers.mesh.Send(q.from, message)
+}
+
 // adviceNote stores advice for the pool's holder. It helps to start work sooner;
 // if it is lost, the holder asks for itself.
 type adviceNote struct {
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,9 @@
 	workers *workersLoop
 	leases  *leaseLoop
 	adviser *adviser
+	peers   *peers
+	helpers *helpers
+	relays  *relays
 	store   *storeHealth
 	leaving atomic.Bool
 
@@ -42,11 +46,16 @@
 	c.workers = newWorkersLoop(c)
 	c.leases = &leaseLoop{cell: c}
 	c.adviser = newAdviser(c)
+	c.helpers = newHelpers(c)
+	c.relays = newRelays(c)
+	c.peers = newPeers(c)
 	return c
 }
 
-// Start begins to follow the platform.
-func (c *Cell) Start() {
+// Start begins to follow the platform and accepts the other entries' sessions.
+func (c *Cell) Start(peers net.Listener) {
+	c.peers.serve(peers)
+	go c.peers.run()
 	go c.config.run()
 	go c.workers.run()
 	go c.leases.run()
@@ -90,6 +99,7 @@
 // Close ends all that the cell does.
 func (c *Cell) Close() {
 	c.cancel()
+	c.peers.mesh.Close()
 	c.system.Shutdown()
 }
 
--- a/entry/cell/counters.go
+++ b/entry/cell/counters.go
@@ -67,3 +67,10 @@
 		c.way.Store(int64(took))
 	}
 }
+
+// Sent implements peer.Meter.
+func (c *Counters) Sent(_ endive.Peer, kind string, size endive.Bytes) {
+	scope := c.scope.Tagged(map[string]string{"message": kind})
+	scope.Counter("peerMessages").Inc(1)
+	scope.Counter("peerBytes").Inc(int64(size))
+}
--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -10,7 +10,7 @@
 )
 
 // followWait is how long a question for new work may wait.
-const followWait = endive.Interval(4 * time.Second)
+const followWait = endive.Interval(time.Second)
 
 // loadTimeout bounds the reading of all rows of a pool.
 const loadTimeout = 5 * time.Second
--- /dev/null
+++ b/entry/cell/helpers.go
@@ -0,0 +1,168 @@
+package cell
+
+import (
+	"sync"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
+)
+
+const (
+	// helperMargin is how much longer than its cost a question to another entry may
+	// take before it is given up.
+	helperMargin = 900 * time.Millisecond
+	// helperPause is how long an entry that didn't answer isn't asked.
+	helperPause = 4 * time.Second
+)
+
+// helpers spreads the questions to the advice service over the entries, each of
+// which is answered one after the other.
+type helpers struct {
+	cell *Cell
+
+	mu   sync.Mutex
+	last uint64
+	// waiting are the questions that other entries ask for us.
+	waiting map[uint64]*helped
+	// known are the entries that may be asked, this one included under "".
+	known map[endive.EntryID]*helper
+}
+
+// helper is what is known of one entry's queue at the advice service.
+type helper struct {
+	busyUntil  time.Time
+	avoidUntil time.Time
+}
+
+// helped is a question that another entry asks for us.
+type helped struct {
+	helpers  *helpers
+	tag      uint64
+	to       endive.EntryID
+	question question
+	timer    *time.Timer
+}
+
+// self is the key of this entry among the helpers.
+const self = endive.EntryID("")
+
+func newHelpers(c *Cell) *helpers {
+	return &helpers{cell: c, waiting: make(map[uint64]*helped), known: map[endive.EntryID]*helper{self: {}}}
+}
+
+// changed takes over which entries there are sessions with.
+func (h *helpers) changed(others endive.Peers) {
+	h.mu.Lock()
+	seen := map[endive.EntryID]bool{self: true}
+	for _, one := range others {
+		seen[one.ID] = true
+		if h.known[one.ID] == nil {
+			h.known[one.ID] = &helper{}
+		}
+	}
+	for id := range h.known {
+		if !seen[id] {
+			delete(h.known, id)
+		}
+	}
+	count := len(h.known)
+	h.mu.Unlock()
+	for _, p := range h.cell.allPools() {
+		if p.holds.Load() {
+			p.tell(flow.HelpersChanged{Count: count})
+		}
+	}
+}
+
+// ask has a question asked by the entry that can ask it soonest.
+func (h *helpers) ask(q question) {
+	now := h.cell.Clock.Now()
+	h.mu.Lock()
+	to := h.soonest(now)
+	one := h.known[to]
+	one.busyUntil = latest(one.busyUntil, now).Add(time.Duration(q.cost))
+	if to == self {
+		h.mu.Unlock()
+		h.cell.adviser.ask(q)
+		return
+	}
+	h.last++
+	asked := &helped{helpers: h, tag: h.last, to: to, question: q}
+	h.waiting[asked.tag] = asked
+	asked.timer = time.AfterFunc(one.busyUntil.Sub(now)+helperMargin, asked.expire)
+	h.mu.Unlock()
+	message := &wire.AdviceAsk{Tag: asked.tag, Step: string(q.step)}
+	for _, id := range q.workers {
+		message.Workers = append(message.Workers, string(id))
+	}
+	if !h.cell.peers.mesh.Send(to, message) {
+		asked.expire()
+	}
+}
+
+// soonest returns the entry whose questions are answered soonest.
+func (h *helpers) soonest(now time.Time) endive.EntryID {
+	best := self
+	for id, one := range h.known {
+		if now.Before(one.avoidUntil) {
+			continue
+		}
+		free, bestFree := latest(one.busyUntil, now), latest(h.known[best].busyUntil, now)
+		if free.Before(bestFree) || free.Equal(bestFree) && id < best && best != self {
+			best = id
+		}
+	}
+	return best
+}
+
+// take ends the waiting for a question; it returns nil if it has ended already.
+func (h *helpers) take(tag uint64) *helped {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	asked := h.waiting[tag]
+	delete(h.waiting, tag)
+	if asked != nil {
+		asked.timer.Stop()
+	}
+	return asked
+}
+
+// expire gives a question up, and leaves the entry that didn't answer alone.
+func (a *helped) expire() {
+	if a.helpers.take(a.tag) == nil {
+		return
+	}
+	a.helpers.mu.Lock()
+	if one := a.helpers.known[a.to]; one != nil {
+		one.avoidUntil = a.helpers.cell.Clock.Now().Add(helperPause)
+		one.busyUntil = time.Time{}
+	}
+	a.helpers.mu.Unlock()
+	a.helpers.cell.Log.Warn("an entry didn't ask for advice", "entry", string(a.to), "step", string(a.question.step))
+	a.helpers.cell.adviser.answer(a.question, endive.Advice{}, false)
+}
+
+// answered takes in the answer of another entry.
+func (h *helpers) answered(from endive.EntryID, m *wire.AdviceAnswer) {
+	asked := h.take(m.GetTag())
+	if asked == nil || asked.to != from {
+		return
+	}
+	advice := endive.Advice{Validity: endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)}
+	for _, one := range m.GetGood() {
+		advice.Good = append(advice.Good, endive.AdviceGrant{
+			Worker: endive.WorkerID(one.GetWorker()), Ticket: endive.AdviceTicket(one.GetTicket()),
+		})
+	}
+	h.cell.adviser.answer(asked.question, advice, m.GetAnswered())
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/entry/cell/peers.go
@@ -0,0 +1,259 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/peer"
+	"endiveroute.example/endive/wire"
+)
+
+const (
+	// prefixEntries is where entries register themselves, each in a row of its
+	// name.
+	prefixEntries = "entries//"
+	// registration lies between two writes of an entry's row.
+	registration = 3 * time.Second
+	// entryAge is how old the row of a living entry gets at most.
+	entryAge = 10 * time.Second
+	// forgottenAge is when the row of an entry that is gone is deleted.
+	forgottenAge = 60 * time.Second
+	// entriesPoll lies between two looks at the rows of the others.
+	entriesPoll = time.Second
+	// fullMesh is up to how many entries are all linked with each other. Beyond it
+	// each links to so many, and to those that ask it something.
+	fullMesh = 12
+)
+
+// entryRow is the row in which an entry registers itself.
+type entryRow struct {
+	Address     endive.Address      `json:"address"`
+	Incarnation endive.Incarnation  `json:"incarnation"`
+	Region      endive.Region       `json:"region"`
+	Zone        endive.Zone         `json:"zone"`
+	At          endive.PlatformTime `json:"at"`
+}
+
+// peers knows the other entries and holds the sessions with them.
+type peers struct {
+	cell *Cell
+	mesh *peer.Mesh
+
+	mu   sync.Mutex
+	rows map[endive.EntryID]entryRow
+	// askers are entries that asked something lately.
+	askers map[endive.EntryID]time.Time
+	linked map[endive.EntryID]bool
+}
+
+func newPeers(c *Cell) *peers {
+	p := &peers{
+		cell: c, rows: make(map[endive.EntryID]entryRow), askers: make(map[endive.EntryID]time.Time),
+		linked: make(map[endive.EntryID]bool),
+	}
+	self := endive.Peer{
+		ID: c.Settings.Name, Incarnation: c.Incarnation, Address: c.Settings.Listen.Peers,
+		Region: c.Settings.Region, Zone: c.Settings.Zone,
+	}
+	p.mesh = peer.New(self, p, c.Counters, c.Log)
+	return p
+}
+
+// serve accepts the sessions of other entries.
+func (p *peers) serve(listener net.Listener) { go (&peerServer{peers: p, listener: listener}).run() }
+
+// peerServer accepts the sessions of peers.
+type peerServer struct {
+	peers    *peers
+	listener net.Listener
+}
+
+func (s *peerServer) run() {
+	if err := s.peers.mesh.Serve(s.listener); err != nil {
+		s.peers.cell.Log.Error("peers can't connect any more", "error", err.Error())
+	}
+}
+
+// run registers this entry and follows the others.
+func (p *peers) run() {
+	var after endive.Revision
+	var registerAt time.Time
+	for p.cell.ctx.Err() == nil {
+		if now := p.cell.Clock.Now(); p.cell.Platform.Known() && !now.Before(registerAt) && p.register(now) {
+			registerAt = now.Add(registration)
+		}
+		after = p.follow(after)
+		p.link()
+		p.cell.pause(entriesPoll)
+	}
+}
+
+// register writes this entry's row, and deletes those of entries that are gone.
+func (p *peers) register(now time.Time) bool {
+	settings := p.cell.Settings
+	at := p.cell.Platform.AtLeast(now)
+	value, err := json.Marshal(entryRow{
+		Address: settings.Listen.Peers, Incarnation: p.cell.Incarnation, Region: settings.Region, Zone: settings.Zone, At: at,
+	})
+	if err != nil {
+		p.cell.Log.Error("the entry's row can't be encoded", "error", err.Error())
+		return false
+	}
+	txn := endive.Transaction{Writes: []endive.Write{{Key: prefixEntries + string(settings.Name), Value: value}}}
+	for _, id := range p.olderThan(at, forgottenAge) {
+		txn.Writes = append(txn.Writes, endive.Write{Key: prefixEntries + string(id), Delete: true})
+	}
+	return p.cell.commit(p.cell.ctx, txn) == nil
+}
+
+// unregister deletes this entry's row.
+func (p *peers) unregister(ctx context.Context) {
+	// Whoever still reads the row finds that nobody answers.
+	_ = p.cell.commit(ctx, endive.Transaction{
+		Writes: []endive.Write{{Key: prefixEntries + string(p.cell.Settings.Name), Delete: true}},
+	})
+}
+
+// olderThan returns the entries whose rows weren't renewed for so long.
+func (p *peers) olderThan(at endive.PlatformTime, age time.Duration) []endive.EntryID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var old []endive.EntryID
+	for id, row := range p.rows {
+		if row.At+endive.PlatformTime(age.Milliseconds()) < at {
+			old = append(old, id)
+		}
+	}
+	return old
+}
+
+// follow takes in the rows of other entries that changed, and returns the revision
+// to go on from.
+func (p *peers) follow(after endive.Revision) endive.Revision {
+	ctx, cancel := context.WithTimeout(p.cell.ctx, time.Duration(p.cell.Settings.Timings.StoreTimeout))
+	defer cancel()
+	changes, err := p.cell.Rows.Scan(ctx, prefixEntries, after)
+	p.cell.store.saw(err)
+	if endive.ErrHistoryLost.Has(err) {
+		return 0
+	}
+	if err != nil {
+		return after
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if after == 0 {
+		clear(p.rows)
+	}
+	for _, row := range changes.Rows {
+		p.takeRow(row)
+	}
+	return changes.Revision
+}
+
+func (p *peers) takeRow(row endive.Row) {
+	id := endive.EntryID(row.Key[len(prefixEntries):])
+	var read entryRow
+	if row.Deleted {
+		delete(p.rows, id)
+		return
+	}
+	if err := json.Unmarshal(row.Value, &read); err != nil {
+		p.cell.Log.Warn("the row of an entry can't be read", "entry", string(id), "error", err.Error())
+		return
+	}
+	p.rows[id] = read
+}
+
+// link opens sessions to the entries that this one works with.
+func (p *peers) link() {
+	now := p.cell.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var others endive.Peers
+	for id, row := range p.rows {
+		fresh := row.At+endive.PlatformTime(entryAge.Milliseconds()) >= p.cell.Platform.AtLeast(now)
+		if id != p.cell.Settings.Name && fresh {
+			others = append(others, endive.Peer{ID: id, Incarnation: row.Incarnation, Address: row.Address, Region: row.Region, Zone: row.Zone})
+		}
+	}
+	others = p.nearest(others, now)
+	clear(p.linked)
+	for _, one := range others {
+		p.linked[one.ID] = true
+	}
+	p.mesh.SetPeers(others)
+	p.cell.helpers.changed(others)
+}
+
+// nearest leaves of many entries a part that spreads the links, and all that asked
+// something lately.
+func (p *peers) nearest(others endive.Peers, now time.Time) endive.Peers {
+	sort.Slice(others, func(i, j int) bool { return p.rank(others[i].ID) > p.rank(others[j].ID) })
+	if len(others) <= fullMesh {
+		return others
+	}
+	kept := others[:fullMesh:fullMesh]
+	for _, one := range others[fullMesh:] {
+		if asked, ok := p.askers[one.ID]; ok && now.Sub(asked) < entryAge {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
+func (p *peers) rank(id endive.EntryID) uint64 {
+	return endive.Rendezvous(id, string(p.cell.Settings.Name))
+}
+
+// asked notes that an entry asked something, and links to it for the answer.
+func (p *peers) asked(from endive.EntryID) {
+	p.mu.Lock()
+	known := p.linked[from]
+	p.askers[from] = p.cell.Clock.Now()
+	p.mu.Unlock()
+	if !known {
+		p.link()
+	}
+}
+
+// Deliver implements peer.Inbox.
+func (p *peers) Deliver(from endive.EntryID, _ endive.Incarnation, message proto.Message) {
+	switch m := message.(type) {
+	case *wire.AdviceAsk:
+		p.asked(from)
+		p.cell.adviser.askFor(from, m)
+	case *wire.AdviceAnswer:
+		p.cell.helpers.answered(from, m)
+	case *wire.RelayAsk:
+		p.asked(from)
+		go (&relayed{cell: p.cell, from: from, ask: m}).run()
+	case *wire.RelayAnswer:
+		p.cell.relays.answered(m)
+	}
+}
+
+// ids returns the entries that there are sessions with, those of this region first.
+func (p *peers) ids() []endive.EntryID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ids := make([]endive.EntryID, 0, len(p.linked))
+	for id := range p.linked {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		near, far := p.rows[ids[i]].Region == p.cell.Settings.Region, p.rows[ids[j]].Region == p.cell.Settings.Region
+		if near != far {
+			return near
+		}
+		return p.rank(ids[i]) > p.rank(ids[j])
+	})
+	return ids
+}
--- a/entry/cell/perform.go
+++ b/entry/cell/perform.go
@@ -43,7 +43,7 @@
 	case flow.Pace:
 		go (&paceCall{pool: p, order: a.Order}).run()
 	case flow.Ask:
-		p.cell.adviser.ask(question{step: a.Step, workers: a.Workers, pool: p, own: true})
+		p.cell.helpers.ask(question{step: a.Step, workers: a.Workers, pool: p, own: true, cost: a.Cost})
 	case flow.Note:
 		p.logNote(a)
 	}
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -4,17 +4,15 @@
 	"context"
 	"encoding/json"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // Match implements endive.Cell.
 func (c *Cell) Match(host, path string) endive.QueueMatch {
 	config := c.config.current()
@@ -39,6 +37,10 @@
 
 // State implements endive.Cell.
 func (c *Cell) State(ctx context.Context, queue endive.Queue, id endive.JobID) (endive.WorkflowState, error) {
+	if !c.store.reachable() {
+		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_STATE, queue, id))
+		return endive.WorkflowState(answer.GetState()), errorOf(answer)
+	}
 	progress, _, err := c.find(ctx, queue, id)
 	return progress.State, err
 }
@@ -85,9 +87,11 @@
 
 // Cancel implements endive.Cell.
 func (c *Cell) Cancel(ctx context.Context, queue endive.Queue, id endive.JobID) error {
-	progress, pool, err := c.find(ctx, queue, id)
-	if err == nil && !progress.State.Ended() {
-		err = c.writeCancel(ctx, pool, id)
+	var err error
+	if c.store.reachable() {
+		err = c.cancelHere(ctx, queue, id)
+	} else {
+		err = errorOf(c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_CANCEL, queue, id)))
 	}
 	outcome := "recorded"
 	if err != nil {
@@ -97,6 +101,15 @@
 	return err
 }
 
+// cancelHere records a cancelling by this entry itself.
+func (c *Cell) cancelHere(ctx context.Context, queue endive.Queue, id endive.JobID) error {
+	progress, pool, err := c.find(ctx, queue, id)
+	if err != nil || progress.State.Ended() {
+		return err
+	}
+	return c.writeCancel(ctx, pool, id)
+}
+
 func (c *Cell) writeCancel(ctx context.Context, pool endive.PoolName, id endive.JobID) error {
 	txn := endive.Transaction{Writes: []endive.Write{{Key: flow.CancelKey(pool, id), Value: []byte("{}")}}}
 	for try := 1; ; try++ {
@@ -121,6 +134,15 @@
 
 // Pending implements endive.Cell.
 func (c *Cell) Pending(ctx context.Context, queue endive.Queue) (int, error) {
+	if !c.store.reachable() {
+		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_PENDING, queue, ""))
+		return int(answer.GetPending()), errorOf(answer)
+	}
+	return c.pendingHere(ctx, queue)
+}
+
+// pendingHere counts by what this entry reads itself.
+func (c *Cell) pendingHere(ctx context.Context, queue endive.Queue) (int, error) {
 	p := c.poolNamed(queue.Pool)
 	if p == nil {
 		return 0, nil
--- /dev/null
+++ b/entry/cell/relay.go
@@ -0,0 +1,217 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
+)
+
+// relayTimeout bounds the wait for an entry that does something for us.
+const relayTimeout = 1500 * time.Millisecond
+
+// relays has other entries do what this one can't while the store doesn't answer
+// it.
+type relays struct {
+	cell *Cell
+
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan *wire.RelayAnswer
+	// goodAt is when another entry last did something for us.
+	goodAt time.Time
+}
+
+func newRelays(c *Cell) *relays {
+	return &relays{cell: c, waiting: make(map[uint64]chan *wire.RelayAnswer)}
+}
+
+// ask has the nearest entry do something. It returns nil where nothing is known of
+// what became of it.
+func (r *relays) ask(ctx context.Context, to endive.EntryID, ask *wire.RelayAsk) *wire.RelayAnswer {
+	answers := make(chan *wire.RelayAnswer, 1)
+	r.mu.Lock()
+	r.last++
+	ask.Tag = r.last
+	r.waiting[ask.Tag] = answers
+	r.mu.Unlock()
+	defer r.forget(ask.Tag)
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	if deadline, ok := ctx.Deadline(); ok {
+		ask.MillisLeft = time.Until(deadline).Milliseconds()
+	}
+	if !r.cell.peers.mesh.Send(to, ask) {
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "no entry can be reached"}
+	}
+	select {
+	case answer := <-answers:
+		return answer
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (r *relays) forget(tag uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, tag)
+}
+
+// answered takes in an answer.
+func (r *relays) answered(m *wire.RelayAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.GetStatus() != wire.RelayStatus_RELAY_UNAVAILABLE {
+		r.goodAt = r.cell.Clock.Now()
+	}
+	if answers := r.waiting[m.GetTag()]; answers != nil {
+		delete(r.waiting, m.GetTag())
+		answers <- m
+	}
+}
+
+// try asks one entry after the other until one answers with something certain.
+// Kinds that change something aren't tried again once an answer was lost.
+func (r *relays) try(ctx context.Context, ask *wire.RelayAsk) *wire.RelayAnswer {
+	repeatable := ask.GetKind() == wire.RelayKind_RELAY_STATE || ask.GetKind() == wire.RelayKind_RELAY_PENDING
+	last := &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away, and no entry can be reached"}
+	for i, id := range r.cell.peers.ids() {
+		if i == maxRelays || ctx.Err() != nil {
+			break
+		}
+		answer := r.ask(ctx, id, ask)
+		if answer == nil {
+			last = &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_STATUS_UNKNOWN, Reason: "entry " + string(id) + " didn't answer"}
+			if !repeatable {
+				return last
+			}
+			continue
+		}
+		if answer.GetStatus() != wire.RelayStatus_RELAY_UNAVAILABLE {
+			return answer
+		}
+		last = answer
+	}
+	return last
+}
+
+// maxRelays bounds how many entries are tried for one call.
+const maxRelays = 3
+
+// relayed does something for another entry.
+type relayed struct {
+	cell *Cell
+	from endive.EntryID
+	ask  *wire.RelayAsk
+}
+
+func (r *relayed) run() {
+	left := time.Duration(r.ask.GetMillisLeft()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(r.cell.ctx, min(left, relayTimeout))
+	defer cancel()
+	answer := r.do(ctx)
+	answer.Tag = r.ask.GetTag()
+	r.cell.peers.mesh.Send(r.from, answer)
+	r.cell.Log.Info("decision", "kind", "relay", "job", r.ask.GetJob(), "entry", string(r.from),
+		"what", r.ask.GetKind().String(), "outcome", answer.GetStatus().String(), "reason", answer.GetReason())
+}
+
+func (r *relayed) do(ctx context.Context) *wire.RelayAnswer {
+	c, id := r.cell, endive.JobID(r.ask.GetJob())
+	queue := endive.Queue{Name: endive.QueueName(r.ask.GetQueue()), Pool: endive.PoolName(r.ask.GetPool())}
+	if !c.store.reachable() {
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away here too"}
+	}
+	switch r.ask.GetKind() {
+	case wire.RelayKind_RELAY_SUBMIT:
+		return r.submit(ctx, queue.Pool, id)
+	case wire.RelayKind_RELAY_STATE:
+		progress, _, err := c.find(ctx, queue, id)
+		return answerOf(err, string(progress.State), 0)
+	case wire.RelayKind_RELAY_CANCEL:
+		return answerOf(c.cancelHere(ctx, queue, id), "", 0)
+	case wire.RelayKind_RELAY_PENDING:
+		count, err := c.pendingHere(ctx, queue)
+		return answerOf(err, "", int64(count))
+	default:
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "this version doesn't know what is asked"}
+	}
+}
+
+func (r *relayed) submit(ctx context.Context, pool endive.PoolName, id endive.JobID) *wire.RelayAnswer {
+	result := r.cell.commitSubmission(ctx, submission(pool, id, r.ask.GetSubmission()))
+	answer := &wire.RelayAnswer{Reason: result.Reason}
+	switch result.Status {
+	case endive.SubmitAccepted:
+		answer.Status = wire.RelayStatus_RELAY_DONE
+	case endive.SubmitRefused, endive.SubmitUnavailable:
+		answer.Status = wire.RelayStatus_RELAY_UNAVAILABLE
+	}
+	return answer
+}
+
+// answerOf turns the result of a call into an answer.
+func answerOf(err error, state string, pending int64) *wire.RelayAnswer {
+	answer := &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_DONE, State: state, Pending: pending}
+	if err == nil {
+		return answer
+	}
+	answer.Reason = err.Error()
+	switch {
+	case endive.ErrNotFound.Has(err):
+		answer.Status = wire.RelayStatus_RELAY_NOT_FOUND
+	case endive.ErrUnavailable.Has(err):
+		answer.Status = wire.RelayStatus_RELAY_UNAVAILABLE
+	default:
+		answer.Status = wire.RelayStatus_RELAY_STATUS_UNKNOWN
+	}
+	return answer
+}
+
+// errorOf turns an answer back into an error.
+func errorOf(answer *wire.RelayAnswer) error {
+	switch answer.GetStatus() {
+	case wire.RelayStatus_RELAY_DONE:
+		return nil
+	case wire.RelayStatus_RELAY_NOT_FOUND:
+		return endive.ErrNotFound.New("%s", answer.GetReason())
+	case wire.RelayStatus_RELAY_UNAVAILABLE:
+		return endive.ErrUnavailable.New("%s", answer.GetReason())
+	default:
+		return endive.ErrUnknown.New("%s", answer.GetReason())
+	}
+}
+
+// relayAsk returns what to ask about a workflow of a queue.
+func relayAsk(kind wire.RelayKind, queue endive.Queue, id endive.JobID) *wire.RelayAsk {
+	return &wire.RelayAsk{Kind: kind, Pool: string(queue.Pool), Queue: string(queue.Name), Job: string(id)}
+}
+
+// submission returns the transaction that stores an encoded submission.
+func submission(pool endive.PoolName, id endive.JobID, job []byte) endive.Transaction {
+	key := flow.JobKey(pool, id)
+	return endive.Transaction{
+		Conditions: []endive.Condition{{Key: key}},
+		Writes: []endive.Write{
+			{Key: key, Value: job},
+			{Key: flow.StateKey(pool, id), Value: queuedState},
+		},
+	}
+}
+
+// queuedState is the row of a workflow that was just accepted.
+var queuedState = mustEncode(flow.Progress{State: endive.WorkflowQueued})
+
+// mustEncode encodes a value that always has a JSON form.
+func mustEncode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("cell: a row can't be encoded: " + err.Error())
+	}
+	return data
+}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"endiveroute.example/endive"
-	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 func (c *Cell) submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
 	pool := match.Queue.Pool
-	if !c.store.reachable() || !c.Platform.Known() {
+	if !c.Platform.Known() {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: "the store is away"}
 	}
 	job, err := json.Marshal(endive.Submission{
@@ -48,19 +49,25 @@
 	if err != nil {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "it can't be encoded: " + err.Error()}
 	}
-	state, err := json.Marshal(flow.Progress{State: endive.WorkflowQueued})
-	if err != nil {
-		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "its state can't be encoded: " + err.Error()}
+	if !c.store.reachable() {
+		return c.relaySubmission(ctx, match.Queue, workflow.ID, job)
 	}
-	key := flow.JobKey(pool, workflow.ID)
-	txn := endive.Transaction{
-		Conditions: []endive.Condition{{Key: key}},
-		Writes: []endive.Write{
-			{Key: key, Value: job},
-			{Key: flow.StateKey(pool, workflow.ID), Value: state},
-		},
+	return c.commitSubmission(ctx, submission(pool, workflow.ID, job))
+}
+
+// relaySubmission has another entry store a submission.
+func (c *Cell) relaySubmission(ctx context.Context, queue endive.Queue, id endive.JobID, job []byte) endive.SubmitResult {
+	ask := relayAsk(wire.RelayKind_RELAY_SUBMIT, queue, id)
+	ask.Submission = job
+	answer := c.relays.try(ctx, ask)
+	switch answer.GetStatus() {
+	case wire.RelayStatus_RELAY_DONE:
+		return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: answer.GetReason()}
+	case wire.RelayStatus_RELAY_UNAVAILABLE:
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: answer.GetReason()}
+	default:
+		return endive.SubmitResult{Status: endive.SubmitUnknown, Reason: answer.GetReason()}
 	}
-	return c.commitSubmission(ctx, txn)
 }
 
 // commitSubmission writes a submission. Once an answer was lost, nothing but a
@@ -111,7 +118,7 @@
 		if len(step.After) > 0 {
 			continue
 		}
-		id := endive.StepID(string(workflow.ID) + ".0." + itoa(i))
+		id := endive.StepID(string(workflow.ID) + ".0." + strconv.Itoa(i))
 		if named := ableWorkers(workers, step); len(named) > 0 {
 			c.adviser.ask(question{step: id, workers: named, pool: p})
 		}
--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -72,7 +72,11 @@
 	if err := p.listen(); err != nil {
 		return err
 	}
-	p.cell.Start()
+	peers, err := net.Listen("tcp", string(p.settings.Listen.Peers))
+	if err != nil {
+		return endive.ErrUnavailable.New("listen.peers: %w", err)
+	}
+	p.cell.Start(peers)
 	for _, s := range p.servers {
 		go s.run()
 	}
--- a/entry/lines/writer.go
+++ b/entry/lines/writer.go
@@ -13,6 +13,9 @@
 const (
 	// maxWaiting bounds the bytes that wait to be written.
 	maxWaiting = 1 << 20
+	// maxWrite bounds one write, so that a line isn't torn by a reader that takes
+	// so much at a time: a pipe takes 4 KiB as a whole.
+	maxWrite = 4 << 10
 	// flushPause gathers lines, so that many are written by one call.
 	flushPause = 50 * time.Millisecond
 )
@@ -82,8 +85,27 @@
 	if len(lines) == 0 {
 		return
 	}
-	// A failed write has nowhere else to be told.
-	_, _ = w.out.Write(lines)
+	for len(lines) > 0 {
+		part := lines[:wholeLines(lines)]
+		lines = lines[len(part):]
+		// A failed write has nowhere else to be told.
+		_, _ = w.out.Write(part)
+	}
+}
+
+// wholeLines returns the length of the lines that fit into one write, at least of
+// the first.
+func wholeLines(lines []byte) int {
+	if len(lines) <= maxWrite {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
 }
 
 // Close writes what waits and ends, or gives up after a while if nobody reads.
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -18,11 +18,12 @@
 // Pace sends an order to slow a run down. It is answered by Paced.
 type Pace struct{ Order endive.PaceOrder }
 
-// Ask asks the advice service. It is answered by Advised. One question is asked
-// at a time.
+// Ask asks the advice service. It is answered by Advised.
 type Ask struct {
 	Step    endive.StepID
 	Workers []endive.WorkerID
+	// Cost is how long the answer takes.
+	Cost endive.Interval
 }
 
 // Record writes a transaction. It is answered by endive.Committed with the same
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -60,10 +60,11 @@
 	}
 }
 
-// advice is the state of the questions to the advice service, which answers this
+// advice is the state of the questions to the advice service, which answers each
 // entry one after the other.
 type advice struct {
-	asking bool
+	// asking counts the questions on their way.
+	asking int
 	// wanted lists the steps that could use an answer, in the order of the pass.
 	wanted []*step
 	// nextAt is when the next question may be asked; zero for never.
@@ -101,8 +102,7 @@
 		}
 		due := b.began.Add(time.Duration(b.spec.Estimate) - cost - foresight)
 		if due.After(m.now) {
-			m.passDue = true
-			m.passAt = earliest(m.passAt, due)
+			m.passAgain(due)
 			return
 		}
 	}
@@ -116,15 +116,22 @@
 	maxAdviceWorkers = 100
 )
 
-// ask asks for the first step that can use an answer.
+// ask asks for the first steps that can use an answer, as many as entries can ask
+// for at the same time.
 func (m *Machine) ask() {
 	m.advice.nextAt = time.Time{}
-	if m.advice.asking || len(m.advice.wanted) == 0 {
-		return
+	for m.advice.asking < max(1, m.helpers) && m.askOne() {
+	}
+}
+
+// askOne asks for one step, and reports whether it did.
+func (m *Machine) askOne() bool {
+	if len(m.advice.wanted) == 0 {
+		return false
 	}
 	if m.now.Before(m.advice.retryAt) {
 		m.advice.nextAt = m.advice.retryAt
-		return
+		return false
 	}
 	for i, s := range m.advice.wanted {
 		if m.now.Before(s.tickets.askAt) {
@@ -136,12 +143,13 @@
 			continue
 		}
 		m.advice.wanted = append(m.advice.wanted[:i:i], m.advice.wanted[i+1:]...)
-		m.advice.asking = true
+		m.advice.asking++
 		s.tickets.asking = true
 		s.tickets.asks++
-		m.emit(Ask{Step: s.id, Workers: workers})
-		return
+		m.emit(Ask{Step: s.id, Workers: workers, Cost: s.occ.job.policy.Advice.Cost(len(workers))})
+		return true
 	}
+	return false
 }
 
 // askAbout returns the workers to name: those with room that may be good, and all
@@ -168,7 +176,7 @@
 
 // advised takes in an answer to this entry's own question.
 func (m *Machine) advised(e Advised) {
-	m.advice.asking = false
+	m.advice.asking = max(0, m.advice.asking-1)
 	s := m.stepOf(e.Step)
 	if !e.OK {
 		m.advice.retryAt = m.now.Add(adviceRetry)
--- a/flow/events.go
+++ b/flow/events.go
@@ -93,6 +93,12 @@
 	Expiry time.Time
 }
 
+// HelpersChanged says how many entries can ask the advice service at the same time.
+type HelpersChanged struct{ Count int }
+
+// IsEvent marks HelpersChanged as an event.
+func (HelpersChanged) IsEvent() {}
+
 // IsEvent marks TenureBegan as an event.
 func (TenureBegan) IsEvent() {}
 
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -22,12 +22,14 @@
 	out   []endive.Action
 	steps uint64
 
-	tenure   tenure
-	jobs     map[endive.JobID]*job
-	tasks    map[endive.TaskID]*task
-	workers  map[endive.WorkerID]*worker
-	ordered  []*worker
-	listed   []endive.FleetWorker
+	tenure  tenure
+	jobs    map[endive.JobID]*job
+	tasks   map[endive.TaskID]*task
+	workers map[endive.WorkerID]*worker
+	ordered []*worker
+	listed  []endive.FleetWorker
+	// helpers is how many questions for advice can be asked at the same time.
+	helpers  int
 	recorder recorder
 	advice   advice
 	pending  pendingCounts
@@ -35,14 +37,16 @@
 	// passDue asks for a look at what could start; passAt is the earliest time.
 	passDue bool
 	passAt  time.Time
-	wakeAt  time.Time
+	// passAgainAt is when something that a look passed over is due; zero for never.
+	passAgainAt time.Time
+	wakeAt      time.Time
 	// startsMade makes the run numbers of this epoch rise.
 	startsMade int64
 }
 
 // New returns the machine of a pool, which isn't held yet.
 func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
-	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs}
+	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs, helpers: 1}
 	m.forget()
 	return m
 }
@@ -86,6 +90,9 @@
 		m.listed = e.Workers
 		m.updateWorkers()
 		return
+	case HelpersChanged:
+		m.helpers = e.Count
+		return
 	case endive.Wake:
 		m.wakeAt = time.Time{}
 		return
@@ -150,8 +157,11 @@
 	for _, w := range m.ordered {
 		next = earliest(next, w.nextAt)
 	}
-	if m.passDue {
-		next = earliest(next, m.passAt)
+	if m.mayStart() {
+		if m.passDue {
+			next = earliest(next, m.passAt)
+		}
+		next = earliest(next, m.passAgainAt)
 	}
 	next = earliest(next, m.recorder.nextAt)
 	next = earliest(next, m.advice.nextAt)
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -8,10 +8,14 @@
 
 // pass starts whatever can start.
 func (m *Machine) pass() {
+	if !m.passAgainAt.IsZero() && !m.now.Before(m.passAgainAt) {
+		m.passDue = true
+	}
 	if !m.passDue || !m.mayStart() || m.now.Before(m.passAt) {
 		return
 	}
 	m.passDue = false
+	m.passAgainAt = time.Time{}
 	m.passAt = m.now.Add(passPause)
 	m.advice.wanted = m.advice.wanted[:0]
 	for _, w := range m.ordered {
@@ -24,6 +28,9 @@
 	}
 }
 
+// passAgain asks for another look at a time.
+func (m *Machine) passAgain(at time.Time) { m.passAgainAt = earliest(m.passAgainAt, at) }
+
 func (m *Machine) placeOccurrence(occ *occurrence) {
 	if occ.left == 0 {
 		return
@@ -68,8 +75,7 @@
 		return false
 	}
 	if t.notBefore.After(m.now) {
-		m.passDue = true
-		m.passAt = earliest(latest(m.passAt, m.now), t.notBefore)
+		m.passAgain(t.notBefore)
 		return false
 	}
 	return !m.mayRunUnseen(t)
--- a/flow/work.go
+++ b/flow/work.go
@@ -29,16 +29,21 @@
 
 // workChanged takes in new rows of the table of work.
 func (m *Machine) workChanged(rows []endive.Row) {
+	// Rows come in the order of their keys; what is said of a workflow makes sense
+	// only after the workflow itself.
+	for _, row := range rows {
+		kind, name := workRow(m.pool, row.Key)
+		id := endive.JobID(name)
+		if kind == kindJob && !row.Deleted && m.tenure.loaded && m.jobs[id] == nil && !m.hasEnded(id) {
+			m.addJob(id, row.Value, Progress{}, false)
+		}
+	}
 	for _, row := range rows {
 		kind, name := workRow(m.pool, row.Key)
 		if row.Deleted {
 			continue
 		}
 		switch kind {
-		case kindJob:
-			if m.tenure.loaded && m.jobs[endive.JobID(name)] == nil && !m.hasEnded(endive.JobID(name)) {
-				m.addJob(endive.JobID(name), row.Value, Progress{}, false)
-			}
 		case kindCancel:
 			m.cancel(endive.JobID(name))
 		case kindAdvice:
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -30,6 +30,8 @@
 	Callers endive.Address `toml:"callers" json:"callers"`
 	// Health is for the balancer's checks.
 	Health endive.Address `toml:"health" json:"health"`
+	// Peers is for the other entries.
+	Peers endive.Address `toml:"peers" json:"peers"`
 	// Metrics is for counters and latency histograms.
 	Metrics endive.Address `toml:"metrics" json:"metrics"`
 }
@@ -124,6 +126,7 @@
 	validateLogLevel(&f, c.LogLevel)
 	validateAddress(&f, "listen.callers", c.Listen.Callers)
 	validateAddress(&f, "listen.health", c.Listen.Health)
+	validateAddress(&f, "listen.peers", c.Listen.Peers)
 	validateAddress(&f, "listen.metrics", c.Listen.Metrics)
 	validateRemote(&f, "platform.store", c.Platform.Store)
 	if c.Platform.Advice != "" {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -38,6 +38,14 @@
 		return &Frame{Body: &Frame_JobsAsk{m}}
 	case *JobsAnswer:
 		return &Frame{Body: &Frame_JobsAnswer{m}}
+	case *AdviceAsk:
+		return &Frame{Body: &Frame_AdviceAsk{m}}
+	case *AdviceAnswer:
+		return &Frame{Body: &Frame_AdviceAnswer{m}}
+	case *RelayAsk:
+		return &Frame{Body: &Frame_RelayAsk{m}}
+	case *RelayAnswer:
+		return &Frame{Body: &Frame_RelayAnswer{m}}
 	}
 	return nil
 }
@@ -76,6 +84,14 @@
 		return b.JobsAsk
 	case *Frame_JobsAnswer:
 		return b.JobsAnswer
+	case *Frame_AdviceAsk:
+		return b.AdviceAsk
+	case *Frame_AdviceAnswer:
+		return b.AdviceAnswer
+	case *Frame_RelayAsk:
+		return b.RelayAsk
+	case *Frame_RelayAnswer:
+		return b.RelayAnswer
 	}
 	return nil
 }
