Questions for advice only for as much work as there is room for

Change: a pass asks for no more than the free room; entries that accept work don't ask in a crowded pool, which its holder tells by a row beside the lease; the counts of waiting workflows moved there, so that callers' questions for them cost no read.

--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -6,6 +6,7 @@
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/elect"
+	"endiveroute.example/endive/flow"
 )
 
 // leaseLoop follows the leases of all pools.
@@ -63,8 +64,11 @@
 
 func (l *leaseLoop) saw(row endive.Row) {
 	for _, p := range l.cell.allPools() {
-		if row.Key == elect.Key(p.name) {
+		switch row.Key {
+		case elect.Key(p.name):
 			p.sawLease(row)
+		case flow.StatusKey(p.name):
+			p.sawStatus(row)
 		}
 	}
 }
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +24,8 @@
 	alarms [2]*time.Timer
 	// follow reads the rows of the current tenure; nil without one.
 	follow *follow
-	// pending is what callers are told of waiting workflows.
-	pending pendingView
+	// status is what the pool's holder told last.
+	status atomic.Pointer[flow.Status]
 	// holds mirrors whether this entry holds the pool.
 	holds atomic.Bool
 }
@@ -46,6 +47,7 @@
 func newPool(c *Cell, name endive.PoolName) *pool {
 	id := c.Settings.Name
 	p := &pool{name: name, cell: c}
+	p.status.Store(&flow.Status{})
 	p.elect = elect.New(id, c.Incarnation, name, p.fence, elect.Settings{
 		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
@@ -120,6 +122,19 @@
 	p.send(toElect, seen)
 }
 
+// sawStatus takes in what the pool's holder tells.
+func (p *pool) sawStatus(row endive.Row) {
+	var status flow.Status
+	if row.Deleted {
+		return
+	}
+	if err := json.Unmarshal(row.Value, &status); err != nil {
+		p.cell.Log.Warn("the status of a pool can't be read", "pool", string(p.name), "error", err.Error())
+		return
+	}
+	p.status.Store(&status)
+}
+
 const (
 	// heldWait is how much longer an entry waits for each pool that it holds, so
 	// that pools spread over the entries.
@@ -148,18 +163,30 @@
 	c := l.pool.cell
 	for c.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(c.ctx, time.Duration(c.Settings.Timings.StoreTimeout))
-		rows, err := c.Rows.Read(ctx, elect.Key(l.pool.name))
+		rows, err := c.Rows.Read(ctx, elect.Key(l.pool.name), flow.StatusKey(l.pool.name))
 		cancel()
 		c.store.saw(err)
 		if err != nil {
 			c.pause(followRetry)
 			continue
 		}
-		if len(rows) == 0 {
-			l.pool.send(toElect, elect.Seen{})
+		l.saw(rows)
+		return
+	}
+}
+
+// saw takes in the rows that there are.
+func (l *leaseLook) saw(rows []endive.Row) {
+	lease := false
+	for _, row := range rows {
+		if row.Key == elect.Key(l.pool.name) {
+			lease = true
+			l.pool.sawLease(row)
 		} else {
-			l.pool.sawLease(rows[0])
+			l.pool.sawStatus(row)
 		}
-		return
+	}
+	if !lease {
+		l.pool.send(toElect, elect.Seen{})
 	}
 }
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net"
 	"strings"
-	"sync"
 	"time"
 
 	"endiveroute.example/endive"
@@ -121,48 +120,20 @@
 	}
 }
 
-// pendingAge is how old the counts of waiting workflows may be that callers are
-// told.
-const pendingAge = 500 * time.Millisecond
-
-// pendingView is a copy of a pool's counts.
-type pendingView struct {
-	mu     sync.Mutex
-	counts map[endive.QueueName]int
-	readAt time.Time
-}
-
 // Pending implements endive.Cell.
 func (c *Cell) Pending(ctx context.Context, queue endive.Queue) (int, error) {
 	if !c.store.reachable() {
 		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_PENDING, queue, ""))
 		return int(answer.GetPending()), errorOf(answer)
 	}
-	return c.pendingHere(ctx, queue)
+	return c.pendingHere(queue)
 }
 
-// pendingHere counts by what this entry reads itself.
-func (c *Cell) pendingHere(ctx context.Context, queue endive.Queue) (int, error) {
+// pendingHere counts by what the pool's holder told last.
+func (c *Cell) pendingHere(queue endive.Queue) (int, error) {
 	p := c.poolNamed(queue.Pool)
 	if p == nil {
 		return 0, nil
 	}
-	p.pending.mu.Lock()
-	defer p.pending.mu.Unlock()
-	now := c.Clock.Now()
-	if !p.pending.readAt.IsZero() && now.Sub(p.pending.readAt) < pendingAge {
-		return p.pending.counts[queue.Name], nil
-	}
-	rows, err := c.read(ctx, flow.PendingKey(queue.Pool))
-	if err != nil {
-		return 0, err
-	}
-	var read flow.Pending
-	for _, row := range rows {
-		if err := json.Unmarshal(row.Value, &read); err != nil {
-			return 0, endive.ErrUnavailable.New("the counts can't be read: %w", err)
-		}
-	}
-	p.pending.counts, p.pending.readAt = read.Queues, now
-	return read.Queues[queue.Name], nil
+	return p.status.Load().Pending[queue.Name], nil
 }
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -110,7 +110,8 @@
 		return
 	}
 	p := c.poolNamed(queue.Pool)
-	if p == nil {
+	// In a crowded pool the tickets would run out before there is room.
+	if p == nil || p.status.Load().Crowded {
 		return
 	}
 	workers, _ := c.workers.of(queue.Pool)
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -16,7 +16,8 @@
 	askAt  time.Time
 	asking bool
 	// asks counts the holder's own questions.
-	asks int
+	asks    int
+	askedAt time.Time
 }
 
 type ticket struct {
@@ -70,15 +71,30 @@
 	// nextAt is when the next question may be asked; zero for never.
 	nextAt  time.Time
 	retryAt time.Time
+	// room is what is left for the steps that come later in the pass, if those
+	// before get what they ask for; short says that some found none.
+	room  endive.Resources
+	short bool
 }
 
 func (m *Machine) needsTicket(s *step) bool { return s.occ.job.policy.Advice.Required() }
 
-// want notes that a step could use an answer of the advice service.
-func (m *Machine) want(s *step) {
-	if m.needsTicket(s) && !s.tickets.asking && !s.occ.job.inheritedUnseen(m) {
+// want notes that a step of which tasks wait could use an answer of the advice
+// service. It answers bursts: a ticket is good for seconds only, so questions are
+// asked for no more work than there is room for.
+func (m *Machine) want(s *step, waits int) {
+	need := s.spec.Reserved()
+	if !need.Fits(m.advice.room) {
+		m.advice.short = true
+		return
+	}
+	if !m.needsTicket(s) || s.occ.job.inheritedUnseen(m) {
+		return
+	}
+	if !s.tickets.asking {
 		m.advice.wanted = append(m.advice.wanted, s)
 	}
+	m.advice.room = m.advice.room.Sub(need.Times(int64(waits)))
 }
 
 // inheritedUnseen reports whether tasks of the job may run unseen, so that tickets
@@ -146,6 +162,7 @@
 		m.advice.asking++
 		s.tickets.asking = true
 		s.tickets.asks++
+		s.tickets.askedAt = m.now
 		m.emit(Ask{Step: s.id, Workers: workers, Cost: s.occ.job.policy.Advice.Cost(len(workers))})
 		return true
 	}
@@ -157,23 +174,64 @@
 // workers are good never changes for a step, so bad ones aren't named again.
 func (m *Machine) askAbout(s *step) []endive.WorkerID {
 	var roomy, others []endive.WorkerID
+	places := 0
 	for _, w := range m.ordered {
 		if !w.usable() || !w.couldRun(s) || s.tickets.valid(w.id, m.now) {
 			continue
 		}
 		if s.spec.Reserved().Fits(w.free()) {
 			roomy = append(roomy, w.id)
+			places += w.places(s)
 		} else if !s.tickets.known(w.id) {
 			others = append(others, w.id)
 		}
 	}
-	if len(roomy) == 0 {
+	if len(roomy) == 0 || places < m.placesWorth(s) {
 		return nil
 	}
 	workers := append(roomy, others...)
 	return workers[:min(len(workers), maxAdviceWorkers)]
 }
 
+// placesWorth returns for how many tasks there has to be room for a question about
+// a step to be worth its time, since large steps start part by part.
+func (m *Machine) placesWorth(s *step) int {
+	if s.spec.Gang {
+		return len(s.tasks)
+	}
+	if s.tickets.asks == 0 || m.now.Sub(s.tickets.askedAt) > adviceRest {
+		return 1
+	}
+	cost := time.Duration(s.occ.job.policy.Advice.Base)
+	return min((s.waiting+1)/2, 1+int(cost/costOfPlace))
+}
+
+const (
+	// adviceRest is how long after the last question a step may ask for any place.
+	adviceRest = 2500 * time.Millisecond
+	// costOfPlace is how much of the advice service's time a place is worth.
+	costOfPlace = 60 * time.Millisecond
+)
+
+// places returns how many tasks of a step there is room for on a worker.
+func (w *worker) places(s *step) int {
+	need, free := s.spec.Reserved(), w.free()
+	count := s.waiting
+	if s.spec.MaxPerWorker > 0 {
+		count = min(count, s.spec.MaxPerWorker-s.perWorker[w.id])
+	}
+	for _, one := range [][2]int64{
+		{int64(need.Processors), int64(free.Processors)},
+		{int64(need.Memory), int64(free.Memory)},
+		{int64(need.Accelerators), int64(free.Accelerators)},
+	} {
+		if one[0] > 0 {
+			count = min(count, int(one[1]/one[0]))
+		}
+	}
+	return max(0, count)
+}
+
 // advised takes in an answer to this entry's own question.
 func (m *Machine) advised(e Advised) {
 	m.advice.asking = max(0, m.advice.asking-1)
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -24,7 +24,7 @@
 	}
 	chosen := m.chooseGang(s)
 	if chosen == nil {
-		m.want(s)
+		m.want(s, len(s.tasks))
 		m.setAside(s)
 		return
 	}
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -32,7 +32,7 @@
 	helpers  int
 	recorder recorder
 	advice   advice
-	pending  pendingCounts
+	status   statusReport
 	ended    []endedJob
 	// passDue asks for a look at what could start; passAt is the earliest time.
 	passDue bool
@@ -60,7 +60,7 @@
 	m.ordered = nil
 	m.recorder = recorder{}
 	m.advice = advice{}
-	m.pending = pendingCounts{}
+	m.status = statusReport{}
 	m.ended = nil
 	m.startsMade = 0
 }
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -18,14 +18,20 @@
 	m.passAgainAt = time.Time{}
 	m.passAt = m.now.Add(passPause)
 	m.advice.wanted = m.advice.wanted[:0]
+	m.advice.room = endive.Resources{}
+	m.advice.short = false
 	for _, w := range m.ordered {
 		w.setAside = endive.Resources{}
+		if w.usable() {
+			m.advice.room = m.advice.room.Add(w.free())
+		}
 	}
 	for _, j := range m.ranked() {
 		for _, occ := range j.sortedOccs() {
 			m.placeOccurrence(occ)
 		}
 	}
+	m.status.crowd(m.advice.short, m.now)
 }
 
 // passAgain asks for another look at a time.
@@ -53,19 +59,24 @@
 
 // placeTasks starts the waiting tasks of a step where there is room.
 func (m *Machine) placeTasks(s *step) {
+	waits := 0
 	for _, t := range s.tasks {
 		if !m.startable(t) {
 			continue
 		}
-		w := m.choose(s, t)
+		var w *worker
+		if waits == 0 || t.avoid != "" {
+			w = m.choose(s, t)
+		}
 		if w == nil {
-			m.want(s)
-			if t.avoid == "" {
-				return
-			}
+			waits++
 			continue
 		}
 		m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
+		m.advice.room = m.advice.room.Sub(s.spec.Reserved())
+	}
+	if waits > 0 {
+		m.want(s, waits)
 	}
 }
 
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -38,7 +38,7 @@
 	jobs    []*job
 	roster  map[endive.WorkerID]bool
 	deleted int
-	pending map[endive.QueueName]int
+	status  *Status
 	sentAt  time.Time
 }
 
@@ -83,7 +83,7 @@
 			due = earliest(due, latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
 		}
 	}
-	due = earliest(due, m.pending.due(m))
+	due = earliest(due, m.status.due(m))
 	for _, one := range m.ended {
 		due = earliest(due, one.deleteAt)
 	}
@@ -130,9 +130,10 @@
 		sent.roster = m.newRoster()
 		txn.Writes = append(txn.Writes, endive.Write{Key: RosterKey(m.pool), Value: encode(Roster{Workers: sorted(sent.roster)})})
 	}
-	if due := m.pending.due(m); !due.IsZero() && !due.After(m.now) {
-		sent.pending = m.pending.counted
-		txn.Writes = append(txn.Writes, endive.Write{Key: PendingKey(m.pool), Value: encode(Pending{Queues: sent.pending})})
+	if due := m.status.due(m); !due.IsZero() && !due.After(m.now) {
+		status := m.status.current
+		sent.status = &status
+		txn.Writes = append(txn.Writes, endive.Write{Key: StatusKey(m.pool), Value: encode(status)})
 	}
 	txn.Writes = append(txn.Writes, m.deletions(rowsPerRecord-len(txn.Writes), sent)...)
 	rec.inFlight = sent
@@ -261,8 +262,8 @@
 		m.recorder.roster = sent.roster
 		m.passDue = true
 	}
-	if sent.pending != nil {
-		m.pending.wrote(sent.pending, m.now)
+	if sent.status != nil {
+		m.status.wrote(*sent.status, m.now)
 	}
 	m.ended = m.ended[sent.deleted:]
 	for _, end := range sent.ends {
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/elect"
 )
 
 // Tables of a pool's rows. All rows of a pool are in one part, which its name
@@ -38,8 +39,9 @@
 // RosterKey returns the row that lists the workers that may run something.
 func RosterKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/roster" }
 
-// PendingKey returns the row of the counts of waiting workflows.
-func PendingKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/pending" }
+// StatusKey returns the row in which a pool's holder tells the other entries how
+// the pool fares. It is in the table of leases, which all entries follow.
+func StatusKey(pool endive.PoolName) string { return elect.Table + "/" + string(pool) + "/status" }
 
 // JobKey returns the row of a submission.
 func JobKey(pool endive.PoolName, id endive.JobID) string {
@@ -75,9 +77,12 @@
 	Workers []endive.WorkerID `json:"workers"`
 }
 
-// Pending is the row of the counts of workflows of which no task has started.
-type Pending struct {
-	Queues map[endive.QueueName]int `json:"queues"`
+// Status is the row that tells how a pool fares.
+type Status struct {
+	// Pending counts the workflows of each queue of which no task has started.
+	Pending map[endive.QueueName]int `json:"pending"`
+	// Crowded says that work waits for room, so that new work won't start at once.
+	Crowded bool `json:"crowded,omitempty"`
 }
 
 // AdviceRow is the row of an answer of the advice service.
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -50,8 +50,8 @@
 	recordPause = 15 * time.Millisecond
 	// lazyRecord is how long news that nobody waits for may stay unwritten.
 	lazyRecord = 700 * time.Millisecond
-	// pendingPeriod is how often the counts of waiting workflows are written.
-	pendingPeriod = 900 * time.Millisecond
+	// statusPeriod is how often the other entries are told how the pool fares.
+	statusPeriod = 900 * time.Millisecond
 	// rowsPerRecord leaves room for the fence, the roster and the counts among
 	// the 100 rows of a transaction.
 	rowsPerRecord = 90
--- /dev/null
+++ b/flow/status.go
@@ -0,0 +1,64 @@
+package flow
+
+import (
+	"encoding/json"
+	"maps"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// statusReport is what the other entries are told of the pool.
+type statusReport struct {
+	current Status
+	written Status
+	// lookAt is when to look again whether anything changed.
+	lookAt time.Time
+	known  bool
+	// crowdedSince is when work began to wait for room; zero while none does.
+	crowdedSince time.Time
+}
+
+// crowdedAfter is how long work has to wait for room for the pool to be crowded.
+const crowdedAfter = 500 * time.Millisecond
+
+// crowd takes in whether the last look at what could start left work for want of
+// room.
+func (r *statusReport) crowd(waits bool, now time.Time) {
+	switch {
+	case !waits:
+		r.crowdedSince = time.Time{}
+	case r.crowdedSince.IsZero():
+		r.crowdedSince = now
+	}
+}
+
+// due returns when the row has to be written; zero while it is as written.
+func (r *statusReport) due(m *Machine) time.Time {
+	if m.now.Before(r.lookAt) {
+		return time.Time{}
+	}
+	r.current = Status{
+		Pending: make(map[endive.QueueName]int),
+		Crowded: !r.crowdedSince.IsZero() && m.now.Sub(r.crowdedSince) > crowdedAfter,
+	}
+	for _, j := range m.jobs {
+		if !j.begun && !j.state.Ended() && j.spec.Schedule.Occurrences == 0 {
+			r.current.Pending[j.policy.Name]++
+		}
+	}
+	if r.known && r.current.Crowded == r.written.Crowded && maps.Equal(r.current.Pending, r.written.Pending) {
+		r.lookAt = m.now.Add(statusPeriod)
+		return time.Time{}
+	}
+	return m.now
+}
+
+// wrote notes that a status was written.
+func (r *statusReport) wrote(status Status, now time.Time) {
+	r.written, r.known = status, true
+	r.lookAt = now.Add(statusPeriod)
+}
+
+// decode reads the JSON of a row.
+func decode(value []byte, into any) error { return json.Unmarshal(value, into) }
--- a/flow/work.go
+++ b/flow/work.go
@@ -256,8 +256,11 @@
 const maxAdviceRows = 16
 
 // awaitAdvice leaves the first questions about a new job to the entry that accepted
-// it.
+// it, unless that entry has been told that the pool is crowded.
 func (j *job) awaitAdvice(m *Machine) {
+	if m.status.written.Crowded {
+		return
+	}
 	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
 	for _, occ := range j.occs {
 		for _, s := range occ.steps {
