Cheap questions for advice go first, and as many are on their way as their cost allows

Change: a queue ordered by due time, which is the arrival and twice the cost; the holder bounds the cost on its way.

--- a/entry/cell/adviser.go
+++ b/entry/cell/adviser.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"sort"
+	"sync"
 	"time"
 
 	"endiveroute.example/endive"
@@ -16,7 +19,7 @@
 
 // maxQuestions bounds the questions that wait; what is beyond is left to the
 // pool's holder.
-const maxQuestions = 24
+const maxQuestions = 64
 
 // question asks which workers may run a step.
 type question struct {
@@ -28,50 +31,71 @@
 	own  bool
 	from endive.EntryID
 	tag  uint64
+	// cost is how long the answer takes; due orders the questions that wait.
 	cost endive.Interval
+	due  time.Time
 }
 
 // adviser asks the advice service, one question at a time.
 type adviser struct {
 	cell *Cell
-	// holders' questions go before those of new work.
-	holders chan question
-	others  chan question
-}
 
-func newAdviser(c *Cell) *adviser {
-	return &adviser{cell: c, holders: make(chan question, maxQuestions), others: make(chan question, maxQuestions)}
+	mu sync.Mutex
+	// waiting are in the order of their due times.
+	waiting []question
+	// more is filled when a question comes.
+	more chan struct{}
 }
 
+func newAdviser(c *Cell) *adviser { return &adviser{cell: c, more: make(chan struct{}, 1)} }
+
+// costWeight is how long a question waits, against its cost, for others that come
+// later and are answered faster. It answers backlogs in which questions that take
+// half a second stand beside ones that take 20 ms.
+const costWeight = 2
+
 // ask queues a question. It never blocks; one that finds no room is answered as
 // failed.
 func (a *adviser) ask(q question) {
-	queue := a.others
-	if q.own || q.from != "" {
-		queue = a.holders
+	q.due = a.cell.Clock.Now().Add(costWeight * time.Duration(q.cost))
+	a.mu.Lock()
+	full := len(a.waiting) >= maxQuestions
+	if !full {
+		at := sort.Search(len(a.waiting), func(i int) bool { return a.waiting[i].due.After(q.due) })
+		a.waiting = slices.Insert(a.waiting, at, q)
+	}
+	a.mu.Unlock()
+	if full {
+		a.answer(q, endive.Advice{}, false)
+		return
 	}
 	select {
-	case queue <- q:
+	case a.more <- struct{}{}:
 	default:
-		a.answer(q, endive.Advice{}, false)
 	}
 }
 
+// next returns the question to ask now, if there is one.
+func (a *adviser) next() (question, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.waiting) == 0 {
+		return question{}, false
+	}
+	q := a.waiting[0]
+	a.waiting = a.waiting[1:]
+	return q, true
+}
+
 func (a *adviser) run() {
-	for {
-		select {
-		case q := <-a.holders:
+	for a.cell.ctx.Err() == nil {
+		if q, ok := a.next(); ok {
 			a.serve(q)
 			continue
-		default:
 		}
 		select {
+		case <-a.more:
 		case <-a.cell.ctx.Done():
-			return
-		case q := <-a.holders:
-			a.serve(q)
-		case q := <-a.others:
-			a.serve(q)
 		}
 	}
 }
@@ -94,7 +118,7 @@
 	}
 	if q.own {
 		q.pool.tell(flow.Advised{
-			Step: q.step, Asked: q.workers, OK: ok, Good: advice.Good, Expiry: advice.Validity.After(a.cell.Clock.Now()),
+			Step: q.step, Asked: q.workers, Cost: q.cost, OK: ok, Good: advice.Good, Expiry: advice.Validity.After(a.cell.Clock.Now()),
 		})
 		return
 	}
@@ -105,7 +129,10 @@
 
 // askFor queues a question of another entry's holder.
 func (a *adviser) askFor(from endive.EntryID, m *wire.AdviceAsk) {
-	q := question{step: endive.StepID(m.GetStep()), from: from, tag: m.GetTag()}
+	q := question{
+		step: endive.StepID(m.GetStep()), from: from, tag: m.GetTag(),
+		cost: endive.Interval(time.Duration(m.GetCostMillis()) * time.Millisecond),
+	}
 	for _, id := range m.GetWorkers() {
 		q.workers = append(q.workers, endive.WorkerID(id))
 	}
--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -93,7 +93,7 @@
 	h.waiting[asked.tag] = asked
 	asked.timer = time.AfterFunc(one.busyUntil.Sub(now)+helperMargin, asked.expire)
 	h.mu.Unlock()
-	message := &wire.AdviceAsk{Tag: asked.tag, Step: string(q.step)}
+	message := &wire.AdviceAsk{Tag: asked.tag, Step: string(q.step), CostMillis: time.Duration(q.cost).Milliseconds()}
 	for _, id := range q.workers {
 		message.Workers = append(message.Workers, string(id))
 	}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -121,7 +121,7 @@
 		}
 		id := endive.StepID(string(workflow.ID) + ".0." + strconv.Itoa(i))
 		if named := ableWorkers(workers, step); len(named) > 0 {
-			c.adviser.ask(question{step: id, workers: named, pool: p})
+			c.adviser.ask(question{step: id, workers: named, pool: p, cost: queue.Advice.Cost(len(named))})
 		}
 	}
 }
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -64,8 +64,8 @@
 // advice is the state of the questions to the advice service, which answers each
 // entry one after the other.
 type advice struct {
-	// asking counts the questions on their way.
-	asking int
+	// asking is the cost of the questions on their way.
+	asking endive.Interval
 	// wanted lists the steps that could use an answer, in the order of the pass.
 	wanted []*step
 	// nextAt is when the next question may be asked; zero for never.
@@ -132,14 +132,18 @@
 	maxAdviceWorkers = 100
 )
 
-// ask asks for the first steps that can use an answer, as many as entries can ask
-// for at the same time.
+// ask asks for the first steps that can use an answer, as many as the entries that
+// help can ask for soon.
 func (m *Machine) ask() {
 	m.advice.nextAt = time.Time{}
-	for m.advice.asking < max(1, m.helpers) && m.askOne() {
+	for m.advice.asking < askAhead*endive.Interval(max(1, m.helpers)) && m.askOne() {
 	}
 }
 
+// askAhead is how much of the advice service's time may be asked for at once, for
+// each entry that asks.
+const askAhead = endive.Interval(250 * time.Millisecond)
+
 // askOne asks for one step, and reports whether it did.
 func (m *Machine) askOne() bool {
 	if len(m.advice.wanted) == 0 {
@@ -159,11 +163,12 @@
 			continue
 		}
 		m.advice.wanted = append(m.advice.wanted[:i:i], m.advice.wanted[i+1:]...)
-		m.advice.asking++
+		cost := s.occ.job.policy.Advice.Cost(len(workers))
+		m.advice.asking += cost
 		s.tickets.asking = true
 		s.tickets.asks++
 		s.tickets.askedAt = m.now
-		m.emit(Ask{Step: s.id, Workers: workers, Cost: s.occ.job.policy.Advice.Cost(len(workers))})
+		m.emit(Ask{Step: s.id, Workers: workers, Cost: cost})
 		return true
 	}
 	return false
@@ -234,7 +239,7 @@
 
 // advised takes in an answer to this entry's own question.
 func (m *Machine) advised(e Advised) {
-	m.advice.asking = max(0, m.advice.asking-1)
+	m.advice.asking = max(0, m.advice.asking-e.Cost)
 	s := m.stepOf(e.Step)
 	if !e.OK {
 		m.advice.retryAt = m.now.Add(adviceRetry)
@@ -249,7 +254,7 @@
 		m.note(Note{Kind: NoteAdvice, Job: s.occ.job.id, Outcome: "none", Reason: "step " + string(e.Step) + ": no answer"})
 		return
 	}
-	m.takeAdvice(s, e.Good, BadOf(e.Asked, e.Good), e.Expiry)
+	m.takeAdvice(s, e.Good, BadOf(e.Asked, e.Good), e.Expiry, "asked "+m.now.Sub(s.tickets.askedAt).Round(time.Millisecond).String()+" ago")
 	if len(e.Good) == 0 {
 		s.tickets.askAt = m.now.Add(adviceRetry)
 	}
@@ -283,15 +288,15 @@
 		m.note(Note{Kind: NoteAdvice, Outcome: "skipped", Reason: "step " + string(step) + ": " + err.Error()})
 		return
 	}
-	m.takeAdvice(s, row.Good, row.Bad, m.clock.Earliest(row.Until))
+	m.takeAdvice(s, row.Good, row.Bad, m.clock.Earliest(row.Until), "asked by the accepting entry")
 }
 
-func (m *Machine) takeAdvice(s *step, good []endive.AdviceGrant, bad []endive.WorkerID, until time.Time) {
+func (m *Machine) takeAdvice(s *step, good []endive.AdviceGrant, bad []endive.WorkerID, until time.Time, origin string) {
 	s.tickets.take(good, bad, until)
 	s.tickets.askAt = time.Time{}
 	m.passDue = true
 	m.note(Note{Kind: NoteAdvice, Job: s.occ.job.id, Outcome: "taken", Reason: "step " + string(s.id) + ": " +
-		number(int64(len(good))) + " good, " + number(int64(len(bad))) + " bad, for " + until.Sub(m.now).Round(time.Millisecond).String()})
+		number(int64(len(good))) + " good, " + number(int64(len(bad))) + " bad, for " + until.Sub(m.now).Round(time.Millisecond).String() + ", " + origin})
 }
 
 // stepOf returns a step that is still of interest.
--- a/flow/events.go
+++ b/flow/events.go
@@ -86,8 +86,10 @@
 
 // Advised is the answer to an Ask.
 type Advised struct {
-	Step   endive.StepID
-	Asked  []endive.WorkerID
+	Step  endive.StepID
+	Asked []endive.WorkerID
+	// Cost is that of the Ask.
+	Cost   endive.Interval
 	OK     bool
 	Good   []endive.AdviceGrant
 	Expiry time.Time
