flow: a pool in virtual time with faults, and what it found

Each seed plays bursts, gangs, long-running tasks and cancels while orders, answers and writes are lost or late, workers restart under their id or go dark, and the pool changes hands. Found, each with a seed or a test that failed first: - a restarted worker's runs were given up at once while an order on its way was carried out by its new life: two runs of one task - a holder that had stood still sent a lost start again without looking at its lease - a lease was reckoned from a clock that hadn't been read after a restart - a look that was put off woke the machine again and again at one moment

--- /dev/null
+++ b/flow/fakeworker_test.go
@@ -0,0 +1,312 @@
+package flow
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// fakeWorker is a worker of a world. It doesn't guard its capacity.
+type fakeWorker struct {
+	world *world
+	id    endive.WorkerID
+	self  endive.FleetWorker
+	// born is when this incarnation began, life counts the incarnations.
+	born     time.Time
+	life     int
+	dark     bool
+	unlisted bool
+
+	epoch    endive.Epoch
+	leaseEnd endive.WorkerTime
+	runs     map[endive.TaskID]*fakeRun
+	barred   map[endive.TaskID]endive.RunNumber
+	ends     []endive.EndReport
+	lastEnd  endive.EndNumber
+	waiting  []func()
+}
+
+// fakeRun is a run on a fakeWorker.
+type fakeRun struct {
+	task   endive.TaskID
+	number endive.RunNumber
+	need   endive.Resources
+	gang   bool
+	// over counts changes, so that an old appointment to end it is passed over.
+	over bool
+}
+
+// bear begins a life.
+func (f *fakeWorker) bear(capacity endive.Resources, labels []endive.Label) {
+	f.void()
+	f.life++
+	f.born = f.world.now
+	f.epoch, f.leaseEnd, f.lastEnd = 0, 0, 0
+	for _, r := range f.runs {
+		r.over = true
+	}
+	f.runs = make(map[endive.TaskID]*fakeRun)
+	f.barred = make(map[endive.TaskID]endive.RunNumber)
+	f.ends, f.waiting = nil, nil
+	f.self = endive.FleetWorker{
+		ID: f.id, Born: f.born, Pool: testPool, Address: endive.Address(f.id), Capacity: capacity, Labels: labels,
+	}
+}
+
+// restart kills the worker; it comes back at once under the same id and knows
+// nothing.
+func (f *fakeWorker) restart() {
+	f.bear(f.self.Capacity, f.self.Labels)
+	f.world.list()
+}
+
+func (f *fakeWorker) clock() endive.WorkerTime {
+	return endive.WorkerTime(f.world.now.Sub(f.born).Milliseconds()) + 1
+}
+
+// fenced takes over a higher epoch; it reports whether the order's is lower.
+func (f *fakeWorker) fenced(epoch endive.Epoch) bool {
+	if epoch < f.epoch {
+		return true
+	}
+	f.epoch = epoch
+	return false
+}
+
+func (f *fakeWorker) start(h *holder, order endive.StartOrder) endive.OrderAnswer {
+	answer := endive.OrderAnswer{Clock: f.clock()}
+	switch {
+	case f.fenced(order.Epoch):
+		answer.Refused = endive.RefusalEpoch
+		return answer
+	case order.LeaseEnd <= f.clock():
+		answer.Refused = endive.RefusalLate
+		return answer
+	}
+	f.extend(order.LeaseEnd)
+	if run := f.runs[order.Task]; run != nil && run.number == order.Run {
+		return answer
+	}
+	if f.barred[order.Task] >= order.Run || f.runs[order.Task] != nil {
+		answer.Refused = endive.RefusalOldRun
+		return answer
+	}
+	f.begin(h, order)
+	return answer
+}
+
+// extend renews the leases.
+func (f *fakeWorker) extend(end endive.WorkerTime) {
+	if end <= f.leaseEnd {
+		return
+	}
+	f.leaseEnd = end
+	life := f.life
+	f.world.after(time.Duration(end-f.clock())*time.Millisecond, func() {
+		if f.life == life && f.leaseEnd == end {
+			f.lapse()
+		}
+	})
+}
+
+// void lets go of successes that nobody has taken note of: after the leases have
+// run out, or in another life, the tasks may run again.
+func (f *fakeWorker) void() {
+	for _, end := range f.ends {
+		if end.Kind == endive.EndSucceeded {
+			delete(f.world.succeeded, end.Task)
+		}
+	}
+}
+
+// lapse ends everything that runs.
+func (f *fakeWorker) lapse() {
+	f.void()
+	for _, r := range f.sorted() {
+		f.end(r, endive.EndLapsed)
+	}
+}
+
+// begin starts a run, and checks what must hold for it.
+func (f *fakeWorker) begin(h *holder, order endive.StartOrder) {
+	w := f.world
+	w.starts++
+	job, step, spec := w.stepOf(order.Task)
+	run := &fakeRun{task: order.Task, number: order.Run, need: spec.Reserved(), gang: spec.Gang}
+	f.runs[order.Task] = run
+	w.checkStart(f, order, job, step, spec)
+	took := time.Duration(spec.Estimate)
+	if spec.LongRunning {
+		return
+	}
+	kind := endive.EndSucceeded
+	if w.chance(w.faults.failedTask) {
+		kind, took = endive.EndFailed, took/2
+	}
+	w.after(took, func() {
+		if !run.over {
+			f.end(run, kind)
+		}
+	})
+	_ = h
+}
+
+// checkStart notes what is broken by a start.
+func (w *world) checkStart(f *fakeWorker, order endive.StartOrder, job *fakeJob, step int, spec endive.Step) {
+	var used endive.Resources
+	for _, r := range f.runs {
+		used = used.Add(r.need)
+	}
+	if !used.Fits(f.self.Capacity) {
+		w.breaks("capacity: %s holds %v of %v", f.id, used, f.self.Capacity)
+	}
+	for _, other := range w.workers {
+		if other != f && other.runs[order.Task] != nil && !spec.Speculative {
+			w.breaks("twice: %s runs on %s and %s", order.Task, f.id, other.id)
+		}
+	}
+	if w.succeeded[order.Task] {
+		w.breaks("twice: %s starts again after it succeeded", order.Task)
+	}
+	for _, before := range spec.After {
+		prefix := strings.Join(strings.Split(string(order.Task), ".")[:2], ".")
+		for i := range job.workflow.Steps[before].Tasks {
+			id := endive.TaskID(prefix + "." + strconv.Itoa(before) + "." + strconv.Itoa(i))
+			if !w.done[id] {
+				w.breaks("order: %s starts before %s has succeeded", order.Task, id)
+			}
+		}
+	}
+	if !spec.LongRunning && w.failures[order.Task] >= job.policy.MaxAttempts {
+		w.breaks("budget: %s starts after %d failures", order.Task, w.failures[order.Task])
+	}
+	if spec.Label != "" && !f.self.HasLabel(spec.Label) {
+		w.breaks("label: %s starts on %s without %s", order.Task, f.id, spec.Label)
+	}
+	if !job.cancelledAt.IsZero() && w.now.Sub(job.cancelledAt) > 3*time.Second {
+		w.breaks("cancel: %s starts %s after its cancelling", order.Task, w.now.Sub(job.cancelledAt))
+	}
+	if order.Ticket == "" && job.policy.Advice.Required() {
+		w.breaks("ticket: %s starts without one", order.Task)
+	}
+	_ = step
+}
+
+// stepOf returns the job and the step of a task.
+func (w *world) stepOf(task endive.TaskID) (*fakeJob, int, endive.Step) {
+	parts := strings.Split(string(task), ".")
+	job := w.jobs[endive.JobID(parts[0])]
+	step, err := strconv.Atoi(parts[2])
+	if err != nil || job == nil {
+		w.t.Fatalf("task %s belongs to nothing", task)
+	}
+	return job, step, job.workflow.Steps[step]
+}
+
+// end ends a run and tells whoever waits.
+func (f *fakeWorker) end(run *fakeRun, kind endive.EndKind) {
+	run.over = true
+	delete(f.runs, run.task)
+	f.barred[run.task] = max(f.barred[run.task], run.number)
+	f.lastEnd++
+	f.ends = append(f.ends, endive.EndReport{Number: f.lastEnd, Task: run.task, Run: run.number, Kind: kind})
+	switch kind {
+	case endive.EndSucceeded:
+		f.world.succeeded[run.task] = true
+		f.world.done[run.task] = true
+	case endive.EndFailed:
+		f.world.failures[run.task]++
+	}
+	waiting := f.waiting
+	f.waiting = nil
+	for _, tell := range waiting {
+		tell()
+	}
+}
+
+func (f *fakeWorker) stop(order endive.StopOrder) endive.OrderAnswer {
+	answer := endive.OrderAnswer{Clock: f.clock()}
+	if f.fenced(order.Epoch) {
+		answer.Refused = endive.RefusalEpoch
+		return answer
+	}
+	f.barred[order.Task] = max(f.barred[order.Task], order.Run)
+	run := f.runs[order.Task]
+	if run == nil || run.number != order.Run {
+		return answer
+	}
+	life := f.life
+	f.world.after(200*time.Millisecond, func() {
+		if f.life == life && !run.over {
+			f.end(run, endive.EndStopped)
+		}
+	})
+	return answer
+}
+
+// look answers a hold, after an end or the wait.
+func (w *world) look(h *holder, order endive.HoldOrder) {
+	id := order.Worker.ID
+	one := w.workers[id]
+	patience := time.Duration(order.Wait) + 700*time.Millisecond
+	if one == nil || one.dark || w.chance(w.faults.lostOrder) {
+		w.after(patience, func() { h.step(Held{Worker: id, Result: OrderUnknown}) })
+		return
+	}
+	w.after(3*time.Millisecond, func() {
+		if one.fenced(order.Epoch) {
+			h.step(Held{Worker: id, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalEpoch}})
+			return
+		}
+		one.forget(order.Recorded)
+		if order.LeaseEnd > one.clock() {
+			one.extend(order.LeaseEnd)
+		}
+		life, told := one.life, false
+		tell := func() {
+			if told {
+				return
+			}
+			told = true
+			if one.dark || one.life != life || w.chance(w.faults.lostAnswer) {
+				w.after(700*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderUnknown}) })
+				return
+			}
+			report := one.report()
+			w.after(3*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderAnswered, Report: report}) })
+		}
+		if order.Wait == 0 || len(one.ends) > 0 {
+			tell()
+			return
+		}
+		one.waiting = append(one.waiting, tell)
+		w.after(time.Duration(order.Wait), tell)
+	})
+}
+
+// forget drops the ends that were recorded.
+func (f *fakeWorker) forget(recorded endive.EndNumber) {
+	for len(f.ends) > 0 && f.ends[0].Number <= recorded {
+		f.ends = f.ends[1:]
+	}
+}
+
+func (f *fakeWorker) report() endive.HoldReport {
+	report := endive.HoldReport{Clock: f.clock(), Born: f.born, Ended: append([]endive.EndReport(nil), f.ends...)}
+	for _, r := range f.sorted() {
+		report.Running = append(report.Running, endive.RunReport{Task: r.task, Run: r.number, Percent: 1})
+	}
+	return report
+}
+
+func (f *fakeWorker) sorted() []*fakeRun {
+	var runs []*fakeRun
+	for _, r := range f.runs {
+		runs = append(runs, r)
+	}
+	sort.Slice(runs, func(i, j int) bool { return runs[i].task < runs[j].task })
+	return runs
+}
--- /dev/null
+++ b/flow/flow_test.go
@@ -0,0 +1,314 @@
+package flow
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// Policies of the tests' queues.
+var (
+	quick = endive.Queue{
+		Name: "quick", Pool: testPool, MaxAttempts: 3, SlackFactor: 1.5, Grace: endive.Interval(600 * time.Millisecond),
+	}
+	advised = endive.Queue{
+		Name: "advised", Pool: testPool, Rank: 1, MaxAttempts: 3, SlackFactor: 2, Grace: endive.Interval(time.Second),
+		Advice: endive.AdvicePolicy{
+			Base: endive.Interval(50 * time.Millisecond), PerWorker: endive.Interval(time.Millisecond), Validity: endive.Interval(2 * time.Second),
+		},
+	}
+)
+
+// stepOfTasks returns a step of tasks that run for so long.
+func stepOfTasks(tasks int, runs time.Duration, after ...int) endive.Step {
+	return endive.Step{
+		Tasks: tasks, Need: endive.Resources{Processors: 3000, Memory: endive.GiB}, Estimate: endive.Interval(runs), After: after,
+	}
+}
+
+func (w *world) addWorkers(n int) {
+	for i := range n {
+		w.addWorker(fmt.Sprintf("w%d", i), endive.Resources{Processors: 16000, Memory: 64 * endive.GiB, Accelerators: 4}, endive.Label(fmt.Sprintf("rack%d", i/3)))
+	}
+}
+
+// holds fails the test where anything was broken.
+func (w *world) holds() {
+	w.t.Helper()
+	if len(w.broken) > 0 {
+		w.t.Fatalf("%d broken, the first:\n%s", len(w.broken), strings.Join(w.broken[:min(5, len(w.broken))], "\n"))
+	}
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(6, 500*time.Millisecond), stepOfTasks(4, 300*time.Millisecond, 0))
+	w.run(4 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 10)
+}
+
+// A history that the store dropped brings a job and its cancelling in one batch, in
+// the order of their keys.
+func TestCancelInOneBatchWithItsJob(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(1)
+	h := w.hold()
+	w.run(time.Second)
+	job := &fakeJob{workflow: endive.Workflow{ID: "job1", Steps: []endive.Step{stepOfTasks(1, time.Second)}}, policy: quick}
+	w.jobs["job1"] = job
+	w.rows[StateKey(testPool, "job1")] = endive.Row{Key: StateKey(testPool, "job1"), Version: 1, Value: encode(Progress{State: endive.WorkflowQueued})}
+	h.tell(WorkChanged{Rows: []endive.Row{
+		{Key: CancelKey(testPool, "job1"), Version: 2, Value: []byte("{}")},
+		{Key: JobKey(testPool, "job1"), Version: 1, Value: encode(endive.Submission{Workflow: job.workflow, Policy: quick})},
+	}})
+	w.run(3 * time.Second)
+	w.holds()
+	is.Equal(w.starts, 0)
+	is.Equal(w.state("job1"), endive.WorkflowCancelled)
+}
+
+func TestFailuresAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{failedTask: 1})
+	w.addWorkers(4)
+	w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(2, 100*time.Millisecond))
+	w.run(5 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowFailed)
+}
+
+// A lost worker's tasks go elsewhere once its leases have surely run out.
+func TestWorkerGoesDark(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(2)
+	w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(8, 2*time.Second))
+	w.run(2 * time.Second)
+	w.workers["w0"].dark = true
+	w.run(15 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
+func TestWorkerStartsAnew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(2)
+	w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(8, 2*time.Second))
+	w.run(2 * time.Second)
+	w.workers["w0"].restart()
+	w.run(6 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
+// A new holder adopts what runs, and starts none of it again.
+func TestTakeoverAdoptsRuns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	first := w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(9, 3*time.Second), stepOfTasks(2, time.Second, 0))
+	w.run(2 * time.Second)
+	first.kill()
+	w.run(4 * time.Second)
+	w.hold()
+	w.run(9 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 11)
+}
+
+// A holder that stood still while another took the pool over starts nothing when it
+// goes on.
+func TestFrozenHolderIsFenced(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	first := w.hold()
+	w.run(time.Second)
+	w.submit("job1", quick, stepOfTasks(9, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	first.freeze(3 * time.Second)
+	w.run(3 * time.Second)
+	w.hold()
+	w.submit("job2", quick, stepOfTasks(9, 2*time.Second))
+	w.run(12 * time.Second)
+	w.holds()
+	is.Equal(w.state("job1"), endive.WorkflowSucceeded)
+	is.Equal(w.state("job2"), endive.WorkflowSucceeded)
+	is.True(!first.machine.tenure.active)
+}
+
+func TestGangStartsTogether(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(4)
+	w.hold()
+	w.run(time.Second)
+	gang := endive.Step{
+		Tasks: 3, Gang: true, Need: endive.Resources{Processors: 16000, Accelerators: 4}, Estimate: endive.Interval(time.Second),
+	}
+	small := w.submit("small", quick, stepOfTasks(8, time.Second))
+	id := w.submit("gang", quick, gang)
+	w.run(6 * time.Second)
+	w.holds()
+	is.Equal(w.state(small), endive.WorkflowSucceeded)
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 11)
+}
+
+func TestLongRunningTasksAreRestarted(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	w.hold()
+	w.run(time.Second)
+	watch := stepOfTasks(3, time.Second)
+	watch.LongRunning = true
+	id := w.submit("watch", quick, watch)
+	w.run(3 * time.Second)
+	is.Equal(w.running(id), 3)
+	w.workers["w0"].restart()
+	w.workers["w1"].restart()
+	w.workers["w2"].restart()
+	w.run(6 * time.Second)
+	is.Equal(w.running(id), 3)
+	w.cancel(id)
+	w.run(9 * time.Second)
+	w.holds()
+	is.Equal(w.running(id), 0)
+	is.Equal(w.state(id), endive.WorkflowCancelled)
+}
+
+// trace names tasks whose decisions the fault test logs.
+var trace = flag.String("follow", "", "log the decisions about tasks whose ids begin so")
+
+// running counts the runs of a workflow.
+func (w *world) running(id endive.JobID) int {
+	count := 0
+	for _, one := range w.workers {
+		for task := range one.runs {
+			if strings.HasPrefix(string(task), string(id)+".") {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// The load: bursts of small jobs beside large ones, gangs and long-running tasks,
+// while orders, answers and writes are lost or late, workers restart and go dark, and
+// the pool changes hands. Nothing may be broken at any time, and when the faults
+// end, all work does.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	seeds := make([]int64, 0, faultSeeds+len(failedSeeds))
+	for seed := int64(1); seed <= faultSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range append(seeds, failedSeeds...) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playFaults(t, seed) })
+	}
+}
+
+// faultSeeds is how many seeds a run of the fault test plays.
+const faultSeeds = 100
+
+// failedSeeds once broke something:
+//
+//	125, 213: a holder that had stood still sent a start again, to a worker that had
+//	          started anew and knew no epoch
+//	2364:     a start was sent again to a worker that had started anew, with a lease
+//	          reckoned from a clock that hadn't been read
+var failedSeeds = []int64{125, 213, 2364}
+
+func playFaults(t *testing.T, seed int64) {
+	w := newWorld(t, seed, faults{
+		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
+	})
+	w.trace = *trace
+	w.addWorkers(6)
+	last := w.hold()
+	var ids []endive.JobID
+	for i := range 24 {
+		w.run(time.Second + time.Duration(i)*500*time.Millisecond)
+		ids = append(ids, w.submitAny(i))
+		if i%7 == 3 {
+			w.cancel(ids[w.random.Intn(len(ids))])
+		}
+		w.disturb(&last)
+	}
+	w.faults = faults{}
+	for _, one := range w.workers {
+		one.dark = false
+	}
+	w.run(60 * time.Second)
+	w.holds()
+	for _, id := range ids {
+		if state := w.state(id); !state.Ended() && !w.jobs[id].workflow.Steps[0].LongRunning {
+			t.Errorf("%s is %s at the end", id, state)
+		}
+	}
+}
+
+// submitAny submits a workflow of a kind that the number picks.
+func (w *world) submitAny(i int) endive.JobID {
+	id := fmt.Sprintf("job%d", i)
+	switch i % 6 {
+	case 0:
+		return w.submit(id, advised, stepOfTasks(5, 800*time.Millisecond), stepOfTasks(3, 600*time.Millisecond, 0))
+	case 1:
+		return w.submit(id, quick, endive.Step{
+			Tasks: 2, Gang: true, Need: endive.Resources{Processors: 9000, Accelerators: 2}, Estimate: endive.Interval(1500 * time.Millisecond),
+		})
+	case 2:
+		watch := stepOfTasks(2, time.Second)
+		watch.LongRunning = true
+		return w.submit(id, quick, watch)
+	case 3:
+		large := stepOfTasks(3, 2500*time.Millisecond)
+		large.Need.Processors = 8000
+		large.MaxPerWorker = 1
+		return w.submit(id, advised, large)
+	default:
+		return w.submit(id, quick, stepOfTasks(6, 700*time.Millisecond), stepOfTasks(2, 400*time.Millisecond, 0), stepOfTasks(2, 400*time.Millisecond, 0, 1))
+	}
+}
+
+// disturb does something to the workers or to the holder.
+func (w *world) disturb(last **holder) {
+	one := w.workers[endive.WorkerID(fmt.Sprintf("w%d", w.random.Intn(6)))]
+	switch w.random.Intn(10) {
+	case 0:
+		one.restart()
+	case 1:
+		one.dark = true
+		w.after(3*time.Second, func() { one.dark = false })
+	case 2:
+		(*last).kill()
+		w.after(2500*time.Millisecond, func() { *last = w.hold() })
+	case 3:
+		(*last).freeze(4 * time.Second)
+		w.after(2500*time.Millisecond, func() { *last = w.hold() })
+	}
+}
--- a/flow/held.go
+++ b/flow/held.go
@@ -23,11 +23,12 @@
 		w.failures = 0
 		m.passDue = true
 	}
-	if w.bornAnew(e.Report.Born) {
-		m.loseRuns(w, "the worker has started anew")
-		w.self.Born = e.Report.Born
-		w.newestEnd, w.leaseEnd, w.clock = 0, 0, clockReading{}
-		w.open = make(map[endive.EndNumber]bool)
+	if born := e.Report.Born; born.UnixMilli() > 0 && born.Before(w.self.Born) {
+		// An answer of an incarnation that is gone says nothing of this one.
+		w.hold.again = m.now
+		return
+	} else if born.After(w.self.Born) {
+		m.beginLife(w, born)
 	}
 	w.clock = clockReading{at: e.Report.Clock, received: m.now}
 	m.takeEnds(w, e.Report.Ended)
@@ -48,12 +49,6 @@
 	m.watchHealth(w)
 }
 
-// bornAnew reports whether another incarnation answered than the one that is
-// known.
-func (w *worker) bornAnew(born time.Time) bool {
-	return born.UnixMilli() > 0 && !w.self.Born.Equal(born)
-}
-
 // lookFailed decides when to look again.
 func (m *Machine) lookFailed(w *worker, e Held) {
 	reason := string(e.Result)
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -10,6 +10,7 @@
 func (m *Machine) pass() {
 	if !m.passAgainAt.IsZero() && !m.now.Before(m.passAgainAt) {
 		m.passDue = true
+		m.passAgainAt = time.Time{}
 	}
 	if !m.passDue || !m.mayStart() || m.now.Before(m.passAt) {
 		return
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -27,6 +27,8 @@
 // listedEnd is an end that waits to be recorded.
 type listedEnd struct {
 	worker *worker
+	// life is the worker's incarnation, whose ends are numbered anew.
+	life   int
 	number endive.EndNumber
 	job    *job
 }
@@ -46,7 +48,7 @@
 func (m *Machine) recordEnd(w *worker, n endive.EndNumber, j *job) {
 	w.open[n] = true
 	j.touch(rowUrgent)
-	m.recorder.ends = append(m.recorder.ends, listedEnd{worker: w, number: n, job: j})
+	m.recorder.ends = append(m.recorder.ends, listedEnd{worker: w, life: w.life, number: n, job: j})
 }
 
 // record writes what is due.
@@ -267,6 +269,9 @@
 	}
 	m.ended = m.ended[sent.deleted:]
 	for _, end := range sent.ends {
+		if end.life != end.worker.life {
+			continue
+		}
 		delete(end.worker.open, end.number)
 		if len(end.worker.open) == 0 {
 			end.worker.hold.again = m.now
--- a/flow/run.go
+++ b/flow/run.go
@@ -203,16 +203,20 @@
 		return
 	}
 	t, w := r.task, r.worker
+	// After a pause the pool may be another entry's, and a worker that has started
+	// anew knows no epoch that would keep this order out. Nor is its clock known
+	// then, which a lease needs.
+	again := r.tries < startTries && m.mayStart() && w.adopted
 	switch {
 	case e.Result == OrderUnknown:
-		if r.tries < startTries {
+		if again {
 			m.sendStart(r)
 			return
 		}
 	case e.Result == OrderNotSent:
 		w.health.avoidUntil = m.now.Add(refusedPause)
 		w.hold.again = m.now
-	case e.Answer.Refused == endive.RefusalLate && r.tries < startTries:
+	case e.Answer.Refused == endive.RefusalLate && again:
 		m.sendStart(r)
 		return
 	case e.Answer.Refused == endive.RefusalOldRun:
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -31,6 +31,11 @@
 	// leaseEnd is the latest end of a lease in any order that was sent.
 	leaseEnd endive.WorkerTime
 
+	// life counts the incarnations that were seen under the id.
+	life int
+	// overBy is when leases of an earlier incarnation have surely run out.
+	overBy time.Time
+
 	// newestEnd is the highest end that was taken in; open are those before it that
 	// aren't recorded yet.
 	newestEnd endive.EndNumber
@@ -102,9 +107,23 @@
 // surelyOver returns when all leases that were granted have run out.
 func (w *worker) surelyOver() time.Time {
 	if w.clock.received.IsZero() {
-		return time.Time{}
+		return w.overBy
 	}
-	return w.clock.surely(w.leaseEnd).Add(leaseMargin)
+	return latest(w.clock.surely(w.leaseEnd).Add(leaseMargin), w.overBy)
+}
+
+// beginLife takes in that another incarnation runs under the worker's id. It knows
+// nothing of the runs before; but an order on its way may be carried out by it, so
+// each run is given up only when the new incarnation doesn't list it.
+func (m *Machine) beginLife(w *worker, born time.Time) {
+	m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "started anew", Reason: number(int64(len(w.runs))) + " runs were there"})
+	w.overBy = latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.MaxGrant))+leaseMargin))
+	w.self.Born = born
+	w.life++
+	w.adopted, w.stale = false, false
+	w.newestEnd, w.leaseEnd, w.clock = 0, 0, clockReading{}
+	w.open = make(map[endive.EndNumber]bool)
+	w.hold.again = m.now
 }
 
 // addUnlisted adds a worker of the roster that isn't listed: something may run
@@ -140,9 +159,12 @@
 
 func (m *Machine) updateWorker(self endive.FleetWorker) {
 	w := m.workers[self.ID]
-	if w != nil && w.self.ID != "" && !w.self.Born.Equal(self.Born) {
-		m.loseRuns(w, "the worker has started anew")
-		w = nil
+	if w != nil && w.self.ID != "" && self.Born.Before(w.self.Born) {
+		// The worker itself has told of a newer incarnation.
+		return
+	}
+	if w != nil && w.self.ID != "" && self.Born.After(w.self.Born) {
+		m.beginLife(w, self.Born)
 	}
 	if w == nil {
 		w = newWorker(self.ID)
