--- /dev/null
+++ b/elect/machine_test.go
@@ -0,0 +1,226 @@
+package elect
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// steadyClock shows the platform's time as milliseconds since start.
+type steadyClock struct{ start time.Time }
+
+func (steadyClock) Known() bool { return true }
+func (c steadyClock) AtLeast(at time.Time) endive.PlatformTime {
+	return endive.PlatformTime(at.Sub(c.start).Milliseconds())
+}
+func (c steadyClock) Earliest(t endive.PlatformTime) time.Time {
+	return c.start.Add(time.Duration(t) * time.Millisecond)
+}
+
+const lease = 2 * time.Second
+
+// rig is one entry's machine with the store's row.
+type rig struct {
+	is      *is.I
+	machine *Machine
+	now     time.Time
+	version endive.Version
+	value   []byte
+}
+
+func newRig(t *testing.T) *rig {
+	start := time.Unix(1_800_000_000, 0)
+	fence := func(epoch endive.Epoch) endive.Write { return endive.Write{Key: "fence", Value: []byte{byte(epoch)}} }
+	settings := Settings{Lease: endive.Interval(lease), Renewal: endive.Interval(lease / 3), Retry: endive.Interval(100 * time.Millisecond)}
+	return &rig{
+		is: is.New(t), now: start,
+		machine: New("entry-1", "run-1", "quoting", fence, settings, steadyClock{start}, endive.NewWriteIDs("entry-1", "run-1", "elect")),
+	}
+}
+
+func (r *rig) step(event endive.Event) []endive.Action { return r.machine.Step(r.now, event) }
+
+// see reads the row.
+func (r *rig) see() []endive.Action { return r.step(Seen{Version: r.version, Value: r.value}) }
+
+// others writes the row as another entry.
+func (r *rig) others(row Lease) {
+	r.version++
+	r.value = row.encode()
+}
+
+// recordIn returns the transaction among actions, if there is one.
+func recordIn(actions []endive.Action) (endive.Transaction, bool) {
+	for _, action := range actions {
+		if record, ok := action.(Record); ok {
+			return record.Transaction, true
+		}
+	}
+	return endive.Transaction{}, false
+}
+
+// commit carries out the transaction among actions, and tells the machine.
+func (r *rig) commit(actions []endive.Action) []endive.Action {
+	txn, ok := recordIn(actions)
+	r.is.True(ok) // the machine writes the lease
+	r.is.Equal(txn.Conditions[0].Version, r.version)
+	r.version++
+	r.value = txn.Writes[0].Value
+	event := endive.Committed{WriteID: txn.WriteID, Status: endive.CommitApplied}
+	for range txn.Writes {
+		event.Result.Versions = append(event.Result.Versions, r.version)
+	}
+	return r.step(event)
+}
+
+func (r *rig) row() Lease {
+	var row Lease
+	r.is.NoErr(json.Unmarshal(r.value, &row))
+	return row
+}
+
+func began(actions []endive.Action) (Began, bool) {
+	for _, action := range actions {
+		if b, ok := action.(Began); ok {
+			return b, true
+		}
+	}
+	return Began{}, false
+}
+
+func lost(actions []endive.Action) bool {
+	for _, action := range actions {
+		if _, ok := action.(Lost); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func TestTakesAFreePoolAndRenewsIt(t *testing.T) {
+	r := newRig(t)
+	b, ok := began(r.commit(r.see()))
+	r.is.True(ok)
+	r.is.Equal(b.Epoch, endive.Epoch(1))
+	r.is.True(b.Until.Before(r.now.Add(lease)))
+	r.now = r.now.Add(lease / 2)
+	actions := r.commit(r.step(endive.Wake{}))
+	r.is.Equal(actions[0], Renewed{Until: r.now.Add(lease - margin)})
+	r.is.Equal(r.row().Epoch, endive.Epoch(1))
+}
+
+func TestLeavesAHeldPoolAlone(t *testing.T) {
+	r := newRig(t)
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 1500})
+	_, writes := recordIn(r.see())
+	r.is.True(!writes)
+	r.now = r.now.Add(1400 * time.Millisecond)
+	_, writes = recordIn(r.step(endive.Wake{}))
+	r.is.True(!writes)
+	r.now = r.now.Add(200 * time.Millisecond)
+	b, ok := began(r.commit(r.step(endive.Wake{})))
+	r.is.True(ok)
+	r.is.Equal(b.Epoch, endive.Epoch(5))
+}
+
+func TestWaitsForEntriesThatSuitBetter(t *testing.T) {
+	r := newRig(t)
+	r.step(Preference{Wait: endive.Interval(300 * time.Millisecond)})
+	_, writes := recordIn(r.see())
+	r.is.True(!writes)
+	r.now = r.now.Add(299 * time.Millisecond)
+	_, writes = recordIn(r.step(endive.Wake{}))
+	r.is.True(!writes)
+	r.now = r.now.Add(time.Millisecond)
+	_, writes = recordIn(r.step(endive.Wake{}))
+	r.is.True(writes)
+}
+
+// Two entries write at the same moment: the one whose condition doesn't hold has to
+// read before it does anything else.
+func TestLosesARace(t *testing.T) {
+	r := newRig(t)
+	txn, ok := recordIn(r.see())
+	r.is.True(ok)
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 1, Until: 2000})
+	actions := r.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitConflict})
+	r.is.Equal(actions[0], Look{})
+	_, writes := recordIn(r.see())
+	r.is.True(!writes)
+	r.is.True(!r.machine.Holding())
+}
+
+// The answer to a renewal is lost. The row tells that it was written.
+func TestRenewalIsAnsweredByTheRow(t *testing.T) {
+	r := newRig(t)
+	r.commit(r.see())
+	r.now = r.now.Add(lease / 2)
+	txn, _ := recordIn(r.step(endive.Wake{}))
+	r.version++
+	r.value = txn.Writes[0].Value
+	r.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown})
+	r.see()
+	r.is.True(r.machine.Holding())
+	r.now = r.now.Add(lease / 2)
+	r.commit(r.step(endive.Wake{}))
+	r.is.True(r.machine.Holding())
+}
+
+// The answer to a takeover is lost. Nobody else may take the pool meanwhile, so the
+// entry takes it again at once, under a new epoch, since the fence's version isn't
+// known.
+func TestTakeoverIsRepeatedAfterALostAnswer(t *testing.T) {
+	r := newRig(t)
+	txn, _ := recordIn(r.see())
+	r.version++
+	r.value = txn.Writes[0].Value
+	r.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown})
+	r.now = r.now.Add(lease)
+	b, ok := began(r.commit(r.see()))
+	r.is.True(ok)
+	r.is.Equal(b.Epoch, endive.Epoch(2))
+}
+
+func TestStepsDownForAHigherEpoch(t *testing.T) {
+	tests := []struct {
+		name  string
+		event func(r *rig) []endive.Action
+	}{
+		{"the row names another", func(r *rig) []endive.Action {
+			r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 2, Until: 9000})
+			return r.see()
+		}},
+		{"a worker refused the epoch", func(r *rig) []endive.Action { return r.step(Fenced{Epoch: 1}) }},
+		{"handed over", func(r *rig) []endive.Action { return r.commit(r.step(GiveUp{})) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t)
+			r.commit(r.see())
+			r.is.True(lost(tt.event(r)))
+			r.is.True(!r.machine.Holding())
+		})
+	}
+}
+
+func TestTakesAPoolThatWasHandedOver(t *testing.T) {
+	r := newRig(t)
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 7, Until: 99000, Vacant: true})
+	b, ok := began(r.commit(r.see()))
+	r.is.True(ok)
+	r.is.Equal(b.Epoch, endive.Epoch(8))
+}
+
+// A row that can't be read belongs to nobody, but its epoch may have been anything
+// up to its version.
+func TestRowThatCannotBeRead(t *testing.T) {
+	r := newRig(t)
+	r.version, r.value = 40, []byte("?")
+	b, ok := began(r.commit(r.see()))
+	r.is.True(ok)
+	r.is.Equal(b.Epoch, endive.Epoch(41))
+}
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -81,20 +81,56 @@
 
 // want notes that a step of which tasks wait could use an answer of the advice
 // service. It answers bursts: a ticket is good for seconds only, so questions are
-// asked for no more work than there is room for.
+// asked for no more work than there is room for. Room on workers that are known to
+// be good for the step is kept for it meanwhile, or smaller tasks that come after
+// it would take it while the question is on its way.
 func (m *Machine) want(s *step, waits int) {
 	need := s.spec.Reserved()
 	if !need.Fits(m.advice.room) {
 		m.advice.short = true
 		return
 	}
-	if !m.needsTicket(s) || s.occ.job.inheritedUnseen(m) {
+	if !m.needsTicket(s) {
+		m.advice.short = true
+		return
+	}
+	if s.occ.job.inheritedUnseen(m) || len(m.advice.wanted) >= maxWanted {
+		return
+	}
+	places := m.keepPlaces(s, waits)
+	if places == 0 {
+		m.advice.short = true
 		return
 	}
 	if !s.tickets.asking {
 		m.advice.wanted = append(m.advice.wanted, s)
 	}
-	m.advice.room = m.advice.room.Sub(need.Times(int64(waits)))
+	m.advice.room = m.advice.room.Sub(need.Times(int64(places)))
+}
+
+// maxWanted bounds the steps that one look considers for questions.
+const maxWanted = 64
+
+// keepPlaces sets room aside for tasks of a step on workers that may be good for it,
+// and returns for how many there is room.
+func (m *Machine) keepPlaces(s *step, tasks int) int {
+	need := s.spec.Reserved()
+	asked := len(s.tickets.bad) > 0 || len(s.tickets.good) > 0
+	kept := 0
+	for _, w := range m.ordered {
+		if kept == tasks {
+			break
+		}
+		if !w.usable() || !w.couldRun(s) || m.now.Before(w.health.avoidUntil) {
+			continue
+		}
+		places := min(w.places(s), tasks-kept)
+		kept += places
+		if asked && places > 0 {
+			w.setAside = w.setAside.Add(need.Times(int64(places)))
+		}
+	}
+	return kept
 }
 
 // inheritedUnseen reports whether tasks of the job may run unseen, so that tickets
@@ -181,7 +217,12 @@
 	var roomy, others []endive.WorkerID
 	places := 0
 	for _, w := range m.ordered {
-		if !w.usable() || !w.couldRun(s) || s.tickets.valid(w.id, m.now) {
+		if !w.usable() || !w.couldRun(s) {
+			continue
+		}
+		// The members of a gang need their tickets at the same time, so those that
+		// are still valid are renewed.
+		if !s.spec.Gang && s.tickets.valid(w.id, m.now) {
 			continue
 		}
 		if s.spec.Reserved().Fits(w.free()) {
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -178,6 +178,39 @@
 	is.Equal(w.starts, 11)
 }
 
+// The load: a backlog of steps whose tasks need most of a worker and are asked for
+// slowly, beside a stream of small tasks that find room at once. The large ones must
+// not starve, whether they are gangs or not.
+func TestLargeTasksBesideSmallOnes(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang=%v", gang), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, faults{})
+			w.addWorkers(6)
+			w.hold()
+			w.run(time.Second)
+			slow := advised
+			slow.Rank = 2
+			slow.Advice.Base = endive.Interval(400 * time.Millisecond)
+			var ids []endive.JobID
+			for i := range 10 {
+				ids = append(ids, w.submit(fmt.Sprintf("large%d", i), slow, endive.Step{
+					Tasks: 1 + i%2, Gang: gang, Need: endive.Resources{Processors: 12000}, Estimate: endive.Interval(time.Second),
+				}))
+			}
+			for i := range 60 {
+				w.submit(fmt.Sprintf("small%d", i), advised, stepOfTasks(6, 1200*time.Millisecond))
+				w.run(time.Second + time.Duration(i)*250*time.Millisecond)
+			}
+			w.run(20 * time.Second)
+			w.holds()
+			for _, id := range ids {
+				is.Equal(w.state(id), endive.WorkflowSucceeded)
+			}
+		})
+	}
+}
+
 func TestLongRunningTasksAreRestarted(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, faults{})
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -109,11 +109,19 @@
 	return racks
 }
 
+// maxSetAside is for how many gangs room is kept at the same time that can't meet
+// their objective any more.
+const maxSetAside = 3
+
 // setAside keeps the room of the workers that are free soonest for a gang that
-// has none yet, so that small tasks of lower rank don't hold it up for ever.
+// has none yet, so that small tasks of lower rank don't hold it up for ever, and
+// don't take the room while the gang's tickets are asked for.
 func (m *Machine) setAside(s *step) {
-	if s.occ.job.rank.tier == tierHopeless {
-		return
+	if s.occ.job.rank.tier != tierOnTime {
+		if m.gangsKept >= maxSetAside {
+			return
+		}
+		m.gangsKept++
 	}
 	var able []*worker
 	for _, w := range m.ordered {
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -40,6 +40,8 @@
 	// passAgainAt is when something that a look passed over is due; zero for never.
 	passAgainAt time.Time
 	wakeAt      time.Time
+	// gangsKept counts the late gangs for which the current look keeps room.
+	gangsKept int
 	// startsMade makes the run numbers of this epoch rise.
 	startsMade int64
 }
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -21,8 +21,8 @@
 	m.advice.wanted = m.advice.wanted[:0]
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
+	m.gangsKept = 0
 	for _, w := range m.ordered {
-		w.setAside = endive.Resources{}
 		if w.usable() {
 			m.advice.room = m.advice.room.Add(w.free())
 		}
@@ -33,6 +33,11 @@
 		}
 	}
 	m.status.crowd(m.advice.short, m.now)
+	// What was set aside holds within one look only; it must not keep a gang from
+	// asking about the workers that it waits for.
+	for _, w := range m.ordered {
+		w.setAside = endive.Resources{}
+	}
 }
 
 // passAgain asks for another look at a time.
