Entries tell each other how busy they are with questions for advice

Change: answers carry the backlog; the own one is known; questions about new work aren't asked behind a backlog; those that nobody waits for are dropped.

--- a/entry/cell/adviser.go
+++ b/entry/cell/adviser.go
@@ -17,9 +17,17 @@
 // questions of a machine one after the other.
 const adviceTimeout = 2500 * time.Millisecond
 
-// maxQuestions bounds the questions that wait; what is beyond is left to the
-// pool's holder.
-const maxQuestions = 64
+const (
+	// maxQuestions bounds the questions that wait; what is beyond is left to the
+	// pool's holder.
+	maxQuestions = 64
+	// maxBacklog is up to which backlog questions about new work are asked here;
+	// beyond it the holder finds an entry that is less busy.
+	maxBacklog = endive.Interval(400 * time.Millisecond)
+	// maxWait is how long a question waits at the most. Nobody waits for the answer
+	// to an older one.
+	maxWait = 1500 * time.Millisecond
+)
 
 // question asks which workers may run a step.
 type question struct {
@@ -43,6 +51,8 @@
 	mu sync.Mutex
 	// waiting are in the order of their due times.
 	waiting []question
+	// backlog is the cost of the questions that wait or are being answered.
+	backlog endive.Interval
 	// more is filled when a question comes.
 	more chan struct{}
 }
@@ -59,8 +69,9 @@
 func (a *adviser) ask(q question) {
 	q.due = a.cell.Clock.Now().Add(costWeight * time.Duration(q.cost))
 	a.mu.Lock()
-	full := len(a.waiting) >= maxQuestions
+	full := len(a.waiting) >= maxQuestions || !q.own && q.from == "" && a.backlog > maxBacklog
 	if !full {
+		a.backlog += q.cost
 		at := sort.Search(len(a.waiting), func(i int) bool { return a.waiting[i].due.After(q.due) })
 		a.waiting = slices.Insert(a.waiting, at, q)
 	}
@@ -87,6 +98,20 @@
 	return q, true
 }
 
+// busy returns the cost of the questions that wait or are being answered.
+func (a *adviser) busy() endive.Interval {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.backlog
+}
+
+// done takes a question out of the backlog.
+func (a *adviser) done(q question) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.backlog -= q.cost
+}
+
 func (a *adviser) run() {
 	for a.cell.ctx.Err() == nil {
 		if q, ok := a.next(); ok {
@@ -101,6 +126,11 @@
 }
 
 func (a *adviser) serve(q question) {
+	defer a.done(q)
+	if a.cell.Clock.Now().After(q.due.Add(maxWait)) {
+		a.answer(q, endive.Advice{}, false)
+		return
+	}
 	ctx, cancel := context.WithTimeout(a.cell.ctx, adviceTimeout)
 	defer cancel()
 	advice, err := a.cell.Advisor.Advise(ctx, q.step, q.workers)
@@ -141,7 +171,8 @@
 
 // send gives the advice to the entry that asked.
 func (a *adviser) send(q question, advice endive.Advice, ok bool) {
-	message := &wire.AdviceAnswer{Tag: q.tag, Answered: ok, ValidityMillis: time.Duration(advice.Validity).Milliseconds()}
+	message := &wire.AdviceAnswer{Tag: q.tag, Answered: ok, ValidityMillis: time.Duration(advice.Validity).Milliseconds(),
+		BacklogMillis: time.Duration(a.busy() - q.cost).Milliseconds()}
 	for _, one := range advice.Good {
 		message.Good = append(message.Good, &wire.AdviceGrant{Worker: string(one.Worker), Ticket: string(one.Ticket)})
 	}
--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -80,6 +80,7 @@
 func (h *helpers) ask(q question) {
 	now := h.cell.Clock.Now()
 	h.mu.Lock()
+	h.known[self].busyUntil = h.cell.adviser.busy().After(now)
 	to := h.soonest(now)
 	one := h.known[to]
 	one.busyUntil = latest(one.busyUntil, now).Add(time.Duration(q.cost))
@@ -156,9 +157,20 @@
 			Worker: endive.WorkerID(one.GetWorker()), Ticket: endive.AdviceTicket(one.GetTicket()),
 		})
 	}
+	h.heardBacklog(from, time.Duration(m.GetBacklogMillis())*time.Millisecond)
 	h.cell.adviser.answer(asked.question, advice, m.GetAnswered())
 }
 
+// heardBacklog takes in how busy an entry is with questions of all holders. What
+// this entry sent meanwhile may not be counted there yet.
+func (h *helpers) heardBacklog(from endive.EntryID, backlog time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if one := h.known[from]; one != nil {
+		one.busyUntil = latest(one.busyUntil, h.cell.Clock.Now().Add(backlog))
+	}
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -113,14 +113,6 @@
 	return p.cell.commit(p.cell.ctx, txn) == nil
 }
 
-// unregister deletes this entry's row.
-func (p *peers) unregister(ctx context.Context) {
-	// Whoever still reads the row finds that nobody answers.
-	_ = p.cell.commit(ctx, endive.Transaction{
-		Writes: []endive.Write{{Key: prefixEntries + string(p.cell.Settings.Name), Delete: true}},
-	})
-}
-
 // olderThan returns the entries whose rows weren't renewed for so long.
 func (p *peers) olderThan(at endive.PlatformTime, age time.Duration) []endive.EntryID {
 	p.mu.Lock()
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -172,7 +172,10 @@
 // help can ask for soon.
 func (m *Machine) ask() {
 	m.advice.nextAt = time.Time{}
-	for m.advice.asking < askAhead*endive.Interval(max(1, m.helpers)) && m.askOne() {
+	for m.advice.asking < askAhead*endive.Interval(max(1, m.helpers)) {
+		if !m.askOne() {
+			return
+		}
 	}
 }
 
