Steps of a pool's machine cost by what changed; big entries hold pools; questions name few workers

Entries asked about the same first 100 of 252 workers. Change: only touched workers are looked at, rows to write are listed, tasks of a step choose among the workers that fit it, a step without valid tickets is passed over; the wait before a pool is taken follows cores and distance; questions name as many workers as the step needs, others for each step.

--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -39,6 +39,23 @@
 	Region      endive.Region       `json:"region"`
 	Zone        endive.Zone         `json:"zone"`
 	At          endive.PlatformTime `json:"at"`
+	// Cores is how much processor the entry has, WayMillis how far it is from the
+	// store.
+	Cores     float64 `json:"cores"`
+	WayMillis int64   `json:"wayMillis"`
+}
+
+// wayStep is the difference in distance to the store below which two entries are
+// equally near.
+const wayStep = 20
+
+// suitsBetter reports whether an entry is better placed to hold a pool than
+// another: a holder needs processor time, and asks the store often.
+func (r entryRow) suitsBetter(o entryRow) bool {
+	if r.Cores != o.Cores {
+		return r.Cores > o.Cores
+	}
+	return r.WayMillis/wayStep < o.WayMillis/wayStep
 }
 
 // peers knows the other entries and holds the sessions with them.
@@ -101,6 +118,7 @@
 	at := p.cell.Platform.AtLeast(now)
 	value, err := json.Marshal(entryRow{
 		Address: settings.Listen.Peers, Incarnation: p.cell.Incarnation, Region: settings.Region, Zone: settings.Zone, At: at,
+		Cores: settings.Limits.Cores, WayMillis: p.cell.Counters.storeWay().Milliseconds(),
 	})
 	if err != nil {
 		p.cell.Log.Error("the entry's row can't be encoded", "error", err.Error())
@@ -205,6 +223,25 @@
 	return endive.Rendezvous(id, string(p.cell.Settings.Name))
 }
 
+// place returns how many living entries suit a pool better than this one.
+func (p *peers) place(pool endive.PoolName) int {
+	now := p.cell.Platform.AtLeast(p.cell.Clock.Now())
+	own := entryRow{Cores: p.cell.Settings.Limits.Cores, WayMillis: p.cell.Counters.storeWay().Milliseconds()}
+	rank := endive.Rendezvous(p.cell.Settings.Name, string(pool))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	better := 0
+	for id, row := range p.rows {
+		if id == p.cell.Settings.Name || row.At+endive.PlatformTime(entryAge.Milliseconds()) < now {
+			continue
+		}
+		if row.suitsBetter(own) || !own.suitsBetter(row) && endive.Rendezvous(id, string(pool)) > rank {
+			better++
+		}
+	}
+	return better
+}
+
 // asked notes that an entry asked something, and links to it for the answer.
 func (p *peers) asked(from endive.EntryID) {
 	p.mu.Lock()
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -139,18 +139,16 @@
 	// heldWait is how much longer an entry waits for each pool that it holds, so
 	// that pools spread over the entries.
 	heldWait = 300 * time.Millisecond
-	// spreadWait bounds the differences between entries that suit equally.
-	spreadWait = 120 * time.Millisecond
-	// distanceWait is how much longer an entry waits for each millisecond of way
-	// to the store, since its holder asks it often.
-	distanceWait = 4
+	// placeWait is how much longer an entry waits for each that suits better, and
+	// maxPlaceWait bounds that.
+	placeWait    = 50 * time.Millisecond
+	maxPlaceWait = 600 * time.Millisecond
 )
 
 // preference returns how long this entry leaves a free pool to others.
 func (p *pool) preference() endive.Interval {
-	spread := time.Duration(endive.Rendezvous(p.cell.Settings.Name, string(p.name)) % uint64(spreadWait))
-	wait := spread + time.Duration(p.cell.held())*heldWait + distanceWait*p.cell.Counters.storeWay()
-	return endive.Interval(wait)
+	wait := min(time.Duration(p.cell.peers.place(p.name))*placeWait, maxPlaceWait)
+	return endive.Interval(wait + time.Duration(p.cell.held())*heldWait)
 }
 
 // look reads the lease's row until it can be read.
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -120,27 +120,36 @@
 			continue
 		}
 		id := endive.StepID(string(workflow.ID) + ".0." + strconv.Itoa(i))
-		if named := ableWorkers(workers, step); len(named) > 0 {
+		if named := ableWorkers(workers, step, id); len(named) > 0 {
 			c.adviser.ask(question{step: id, workers: named, pool: p, cost: queue.Advice.Cost(len(named))})
 		}
 	}
 }
 
-// maxAdviceWorkers is how many workers one question may name.
-const maxAdviceWorkers = 100
+const (
+	// maxAdviceWorkers is how many workers one question may name.
+	maxAdviceWorkers = 100
+	// minAdviceWorkers is how many are named at least, as far as there are so many.
+	minAdviceWorkers = 24
+	// workersPerTask is how many are named for each task: a part of them isn't good
+	// for the step, and others are full.
+	workersPerTask = 5
+)
 
-// ableWorkers returns the workers that could run a task of the step, were they
-// empty.
-func ableWorkers(workers []endive.FleetWorker, step endive.Step) []endive.WorkerID {
+// ableWorkers returns workers that could run a task of the step, were they empty.
+// Where there are more than needed, each step gets others.
+func ableWorkers(workers []endive.FleetWorker, step endive.Step, id endive.StepID) []endive.WorkerID {
 	var able []endive.WorkerID
 	for _, w := range workers {
 		if w.Draining || !step.Reserved().Fits(w.Capacity) || step.Label != "" && !w.HasLabel(step.Label) {
 			continue
 		}
 		able = append(able, w.ID)
-		if len(able) == maxAdviceWorkers {
-			break
-		}
 	}
-	return able
+	if len(able) == 0 {
+		return nil
+	}
+	first := int(endive.Rendezvous("", string(id)) % uint64(len(able)))
+	able = append(able[first:], able[:first]...)
+	return able[:min(len(able), maxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
 }
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -12,6 +12,8 @@
 	good map[endive.WorkerID]ticket
 	// bad workers never may.
 	bad map[endive.WorkerID]bool
+	// newest is when the last of the tickets ends.
+	newest time.Time
 	// askAt is when the holder may ask for itself.
 	askAt  time.Time
 	asking bool
@@ -56,6 +58,9 @@
 	for _, one := range good {
 		t.good[one.Worker] = ticket{ticket: one.Ticket, until: until}
 	}
+	if len(good) > 0 {
+		t.newest = latest(t.newest, until)
+	}
 	for _, id := range bad {
 		t.bad[id] = true
 	}
@@ -238,10 +243,25 @@
 	if len(roomy) == 0 || places < m.placesWorth(s) {
 		return nil
 	}
+	// Which workers come first differs from step to step, so that steps don't all
+	// want the same.
+	first := int(endive.Rendezvous("", string(s.id)) % uint64(len(roomy)))
+	roomy = append(roomy[first:len(roomy):len(roomy)], roomy[:first]...)
 	workers := append(roomy, others...)
-	return workers[:min(len(workers), maxAdviceWorkers)]
+	perWorker := max(1, places/len(roomy))
+	wanted := max(minAdviceWorkers, workersPerPlace*(s.waiting/perWorker+1))
+	return workers[:min(len(workers), maxAdviceWorkers, wanted)]
 }
 
+const (
+	// minAdviceWorkers is how many workers a question names at least, as far as
+	// there are so many.
+	minAdviceWorkers = 16
+	// workersPerPlace is how many workers a question names for each that is needed,
+	// since a part of them isn't good for the step.
+	workersPerPlace = 4
+)
+
 // placesWorth returns for how many tasks there has to be room for a question about
 // a step to be worth its time, since large steps start part by part.
 func (m *Machine) placesWorth(s *step) int {
--- /dev/null
+++ b/flow/bench_test.go
@@ -0,0 +1,55 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// BenchmarkPool plays a pool of the grown size under its usual load, and tells what
+// the machine costs: milliseconds of its steps for each second of the load.
+func BenchmarkPool(b *testing.B) {
+	for _, workers := range []int{35, 252} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for range b.N {
+				benchPool(b, workers)
+			}
+		})
+	}
+}
+
+func benchPool(b *testing.B, workers int) {
+	const seconds = 10
+	w := newWorld(nil, 1, faults{failedTask: 0.02})
+	for i := range workers {
+		one := &fakeWorker{world: w, id: endive.WorkerID(fmt.Sprintf("w%d", i))}
+		one.bear(endive.Resources{Processors: 32000, Memory: 64 * endive.GiB}, nil)
+		w.workers[one.id] = one
+	}
+	w.list()
+	h := w.hold()
+	h.machine.helpers = 12
+	w.run(500 * time.Millisecond)
+	small := stepOfTasks(10, 700*time.Millisecond)
+	small.Need.Processors = 5300
+	large := stepOfTasks(22, 4500*time.Millisecond)
+	large.Need.Processors = 9000
+	jobs := 0
+	for tick := range seconds * 50 {
+		w.run(500*time.Millisecond + time.Duration(tick)*20*time.Millisecond)
+		for range (37*workers/252*(tick+1))/50 - (37*workers/252*tick)/50 {
+			w.submit(fmt.Sprintf("s%d", jobs), advised, small)
+			jobs++
+		}
+		if tick%23 == 0 {
+			w.submit(fmt.Sprintf("l%d", jobs), advised, large, large)
+			jobs++
+		}
+	}
+	w.run((seconds + 1) * time.Second)
+	b.ReportMetric(h.spent.Seconds()*1000/seconds, "ms/s")
+	b.ReportMetric(float64(h.machine.steps)/seconds, "steps/s")
+	b.ReportMetric(float64(w.starts)/seconds, "starts/s")
+}
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -22,7 +22,10 @@
 			return
 		}
 	}
-	chosen := m.chooseGang(s)
+	var chosen []*worker
+	if m.mayFit(s) {
+		chosen = m.chooseGang(s)
+	}
 	if chosen == nil {
 		m.want(s, len(s.tasks))
 		m.setAside(s)
--- a/flow/held.go
+++ b/flow/held.go
@@ -14,6 +14,7 @@
 		return
 	}
 	w.hold.inFlight = false
+	m.touchWorker(w)
 	if e.Result != OrderAnswered || e.Answer.Refused != endive.RefusalNone {
 		m.lookFailed(w, e)
 		return
@@ -186,7 +187,7 @@
 		}
 		failures = t.step.gang.failures
 	}
-	j.touch(rowUrgent)
+	m.touch(j, rowUrgent)
 	if failures >= j.policy.MaxAttempts {
 		m.finish(j, endive.WorkflowFailed, "task "+string(t.id)+" failed "+number(int64(failures))+" times")
 	}
@@ -250,7 +251,7 @@
 	if !j.begun || j.state == endive.WorkflowQueued {
 		j.begun = true
 		j.state = endive.WorkflowRunning
-		j.touch(rowLazy)
+		m.touch(j, rowLazy)
 	}
 	if t.step.spec.Gang {
 		t.step.gang.run = max(t.step.gang.run, report.Run)
--- a/flow/job.go
+++ b/flow/job.go
@@ -216,8 +216,8 @@
 
 // takeDue makes the occurrences whose time has come.
 func (m *Machine) takeDue() {
-	for _, j := range m.jobs {
-		if j.state.Ended() || j.spec.Schedule.Occurrences == 0 {
+	for _, j := range m.scheduled {
+		if j.state.Ended() {
 			continue
 		}
 		for j.nextOcc < j.spec.Schedule.Count() && !m.now.Before(j.spec.Schedule.Due(j.nextOcc)) {
@@ -233,8 +233,8 @@
 // nextDue returns when the next occurrence is due.
 func (m *Machine) nextDue() time.Time {
 	var next time.Time
-	for _, j := range m.jobs {
-		if !j.state.Ended() && j.spec.Schedule.Occurrences > 0 && j.nextOcc < j.spec.Schedule.Count() {
+	for _, j := range m.scheduled {
+		if !j.state.Ended() && j.nextOcc < j.spec.Schedule.Count() {
 			next = earliest(next, j.spec.Schedule.Due(j.nextOcc))
 		}
 	}
@@ -242,4 +242,12 @@
 }
 
 // touch asks for the job's row to be written.
-func (j *job) touch(age rowAge) { j.row = max(j.row, age) }
+func (m *Machine) touch(j *job, age rowAge) {
+	if j.row == rowCurrent {
+		m.recorder.dirty = append(m.recorder.dirty, j)
+	}
+	j.row = max(j.row, age)
+	if age == rowUrgent {
+		m.recorder.urgent = true
+	}
+}
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -22,12 +22,18 @@
 	out   []endive.Action
 	steps uint64
 
-	tenure  tenure
-	jobs    map[endive.JobID]*job
-	tasks   map[endive.TaskID]*task
-	workers map[endive.WorkerID]*worker
-	ordered []*worker
-	listed  []endive.FleetWorker
+	tenure tenure
+	jobs   map[endive.JobID]*job
+	tasks  map[endive.TaskID]*task
+	// scheduled are the jobs that run at set times.
+	scheduled map[endive.JobID]*job
+	workers   map[endive.WorkerID]*worker
+	ordered   []*worker
+	listed    []endive.FleetWorker
+	// touched are the workers that something happened to in this step; sweepAt is
+	// when something is due at any.
+	touched []*worker
+	sweepAt time.Time
 	// helpers is how many questions for advice can be asked at the same time.
 	helpers  int
 	recorder recorder
@@ -58,12 +64,14 @@
 	m.tenure = tenure{}
 	m.jobs = make(map[endive.JobID]*job)
 	m.tasks = make(map[endive.TaskID]*task)
+	m.scheduled = make(map[endive.JobID]*job)
 	m.workers = make(map[endive.WorkerID]*worker)
 	m.ordered = nil
 	m.recorder = recorder{}
 	m.advice = advice{}
 	m.status = statusReport{}
 	m.ended = nil
+	m.touched, m.sweepAt = nil, time.Time{}
 	m.startsMade = 0
 }
 
@@ -131,10 +139,10 @@
 		return
 	}
 	m.takeDue()
-	m.lookAtWorkers()
 	m.settleTakeover()
 	m.pass()
 	m.ask()
+	m.lookAtWorkers()
 	m.record()
 	if m.tenure.active {
 		m.setWake()
@@ -156,9 +164,7 @@
 func (m *Machine) setWake() {
 	next := m.now.Add(time.Second)
 	next = earliest(next, m.nextDue())
-	for _, w := range m.ordered {
-		next = earliest(next, w.nextAt)
-	}
+	next = earliest(next, m.sweepAt)
 	if m.mayStart() {
 		if m.passDue {
 			next = earliest(next, m.passAt)
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -17,7 +17,7 @@
 	}
 	m.passDue = false
 	m.passAgainAt = time.Time{}
-	m.passAt = m.now.Add(passPause)
+	m.passAt = m.now.Add(passPause + time.Duration(len(m.jobs))*passPausePerJob)
 	m.advice.wanted = m.advice.wanted[:0]
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
@@ -66,14 +66,15 @@
 // placeTasks starts the waiting tasks of a step where there is room.
 func (m *Machine) placeTasks(s *step) {
 	waits := 0
+	var able []*worker
+	if m.mayFit(s) {
+		able = m.ableWorkers(s)
+	}
 	for _, t := range s.tasks {
 		if !m.startable(t) {
 			continue
 		}
-		var w *worker
-		if waits == 0 || t.avoid != "" {
-			w = m.choose(s, t)
-		}
+		w := m.choose(s, t, able)
 		if w == nil {
 			waits++
 			continue
@@ -86,6 +87,26 @@
 	}
 }
 
+// mayFit tells cheaply whether a task of the step could start anywhere, which in a
+// backlog is mostly not so.
+func (m *Machine) mayFit(s *step) bool {
+	if !s.spec.Reserved().Fits(m.advice.room) {
+		return false
+	}
+	return !m.needsTicket(s) || m.now.Add(ticketMargin).Before(s.tickets.newest)
+}
+
+// ableWorkers returns the workers on which a task of the step may start.
+func (m *Machine) ableWorkers(s *step) []*worker {
+	var able []*worker
+	for _, w := range m.ordered {
+		if m.fits(s, w) {
+			able = append(able, w)
+		}
+	}
+	return able
+}
+
 // startable reports whether a task waits for nothing but room.
 func (m *Machine) startable(t *task) bool {
 	if t.state != taskWaiting || t.run != nil {
@@ -98,16 +119,16 @@
 	return !m.mayRunUnseen(t)
 }
 
-// choose returns the best worker for a task, or nil.
-func (m *Machine) choose(s *step, t *task) *worker {
+// choose returns the best of the workers for a task, or nil.
+func (m *Machine) choose(s *step, t *task, able []*worker) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range m.ordered {
+	for _, w := range able {
 		if !m.fits(s, w) {
 			continue
 		}
 		score := m.score(s, w)
-		if t != nil && t.avoid == w.id {
+		if t.avoid == w.id {
 			score -= scoreAvoid
 		}
 		if best == nil || score > bestScore {
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -15,6 +15,14 @@
 	// roster are the recorded workers that may run something.
 	roster map[endive.WorkerID]bool
 
+	// dirty are the jobs whose rows have to be written; urgent says that somebody
+	// waits for one of them.
+	dirty  []*job
+	urgent bool
+	// rosterStale says that the workers may have changed since the roster was
+	// written.
+	rosterStale bool
+
 	ends     []listedEnd
 	inFlight *recording
 	// nextAt is when the next write is due; zero for never.
@@ -47,7 +55,7 @@
 // recordEnd has an end recorded together with the row of its job.
 func (m *Machine) recordEnd(w *worker, n endive.EndNumber, j *job) {
 	w.open[n] = true
-	j.touch(rowUrgent)
+	m.touch(j, rowUrgent)
 	m.recorder.ends = append(m.recorder.ends, listedEnd{worker: w, life: w.life, number: n, job: j})
 }
 
@@ -74,16 +82,11 @@
 func (m *Machine) recordDue() time.Time {
 	var due time.Time
 	soon := latest(m.recorder.wroteAt.Add(recordPause), m.now)
-	if len(m.recorder.ends) > 0 || m.rosterGrows() {
+	if m.recorder.urgent || len(m.recorder.ends) > 0 || m.rosterGrows() {
 		due = earliest(due, soon)
 	}
-	for _, j := range m.jobs {
-		switch j.row {
-		case rowUrgent:
-			due = earliest(due, soon)
-		case rowLazy:
-			due = earliest(due, latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
-		}
+	if len(m.recorder.dirty) > 0 {
+		due = earliest(due, latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
 	}
 	due = earliest(due, m.status.due(m))
 	for _, one := range m.ended {
@@ -102,11 +105,15 @@
 
 // rosterGrows reports whether a worker isn't in the roster yet.
 func (m *Machine) rosterGrows() bool {
+	if !m.recorder.rosterStale {
+		return false
+	}
 	for _, w := range m.ordered {
 		if w.listed && !m.recorder.roster[w.id] {
 			return true
 		}
 	}
+	m.recorder.rosterStale = false
 	return false
 }
 
@@ -142,22 +149,21 @@
 	m.emit(Record{Transaction: txn})
 }
 
-// dirtyJobs returns the jobs whose rows go into the next transaction, those first
+// dirtyJobs takes the jobs whose rows go into the next transaction, those first
 // that somebody waits for.
 func (m *Machine) dirtyJobs() []*job {
-	var dirty []*job
-	for _, j := range m.jobs {
-		if j.row != rowCurrent {
-			dirty = append(dirty, j)
-		}
-	}
-	sort.Slice(dirty, func(a, b int) bool {
-		if dirty[a].row != dirty[b].row {
-			return dirty[a].row > dirty[b].row
+	rec := &m.recorder
+	sort.Slice(rec.dirty, func(a, b int) bool {
+		if rec.dirty[a].row != rec.dirty[b].row {
+			return rec.dirty[a].row > rec.dirty[b].row
 		}
-		return dirty[a].id < dirty[b].id
+		return rec.dirty[a].id < rec.dirty[b].id
 	})
-	return dirty[:min(len(dirty), rowsPerRecord)]
+	count := min(len(rec.dirty), rowsPerRecord)
+	taken := append([]*job(nil), rec.dirty[:count]...)
+	rec.dirty = append([]*job(nil), rec.dirty[count:]...)
+	rec.urgent = len(rec.dirty) > 0 && rec.dirty[0].row == rowUrgent
+	return taken
 }
 
 // takeEnds returns the ends whose jobs' rows are current now.
@@ -275,6 +281,7 @@
 		delete(end.worker.open, end.number)
 		if len(end.worker.open) == 0 {
 			end.worker.hold.again = m.now
+			m.touchWorker(end.worker)
 		}
 	}
 	for _, j := range sent.jobs {
@@ -310,7 +317,7 @@
 func (m *Machine) notRecorded(sent *recording) {
 	m.recorder.ends = append(sent.ends, m.recorder.ends...)
 	for _, j := range sent.jobs {
-		j.touch(rowUrgent)
+		m.touch(j, rowUrgent)
 	}
 }
 
--- a/flow/run.go
+++ b/flow/run.go
@@ -135,6 +135,7 @@
 	if w.hold.again.After(m.now) {
 		w.hold.again = m.now
 	}
+	m.touchWorker(w)
 }
 
 func (m *Machine) sendStart(r *run) {
@@ -155,6 +156,7 @@
 		return
 	}
 	r.inFlight = false
+	m.touchWorker(r.worker)
 	r.worker.read(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
 		m.confirm(r)
@@ -189,7 +191,7 @@
 		j.begun = true
 		if !j.state.Ended() {
 			j.state = endive.WorkflowRunning
-			j.touch(rowLazy)
+			m.touch(j, rowLazy)
 		}
 	}
 	m.gangConfirmed(r)
@@ -272,6 +274,7 @@
 		return
 	}
 	r.inFlight = false
+	m.touchWorker(r.worker)
 	r.worker.read(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
 		m.fenced("worker " + string(e.Worker))
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -43,6 +43,8 @@
 	// passPause lies between two looks at what could start, so that one look
 	// serves several ends.
 	passPause = 4 * time.Millisecond
+	// passPausePerJob bounds the part of the time that looks take when much waits.
+	passPausePerJob = 50 * time.Microsecond
 	// recordRetry is the pause after a write that failed.
 	recordRetry = 150 * time.Millisecond
 	// recordPause lies between two writes of ends, which gathers ends of one
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -79,6 +79,7 @@
 	m.takeRows(e.Work, progress)
 	m.updateWorkers()
 	m.passDue = true
+	m.sweepAt = m.now
 	m.note(Note{Kind: NoteTenure, Outcome: "loaded",
 		Reason: number(int64(len(m.jobs))) + " live workflows, " + number(int64(len(e.Roster))) + " workers in the roster"})
 }
@@ -97,6 +98,7 @@
 	}
 	m.tenure.settled = true
 	m.passDue = true
+	m.sweepAt = m.now
 	for _, w := range m.ordered {
 		if !w.adopted && !w.listed {
 			delete(m.workers, w.id)
--- a/flow/work.go
+++ b/flow/work.go
@@ -73,6 +73,9 @@
 	j := m.newJob(s)
 	j.inherited = inherited
 	m.jobs[id] = j
+	if j.spec.Schedule.Occurrences > 0 {
+		m.scheduled[id] = j
+	}
 	if done.State != "" {
 		j.state = done.State
 		j.begun = done.State != endive.WorkflowQueued
@@ -215,7 +218,7 @@
 		return
 	}
 	j.state = state
-	j.touch(rowUrgent)
+	m.touch(j, rowUrgent)
 	m.note(Note{Kind: NoteJob, Job: j.id, Outcome: string(state), Reason: reason +
 		", " + m.now.Sub(j.accepted).Round(time.Millisecond).String() + " after its acceptance"})
 	for _, r := range j.runs() {
@@ -249,6 +252,7 @@
 		m.dropOccurrence(occ)
 	}
 	delete(m.jobs, j.id)
+	delete(m.scheduled, j.id)
 	m.ended = append(m.ended, one)
 }
 
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -154,6 +154,8 @@
 		}
 	}
 	m.sortWorkers()
+	m.recorder.rosterStale = true
+	m.sweepAt = m.now
 	m.passDue = true
 }
 
@@ -184,26 +186,48 @@
 	}
 }
 
-// lookAtWorkers sends the looks that are due and gives up what has surely ended.
+// lookAtWorkers sends the looks that are due and gives up what has surely ended: at
+// the workers that something happened to, and at all when something is due.
 func (m *Machine) lookAtWorkers() {
+	if !m.now.Before(m.sweepAt) {
+		m.sweepAt = m.now.Add(idleLook)
+		m.touched = append(m.touched[:0], m.ordered...)
+	}
 	gone := false
-	for _, w := range m.ordered {
-		if w.failures > 0 && len(w.runs) > 0 && !w.surelyOver().IsZero() && !m.now.Before(w.surelyOver()) {
-			m.loseRuns(w, "its leases have run out")
-		}
-		if !w.listed && m.tenure.settled && len(w.runs) == 0 {
-			delete(m.workers, w.id)
-			gone = true
-			continue
-		}
-		m.look(w)
-		m.retryOrders(w)
+	for _, w := range m.touched {
+		gone = m.lookAtWorker(w) || gone
+		m.sweepAt = earliest(m.sweepAt, w.nextAt)
 	}
+	m.touched = m.touched[:0]
 	if gone {
 		m.sortWorkers()
 	}
 }
 
+// touchWorker has a worker looked at after the current step.
+func (m *Machine) touchWorker(w *worker) { m.touched = append(m.touched, w) }
+
+// lookAtWorker does what is due at a worker, and reports whether it is gone.
+func (m *Machine) lookAtWorker(w *worker) bool {
+	if m.workers[w.id] != w {
+		return false
+	}
+	over := w.surelyOver()
+	if w.failures > 0 && len(w.runs) > 0 && !over.IsZero() && !m.now.Before(over) {
+		m.loseRuns(w, "its leases have run out")
+	}
+	if !w.listed && m.tenure.settled && len(w.runs) == 0 {
+		delete(m.workers, w.id)
+		return true
+	}
+	m.look(w)
+	m.retryOrders(w)
+	if w.failures > 0 && len(w.runs) > 0 {
+		w.nextAt = earliest(w.nextAt, over)
+	}
+	return false
+}
+
 // look sends a hold if one is due, and says when to come back otherwise.
 func (m *Machine) look(w *worker) {
 	w.nextAt = time.Time{}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand"
 	"sort"
@@ -19,7 +20,7 @@
 	faults faults
 	start  time.Time
 	now    time.Time
-	queue  []appointment
+	queue  appointments
 	order  int
 
 	rows    map[string]endive.Row
@@ -65,6 +66,24 @@
 	do    func()
 }
 
+// appointments is a heap of what comes next.
+type appointments []appointment
+
+func (a appointments) Len() int      { return len(a) }
+func (a appointments) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a appointments) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].order < a[j].order
+}
+func (a *appointments) Push(x any) { *a = append(*a, x.(appointment)) }
+func (a *appointments) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
 // holder is one run of a machine, with the epoch that it began with.
 type holder struct {
 	world   *world
@@ -75,6 +94,8 @@
 	frozen bool
 	dead   bool
 	later  []endive.Event
+	// spent is the time that the machine's steps took.
+	spent  time.Duration
 	wakeAt time.Time
 }
 
@@ -115,23 +136,17 @@
 // after makes an appointment.
 func (w *world) after(d time.Duration, do func()) {
 	w.order++
-	w.queue = append(w.queue, appointment{at: w.now.Add(d), order: w.order, do: do})
+	heap.Push(&w.queue, appointment{at: w.now.Add(d), order: w.order, do: do})
 }
 
 // run plays until a time after the start.
 func (w *world) run(until time.Duration) {
 	for len(w.queue) > 0 {
-		sort.Slice(w.queue, func(i, j int) bool {
-			if !w.queue[i].at.Equal(w.queue[j].at) {
-				return w.queue[i].at.Before(w.queue[j].at)
-			}
-			return w.queue[i].order < w.queue[j].order
-		})
 		next := w.queue[0]
 		if next.at.Sub(w.start) > until {
 			break
 		}
-		w.queue = w.queue[1:]
+		heap.Pop(&w.queue)
 		if next.at.Equal(w.now) {
 			w.atOnce++
 		} else {
@@ -242,7 +257,10 @@
 		h.later = append(h.later, event)
 		return
 	}
-	for _, action := range h.machine.Step(h.world.now, event) {
+	begin := time.Now()
+	actions := h.machine.Step(h.world.now, event)
+	h.spent += time.Since(begin)
+	for _, action := range actions {
 		h.perform(action)
 	}
 }
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -21,9 +21,17 @@
 	Listen   CellListen   `toml:"listen" json:"listen"`
 	Platform CellPlatform `toml:"platform" json:"platform"`
 	Bounds   CellBounds   `toml:"bounds" json:"bounds"`
+	Limits   CellLimits   `toml:"limits" json:"limits"`
 	Timings  CellTimings  `toml:"timings" json:"timings"`
 }
 
+// CellLimits is what the entry's machine has.
+type CellLimits struct {
+	// Cores is how much processor the entry may use. The entries with the most hold
+	// the pools.
+	Cores float64 `toml:"cores" json:"cores"`
+}
+
 // CellListen holds the addresses that the entry listens on.
 type CellListen struct {
 	// Callers is for submissions and questions about them.
@@ -149,6 +157,9 @@
 			f.Add(one.place, "is %s; it must be from %s to %s", one.value, MinTiming, MaxTiming)
 		}
 	}
+	if c.Limits.Cores < 0 {
+		f.Add("limits.cores", "is %g; it must not be negative", c.Limits.Cores)
+	}
 	if c.Bounds.RemoteFactor < 1 {
 		f.Add("bounds.remoteFactor", "is %g; it must be at least 1", c.Bounds.RemoteFactor)
 	}
