--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -65,6 +65,8 @@
 
 	mu   sync.Mutex
 	rows map[endive.EntryID]entryRow
+	// known says that the rows have been read.
+	known bool
 	// askers are entries that asked something lately.
 	askers map[endive.EntryID]time.Time
 	linked map[endive.EntryID]bool
@@ -108,6 +110,9 @@
 		}
 		after = p.follow(after)
 		p.link()
+		for _, pool := range p.cell.allPools() {
+			pool.prefer()
+		}
 		p.cell.pause(entriesPoll)
 	}
 }
@@ -165,6 +170,7 @@
 	for _, row := range changes.Rows {
 		p.takeRow(row)
 	}
+	p.known = p.known || after > 0 || len(p.rows) > 1
 	return changes.Revision
 }
 
@@ -230,6 +236,9 @@
 	rank := endive.Rendezvous(p.cell.Settings.Name, string(pool))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.known {
+		return len(p.rows) + unknownPlace
+	}
 	better := 0
 	for id, row := range p.rows {
 		if id == p.cell.Settings.Name || row.At+endive.PlatformTime(entryAge.Milliseconds()) < now {
@@ -242,6 +251,10 @@
 	return better
 }
 
+// unknownPlace is the place of an entry that doesn't know the others yet, which
+// gives them the time to register when all start at once.
+const unknownPlace = 24
+
 // asked notes that an entry asked something, and links to it for the answer.
 func (p *peers) asked(from endive.EntryID) {
 	p.mu.Lock()
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -73,7 +73,7 @@
 func (p *pool) start() {
 	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: p.cell.Log}))
 	p.pid = p.cell.system.Root.Spawn(props)
-	p.send(toElect, elect.Preference{Wait: p.preference()})
+	p.prefer()
 	p.look()
 }
 
@@ -118,7 +118,7 @@
 	if row.Deleted {
 		seen = elect.Seen{}
 	}
-	p.send(toElect, elect.Preference{Wait: p.preference()})
+	p.prefer()
 	p.send(toElect, seen)
 }
 
@@ -142,9 +142,12 @@
 	// placeWait is how much longer an entry waits for each that suits better, and
 	// maxPlaceWait bounds that.
 	placeWait    = 50 * time.Millisecond
-	maxPlaceWait = 600 * time.Millisecond
+	maxPlaceWait = 1200 * time.Millisecond
 )
 
+// prefer tells how long this entry leaves the pool to others.
+func (p *pool) prefer() { p.send(toElect, elect.Preference{Wait: p.preference()}) }
+
 // preference returns how long this entry leaves a free pool to others.
 func (p *pool) preference() endive.Interval {
 	wait := min(time.Duration(p.cell.peers.place(p.name))*placeWait, maxPlaceWait)
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -110,8 +110,9 @@
 		return
 	}
 	p := c.poolNamed(queue.Pool)
-	// In a crowded pool the tickets would run out before there is room.
-	if p == nil || p.status.Load().Crowded {
+	// In a crowded pool the tickets would run out before there is room, but for work
+	// that goes first.
+	if p == nil || p.status.Load().Crowded && queue.Rank > 0 {
 		return
 	}
 	workers, _ := c.workers.of(queue.Pool)
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -188,6 +188,9 @@
 // each entry that asks.
 const askAhead = endive.Interval(250 * time.Millisecond)
 
+// askAheadOf is how far ahead room is foreseen: about as long as an answer takes.
+const askAheadOf = 400 * time.Millisecond
+
 // askOne asks for one step, and reports whether it did.
 func (m *Machine) askOne() bool {
 	if len(m.advice.wanted) == 0 {
@@ -233,9 +236,9 @@
 		if !s.spec.Gang && s.tickets.valid(w.id, m.now) {
 			continue
 		}
-		if s.spec.Reserved().Fits(w.free()) {
+		if here := w.places(s); here > 0 {
 			roomy = append(roomy, w.id)
-			places += w.places(s)
+			places += here
 		} else if !s.tickets.known(w.id) {
 			others = append(others, w.id)
 		}
@@ -284,7 +287,7 @@
 
 // places returns how many tasks of a step there is room for on a worker.
 func (w *worker) places(s *step) int {
-	need, free := s.spec.Reserved(), w.free()
+	need, free := s.spec.Reserved(), w.free().Add(w.soon)
 	count := s.waiting
 	if s.spec.MaxPerWorker > 0 {
 		count = min(count, s.spec.MaxPerWorker-s.perWorker[w.id])
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -24,7 +24,8 @@
 	m.gangsKept = 0
 	for _, w := range m.ordered {
 		if w.usable() {
-			m.advice.room = m.advice.room.Add(w.free())
+			w.soon = m.endsSoon(w)
+			m.advice.room = m.advice.room.Add(w.free()).Add(w.soon)
 		}
 	}
 	for _, j := range m.ranked() {
@@ -40,6 +41,19 @@
 	}
 }
 
+// endsSoon returns what runs will probably give back while a question is on its way.
+// Tickets for it are asked for ahead, or the room would stay empty until the answer
+// comes.
+func (m *Machine) endsSoon(w *worker) endive.Resources {
+	var soon endive.Resources
+	for _, r := range w.runs {
+		if r.task != nil && r.state == runRunning && !r.task.step.spec.LongRunning && r.left(m.now) < askAheadOf {
+			soon = soon.Add(r.need)
+		}
+	}
+	return soon
+}
+
 // passAgain asks for another look at a time.
 func (m *Machine) passAgain(at time.Time) { m.passAgainAt = earliest(m.passAgainAt, at) }
 
--- a/flow/work.go
+++ b/flow/work.go
@@ -262,7 +262,7 @@
 // awaitAdvice leaves the first questions about a new job to the entry that accepted
 // it, unless that entry has been told that the pool is crowded.
 func (j *job) awaitAdvice(m *Machine) {
-	if m.status.written.Crowded {
+	if m.status.written.Crowded && j.policy.Rank > 0 {
 		return
 	}
 	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -46,8 +46,10 @@
 	health   health
 	// nextAt is when the worker wants to be looked at next; zero for never.
 	nextAt time.Time
-	// set aside in the current pass for work that comes first.
+	// setAside is kept in the current look for work that comes first; soon is what
+	// runs will probably give back soon.
 	setAside endive.Resources
+	soon     endive.Resources
 }
 
 // hold is the state of the looks at a worker.
