Entries refuse or relay at once while the store is doubtful

Change: one Store in entry/cell knows whether and how fast the store answers; a call that takes four times as long as usual makes it doubtful. Retry-After grows with the outage, from 1 s to 4 s.

--- a/entry/cell/adviser.go
+++ b/entry/cell/adviser.go
@@ -202,7 +202,6 @@
 	_, err = n.cell.Rows.Commit(ctx, endive.Transaction{
 		Writes: []endive.Write{{Key: flow.AdviceKey(n.question.pool.name, n.question.step), Value: value}},
 	})
-	n.cell.store.saw(err)
 	if err != nil {
 		n.cell.Log.Warn("advice isn't stored", "step", string(n.question.step), "error", err.Error())
 	}
--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -80,7 +80,6 @@
 	ctx, cancel := context.WithTimeout(cell.ctx, time.Duration(cell.Settings.Timings.StoreTimeout))
 	defer cancel()
 	result, err := cell.Rows.Commit(ctx, c.transaction)
-	cell.store.saw(err)
 	c.pool.send(c.to, committedOf(c.transaction.WriteID, result, err))
 }
 
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -27,7 +27,6 @@
 	peers   *peers
 	helpers *helpers
 	relays  *relays
-	store   *storeHealth
 	leaving atomic.Bool
 
 	mu    sync.Mutex
@@ -41,7 +40,6 @@
 		Deps: deps, system: newActorSystem(), ctx: ctx, cancel: cancel,
 		pools: make(map[endive.PoolName]*pool),
 	}
-	c.store = &storeHealth{clock: deps.Clock, log: deps.Log}
 	c.config = &configLoop{cell: c}
 	c.workers = newWorkersLoop(c)
 	c.leases = &leaseLoop{cell: c}
@@ -64,7 +62,7 @@
 
 // Ready reports whether callers can be served here.
 func (c *Cell) Ready() bool {
-	return !c.leaving.Load() && c.config.current() != nil && c.store.reachable()
+	return !c.leaving.Load() && c.config.current() != nil && c.Rows.reachable()
 }
 
 // Leaving reports whether the entry is about to end.
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -29,7 +29,6 @@
 	var after endive.Revision
 	for l.cell.ctx.Err() == nil {
 		news, err := l.next(after)
-		l.cell.store.saw(err)
 		if endive.ErrHistoryLost.Has(err) {
 			after = 0
 			continue
--- a/entry/cell/counters.go
+++ b/entry/cell/counters.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -17,9 +16,6 @@
 	steps   tally.Counter
 	spent   tally.Counter
 	submits tally.Histogram
-	// way is the shortest time that a short call of the store took, in
-	// nanoseconds.
-	way atomic.Int64
 }
 
 // latencies are the bounds of the histograms.
@@ -58,16 +54,6 @@
 	scope.Histogram("callSeconds", latencies).RecordDuration(took)
 }
 
-// storeWay returns the shortest time that the store took to answer.
-func (c *Counters) storeWay() time.Duration { return time.Duration(c.way.Load()) }
-
-// sawWay takes in how long a short call of the store took.
-func (c *Counters) sawWay(took time.Duration) {
-	if old := c.way.Load(); old == 0 || int64(took) < old {
-		c.way.Store(int64(took))
-	}
-}
-
 // Sent implements peer.Meter.
 func (c *Counters) Sent(_ endive.Peer, kind string, size endive.Bytes) {
 	scope := c.scope.Tagged(map[string]string{"message": kind})
--- a/entry/cell/deps.go
+++ b/entry/cell/deps.go
@@ -22,7 +22,7 @@
 	Platform  endive.PlatformClock
 	Log       hclog.Logger
 	Counters  *Counters
-	Rows      Rows
+	Rows      *Store
 	Directory endive.Directory
 	Fleet     endive.Fleet
 	Advisor   endive.Advisor
--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -33,7 +33,6 @@
 func (f *follow) run() {
 	for f.ctx.Err() == nil {
 		loaded, err := f.load()
-		f.pool.cell.store.saw(err)
 		if err == nil {
 			f.pool.tell(loaded)
 			break
@@ -91,7 +90,6 @@
 	if f.ctx.Err() != nil {
 		return
 	}
-	f.pool.cell.store.saw(err)
 	if endive.ErrHistoryLost.Has(err) {
 		f.after = 0
 		return
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -21,7 +21,6 @@
 			continue
 		}
 		changes, err := l.follow(after)
-		l.cell.store.saw(err)
 		if endive.ErrHistoryLost.Has(err) {
 			after = 0
 			continue
@@ -44,7 +43,6 @@
 	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
 	scan, err := l.cell.Rows.Scan(ctx, elect.Table+"//", 0)
-	l.cell.store.saw(err)
 	if err != nil {
 		return 0
 	}
@@ -54,12 +52,7 @@
 func (l *leaseLoop) follow(after endive.Revision) (endive.Changes, error) {
 	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
-	start := l.cell.Clock.Now()
-	changes, err := l.cell.Rows.Follow(ctx, elect.Table+"/", after, 0)
-	if err == nil {
-		l.cell.Counters.sawWay(l.cell.Clock.Now().Sub(start))
-	}
-	return changes, err
+	return l.cell.Rows.Follow(ctx, elect.Table+"/", after, 0)
 }
 
 func (l *leaseLoop) saw(row endive.Row) {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -123,7 +123,7 @@
 	at := p.cell.Platform.AtLeast(now)
 	value, err := json.Marshal(entryRow{
 		Address: settings.Listen.Peers, Incarnation: p.cell.Incarnation, Region: settings.Region, Zone: settings.Zone, At: at,
-		Cores: settings.Limits.Cores, WayMillis: p.cell.Counters.storeWay().Milliseconds(),
+		Cores: settings.Limits.Cores, WayMillis: p.cell.Rows.distance().Milliseconds(),
 	})
 	if err != nil {
 		p.cell.Log.Error("the entry's row can't be encoded", "error", err.Error())
@@ -155,7 +155,6 @@
 	ctx, cancel := context.WithTimeout(p.cell.ctx, time.Duration(p.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
 	changes, err := p.cell.Rows.Scan(ctx, prefixEntries, after)
-	p.cell.store.saw(err)
 	if endive.ErrHistoryLost.Has(err) {
 		return 0
 	}
@@ -232,7 +231,7 @@
 // place returns how many living entries suit a pool better than this one.
 func (p *peers) place(pool endive.PoolName) int {
 	now := p.cell.Platform.AtLeast(p.cell.Clock.Now())
-	own := entryRow{Cores: p.cell.Settings.Limits.Cores, WayMillis: p.cell.Counters.storeWay().Milliseconds()}
+	own := entryRow{Cores: p.cell.Settings.Limits.Cores, WayMillis: p.cell.Rows.distance().Milliseconds()}
 	rank := endive.Rendezvous(p.cell.Settings.Name, string(pool))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -166,7 +166,6 @@
 		ctx, cancel := context.WithTimeout(c.ctx, time.Duration(c.Settings.Timings.StoreTimeout))
 		rows, err := c.Rows.Read(ctx, elect.Key(l.pool.name), flow.StatusKey(l.pool.name))
 		cancel()
-		c.store.saw(err)
 		if err != nil {
 			c.pause(followRetry)
 			continue
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -36,7 +36,7 @@
 
 // State implements endive.Cell.
 func (c *Cell) State(ctx context.Context, queue endive.Queue, id endive.JobID) (endive.WorkflowState, error) {
-	if !c.store.reachable() {
+	if !c.Rows.usable() {
 		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_STATE, queue, id))
 		return endive.WorkflowState(answer.GetState()), errorOf(answer)
 	}
@@ -76,8 +76,7 @@
 		limited, cancel := context.WithTimeout(ctx, time.Duration(c.Settings.Timings.StoreTimeout))
 		rows, err := c.Rows.Read(limited, key)
 		cancel()
-		c.store.saw(err)
-		if err == nil || ctx.Err() != nil || !c.store.reachable() {
+		if err == nil || ctx.Err() != nil || !c.Rows.usable() {
 			return rows, err
 		}
 		c.pause(storeRetry)
@@ -87,7 +86,7 @@
 // Cancel implements endive.Cell.
 func (c *Cell) Cancel(ctx context.Context, queue endive.Queue, id endive.JobID) error {
 	var err error
-	if c.store.reachable() {
+	if c.Rows.usable() {
 		err = c.cancelHere(ctx, queue, id)
 	} else {
 		err = errorOf(c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_CANCEL, queue, id)))
@@ -122,7 +121,7 @@
 
 // Pending implements endive.Cell.
 func (c *Cell) Pending(ctx context.Context, queue endive.Queue) (int, error) {
-	if !c.store.reachable() {
+	if !c.Rows.usable() {
 		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_PENDING, queue, ""))
 		return int(answer.GetPending()), errorOf(answer)
 	}
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -124,7 +124,7 @@
 func (r *relayed) do(ctx context.Context) *wire.RelayAnswer {
 	c, id := r.cell, endive.JobID(r.ask.GetJob())
 	queue := endive.Queue{Name: endive.QueueName(r.ask.GetQueue()), Pool: endive.PoolName(r.ask.GetPool())}
-	if !c.store.reachable() {
+	if !c.Rows.usable() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away here too"}
 	}
 	switch r.ask.GetKind() {
--- /dev/null
+++ b/entry/cell/store.go
@@ -0,0 +1,204 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"endiveroute.example/endive"
+)
+
+const (
+	// storePatience is how long after its last answer the store counts as there.
+	// The entry asks several times a second.
+	storePatience = 2500 * time.Millisecond
+	// storeDoubt is how long a short call may take, and slowFactor how many times
+	// its usual length, before new work isn't written any more: what is written and
+	// not answered can't be called refused.
+	storeDoubt = 250 * time.Millisecond
+	slowFactor = 4
+	// usualWeight is the weight of the newest call in the usual length.
+	usualWeight = 0.2
+	// outageLength is how long the store has to be silent for workers' entries to
+	// lapse meanwhile.
+	outageLength = 1500 * time.Millisecond
+	// minRetry and maxRetry bound when callers should come back that were turned
+	// away for the store; an outage that has lasted goes on for about as long.
+	minRetry = time.Second
+	maxRetry = 4 * time.Second
+)
+
+// Store is the platform's store as this entry finds it: it remembers whether and
+// how fast it answers. It implements Rows and is safe for concurrent use.
+type Store struct {
+	inner Rows
+	clock endive.Clock
+	log   hclog.Logger
+
+	mu   sync.Mutex
+	good bool
+	// goodAt is when the store answered last, badSince when it was found not to.
+	goodAt   time.Time
+	badSince time.Time
+	// backAt is when it answered again after an outage.
+	backAt time.Time
+	// open are the beginnings of the short calls on their way, by their numbers.
+	open map[uint64]time.Time
+	last uint64
+	// usual is how long a short call takes, way the shortest that one took.
+	usual time.Duration
+	way   time.Duration
+}
+
+// NewStore returns a store that hasn't been asked yet.
+func NewStore(inner Rows, clock endive.Clock, log hclog.Logger) *Store {
+	return &Store{inner: inner, clock: clock, log: log, open: make(map[uint64]time.Time)}
+}
+
+// Commit implements endive.Table.
+func (s *Store) Commit(ctx context.Context, txn endive.Transaction) (endive.CommitResult, error) {
+	call := s.begin()
+	result, err := s.inner.Commit(ctx, txn)
+	s.end(call, err)
+	return result, err
+}
+
+// Read implements endive.Table.
+func (s *Store) Read(ctx context.Context, keys ...string) ([]endive.Row, error) {
+	call := s.begin()
+	rows, err := s.inner.Read(ctx, keys...)
+	s.end(call, err)
+	return rows, err
+}
+
+// Scan implements endive.Table.
+func (s *Store) Scan(ctx context.Context, prefix string, after endive.Revision) (endive.Changes, error) {
+	call := s.begin()
+	changes, err := s.inner.Scan(ctx, prefix, after)
+	s.end(call, err)
+	return changes, err
+}
+
+// Follow implements endive.RowFeed.
+func (s *Store) Follow(ctx context.Context, prefix string, after endive.Revision, wait endive.Interval) (endive.Changes, error) {
+	if wait > 0 {
+		changes, err := s.inner.Follow(ctx, prefix, after, wait)
+		s.saw(err)
+		return changes, err
+	}
+	call := s.begin()
+	changes, err := s.inner.Follow(ctx, prefix, after, 0)
+	s.end(call, err)
+	return changes, err
+}
+
+// begin notes that a short call is on its way.
+func (s *Store) begin() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	s.open[s.last] = s.clock.Now()
+	return s.last
+}
+
+// end takes in the result of a short call.
+func (s *Store) end(call uint64, err error) {
+	s.mu.Lock()
+	took := s.clock.Now().Sub(s.open[call])
+	delete(s.open, call)
+	if answered(err) {
+		s.usual += time.Duration(usualWeight * float64(took-s.usual))
+		if s.way == 0 || took < s.way {
+			s.way = took
+		}
+	}
+	s.mu.Unlock()
+	s.saw(err)
+}
+
+// answered reports whether the store did what it was asked for, or said why not.
+func answered(err error) bool {
+	return err == nil || endive.ErrConflict.Has(err) || endive.ErrHistoryLost.Has(err)
+}
+
+// saw takes in the result of a call.
+func (s *Store) saw(err error) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answered(err) {
+		if !s.good {
+			s.log.Info("dependency is back", "dependency", "store", "awayMillis", sinceMillis(now, s.badSince))
+		}
+		if !s.goodAt.IsZero() && now.Sub(s.goodAt) > outageLength {
+			s.backAt = now
+		}
+		s.good, s.goodAt = true, now
+		return
+	}
+	if s.good {
+		s.good = false
+		s.badSince = now
+		s.log.Warn("dependency is lost", "dependency", "store", "error", err.Error())
+	}
+}
+
+// reachable reports whether the store has answered lately.
+func (s *Store) reachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.goodAt.IsZero() && s.clock.Now().Sub(s.goodAt) < storePatience
+}
+
+// usable reports whether a write may be expected to be answered: the last call was,
+// and none is on its way for much longer than usual.
+func (s *Store) usable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.good {
+		return false
+	}
+	now, patience := s.clock.Now(), max(storeDoubt, slowFactor*s.usual)
+	for _, began := range s.open {
+		if now.Sub(began) > patience {
+			return false
+		}
+	}
+	return true
+}
+
+// retryAfter returns when a caller should come back that was turned away for the
+// store.
+func (s *Store) retryAfter() endive.Interval {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	away := minRetry
+	if !s.good && !s.badSince.IsZero() {
+		away = s.clock.Now().Sub(s.badSince)
+	}
+	return endive.Interval(min(max(away, minRetry), maxRetry))
+}
+
+// returned returns when the store came back after its last outage.
+func (s *Store) returned() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backAt
+}
+
+// distance returns the shortest time that the store took to answer.
+func (s *Store) distance() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.way
+}
+
+// sinceMillis returns the milliseconds from then to now, 0 where then isn't set.
+func sinceMillis(now, then time.Time) int64 {
+	if then.IsZero() {
+		return 0
+	}
+	return now.Sub(then).Milliseconds()
+}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -16,8 +16,6 @@
 	// submitTries is how often a submission is written before its caller is told
 	// that its fate isn't known.
 	submitTries = 3
-	// storeAwayRetry is when a caller should come back while the store is away.
-	storeAwayRetry = endive.Interval(time.Second)
 )
 
 // Submit implements endive.Cell.
@@ -40,7 +38,7 @@
 func (c *Cell) submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
 	pool := match.Queue.Pool
 	if !c.Platform.Known() {
-		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: "the store is away"}
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: c.Rows.retryAfter(), Reason: "the store is away"}
 	}
 	job, err := json.Marshal(endive.Submission{
 		Workflow: workflow, Policy: match.Queue, ConfigVersion: match.ConfigVersion,
@@ -49,7 +47,7 @@
 	if err != nil {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "it can't be encoded: " + err.Error()}
 	}
-	if !c.store.reachable() {
+	if !c.Rows.usable() {
 		return c.relaySubmission(ctx, match.Queue, workflow.ID, job)
 	}
 	return c.commitSubmission(ctx, submission(pool, workflow.ID, job))
@@ -64,7 +62,7 @@
 	case wire.RelayStatus_RELAY_DONE:
 		return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: answer.GetReason()}
 	case wire.RelayStatus_RELAY_UNAVAILABLE:
-		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: answer.GetReason()}
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: c.Rows.retryAfter(), Reason: answer.GetReason()}
 	default:
 		return endive.SubmitResult{Status: endive.SubmitUnknown, Reason: answer.GetReason()}
 	}
@@ -84,11 +82,11 @@
 		case endive.ErrUnknown.Has(err):
 			lost = true
 		}
-		if try == submitTries || ctx.Err() != nil {
+		if lost && !c.Rows.usable() || try == submitTries || ctx.Err() != nil {
 			if lost {
 				return endive.SubmitResult{Status: endive.SubmitUnknown, Reason: err.Error()}
 			}
-			return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeAwayRetry, Reason: err.Error()}
+			return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: c.Rows.retryAfter(), Reason: err.Error()}
 		}
 		c.pause(storeRetry)
 	}
@@ -99,7 +97,6 @@
 	limited, cancel := context.WithTimeout(ctx, time.Duration(c.Settings.Timings.StoreTimeout))
 	defer cancel()
 	_, err := c.Rows.Commit(limited, txn)
-	c.store.saw(err)
 	return err
 }
 
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -37,7 +37,6 @@
 	var after endive.Revision
 	for l.cell.ctx.Err() == nil {
 		news, err := l.next(after)
-		l.cell.store.saw(err)
 		switch {
 		case endive.ErrHistoryLost.Has(err):
 			after = 0
@@ -93,7 +92,7 @@
 // dropMissing forgets the workers whose entries are gone. After an outage of the
 // store they get the time to register again.
 func (l *workersLoop) dropMissing() {
-	if l.cell.Clock.Now().Before(l.cell.store.returned().Add(lapseGrace)) {
+	if l.cell.Clock.Now().Before(l.cell.Rows.returned().Add(lapseGrace)) {
 		return
 	}
 	for id := range l.missing {
--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -97,7 +97,7 @@
 	counts := cell.NewCounters(scope)
 	p.client = plat.NewClient(settings, p.clock, counts)
 	clock := plat.NewStoreClock(p.clock)
-	rows := plat.NewStore(p.client, p.settings.Platform.Store, clock)
+	rows := cell.NewStore(plat.NewStore(p.client, p.settings.Platform.Store, clock), p.clock, p.log)
 	return cell.New(cell.Deps{
 		Settings: p.settings, Incarnation: newIncarnation(), Clock: p.clock, Platform: clock, Log: p.log, Counters: counts,
 		Rows: rows, Directory: plat.NewDirectory(rows), Fleet: plat.NewFleet(p.client),
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -189,7 +189,7 @@
 const askAhead = endive.Interval(250 * time.Millisecond)
 
 // askAheadOf is how far ahead room is foreseen: about as long as an answer takes.
-const askAheadOf = 400 * time.Millisecond
+const askAheadOf = 200 * time.Millisecond
 
 // askOne asks for one step, and reports whether it did.
 func (m *Machine) askOne() bool {
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -83,7 +83,7 @@
 const (
 	DefaultPoolLease    = endive.Interval(2200 * time.Millisecond)
 	DefaultPoll         = endive.Interval(400 * time.Millisecond)
-	DefaultStoreTimeout = endive.Interval(900 * time.Millisecond)
+	DefaultStoreTimeout = endive.Interval(800 * time.Millisecond)
 	DefaultGangWait     = endive.Interval(3 * time.Second)
 	DefaultMaxGrant     = endive.Interval(6 * time.Second)
 	DefaultStopTime     = endive.Interval(400 * time.Millisecond)
