--- a/elect/events.go
+++ b/elect/events.go
@@ -12,10 +12,6 @@
 	Value   []byte
 }
 
-// Preference says how well this entry suits: the entry that waits shorter takes a
-// lease that has run out.
-type Preference struct{ Wait endive.Interval }
-
 // Fenced says that a worker or the store knows a higher epoch than one of this
 // entry.
 type Fenced struct{ Epoch endive.Epoch }
@@ -47,9 +43,6 @@
 // IsEvent marks Seen as an event.
 func (Seen) IsEvent() {}
 
-// IsEvent marks Preference as an event.
-func (Preference) IsEvent() {}
-
 // IsEvent marks Fenced as an event.
 func (Fenced) IsEvent() {}
 
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -41,7 +41,9 @@
 	seen    bool
 	// freeSince is when the lease was first found to have run out.
 	freeSince time.Time
-	wait      endive.Interval
+	// due tells until when this entry leaves a pool that is free since a time to
+	// entries that suit better.
+	due func(freeSince time.Time) time.Time
 
 	holding bool
 	until   time.Time
@@ -53,11 +55,12 @@
 }
 
 // New returns the machine of an entry for a pool. fence returns the write that
-// replaces the pool's fence row.
+// replaces the pool's fence row; due tells until when a pool that is free since a
+// time is left to entries that suit better.
 func New(entry endive.EntryID, incarnation endive.Incarnation, pool endive.PoolName, fence func(endive.Epoch) endive.Write,
-	settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
+	due func(freeSince time.Time) time.Time, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
 	return &Machine{
-		entry: entry, incarnation: incarnation, pool: pool, fence: fence,
+		entry: entry, incarnation: incarnation, pool: pool, fence: fence, due: due,
 		settings: settings, clock: clock, writeIDs: writeIDs,
 	}
 }
@@ -65,14 +68,15 @@
 // Holding reports whether this entry holds the pool.
 func (m *Machine) Holding() bool { return m.holding }
 
+// Taking reports whether this entry holds the pool or is about to.
+func (m *Machine) Taking() bool { return m.holding || m.inFlight != "" }
+
 // Step implements endive.Machine.
 func (m *Machine) Step(now time.Time, event endive.Event) []endive.Action {
 	m.now, m.out = now, nil
 	switch e := event.(type) {
 	case Seen:
 		m.saw(e)
-	case Preference:
-		m.wait = e.Wait
 	case Fenced:
 		m.fenced(e)
 	case GiveUp:
@@ -168,7 +172,7 @@
 	if m.freeSince.IsZero() {
 		m.freeSince = m.now
 	}
-	due := m.wait.After(m.freeSince)
+	due := m.due(m.freeSince)
 	if m.now.Before(due) {
 		m.wake(due)
 		return
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -27,6 +27,7 @@
 type rig struct {
 	is      *is.I
 	machine *Machine
+	wait    endive.Interval
 	now     time.Time
 	version endive.Version
 	value   []byte
@@ -36,10 +37,11 @@
 	start := time.Unix(1_800_000_000, 0)
 	fence := func(epoch endive.Epoch) endive.Write { return endive.Write{Key: "fence", Value: []byte{byte(epoch)}} }
 	settings := Settings{Lease: endive.Interval(lease), Renewal: endive.Interval(lease / 3), Retry: endive.Interval(100 * time.Millisecond)}
-	return &rig{
-		is: is.New(t), now: start,
-		machine: New("entry-1", "run-1", "quoting", fence, settings, steadyClock{start}, endive.NewWriteIDs("entry-1", "run-1", "elect")),
-	}
+	r := &rig{is: is.New(t), now: start}
+	due := func(freeSince time.Time) time.Time { return r.wait.After(freeSince) }
+	ids := endive.NewWriteIDs("entry-1", "run-1", "elect")
+	r.machine = New("entry-1", "run-1", "quoting", fence, due, settings, steadyClock{start}, ids)
+	return r
 }
 
 func (r *rig) step(event endive.Event) []endive.Action { return r.machine.Step(r.now, event) }
@@ -129,7 +131,7 @@
 
 func TestWaitsForEntriesThatSuitBetter(t *testing.T) {
 	r := newRig(t)
-	r.step(Preference{Wait: endive.Interval(300 * time.Millisecond)})
+	r.wait = endive.Interval(300 * time.Millisecond)
 	_, writes := recordIn(r.see())
 	r.is.True(!writes)
 	r.now = r.now.Add(299 * time.Millisecond)
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -137,11 +137,25 @@
 	c.workers.publishAll()
 }
 
-// held counts the pools that this entry holds.
-func (c *Cell) held() int {
+// taken counts the other pools that this entry holds or is about to hold, and tells
+// when it took the newest.
+func (c *Cell) taken(except *pool) (int, time.Time) {
 	count := 0
+	var newest time.Time
 	for _, p := range c.allPools() {
-		if p.holds.Load() {
+		if p != except && p.takes.Load() {
+			count++
+			newest = latest(newest, *p.takenAt.Load())
+		}
+	}
+	return count, newest
+}
+
+// before counts the pools whose names come before another's.
+func (c *Cell) before(other *pool) int {
+	count := 0
+	for _, p := range c.allPools() {
+		if p.name < other.name {
 			count++
 		}
 	}
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -110,9 +110,6 @@
 		}
 		after = p.follow(after)
 		p.link()
-		for _, pool := range p.cell.allPools() {
-			pool.prefer()
-		}
 		p.cell.pause(entriesPoll)
 	}
 }
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -28,6 +28,10 @@
 	status atomic.Pointer[flow.Status]
 	// holds mirrors whether this entry holds the pool.
 	holds atomic.Bool
+	// takes mirrors whether it does, or is about to.
+	takes atomic.Bool
+	// takenAt is when that changed last.
+	takenAt atomic.Pointer[time.Time]
 }
 
 // message is an event for one of a pool's machines.
@@ -48,7 +52,7 @@
 	id := c.Settings.Name
 	p := &pool{name: name, cell: c}
 	p.status.Store(&flow.Status{})
-	p.elect = elect.New(id, c.Incarnation, name, p.fence, elect.Settings{
+	p.elect = elect.New(id, c.Incarnation, name, p.fence, p.due, elect.Settings{
 		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
 	p.flow = flow.New(name, flow.Settings{
@@ -73,7 +77,6 @@
 func (p *pool) start() {
 	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: p.cell.Log}))
 	p.pid = p.cell.system.Root.Spawn(props)
-	p.prefer()
 	p.look()
 }
 
@@ -92,6 +95,10 @@
 	if m.to == toElect {
 		actions = p.elect.Step(now, m.event)
 		p.holds.Store(p.elect.Holding())
+		if takes := p.elect.Taking(); takes != p.takes.Load() {
+			p.takenAt.Store(&now)
+			p.takes.Store(takes)
+		}
 	} else {
 		actions = p.flow.Step(now, m.event)
 	}
@@ -118,7 +125,6 @@
 	if row.Deleted {
 		seen = elect.Seen{}
 	}
-	p.prefer()
 	p.send(toElect, seen)
 }
 
@@ -139,19 +145,25 @@
 	// heldWait is how much longer an entry waits for each pool that it holds, so
 	// that pools spread over the entries.
 	heldWait = 300 * time.Millisecond
+	// poolWait lies between the pools that are free at the same time, so that an
+	// entry which takes one leaves the next to others.
+	poolWait = 20 * time.Millisecond
 	// placeWait is how much longer an entry waits for each that suits better, and
 	// maxPlaceWait bounds that.
 	placeWait    = 50 * time.Millisecond
 	maxPlaceWait = 1200 * time.Millisecond
 )
 
-// prefer tells how long this entry leaves the pool to others.
-func (p *pool) prefer() { p.send(toElect, elect.Preference{Wait: p.preference()}) }
-
-// preference returns how long this entry leaves a free pool to others.
-func (p *pool) preference() endive.Interval {
+// due returns until when this entry leaves a free pool to others. One that it took
+// itself a moment ago counts like one that became free then, so that pools spread
+// over the entries.
+func (p *pool) due(freeSince time.Time) time.Time {
+	since := freeSince
+	if count, newest := p.cell.taken(p); count > 0 {
+		since = latest(since, newest).Add(time.Duration(count) * heldWait)
+	}
 	wait := min(time.Duration(p.cell.peers.place(p.name))*placeWait, maxPlaceWait)
-	return endive.Interval(wait + time.Duration(p.cell.held())*heldWait)
+	return since.Add(wait + time.Duration(p.cell.before(p))*poolWait)
 }
 
 // look reads the lease's row until it can be read.
