A run that is to be stopped while its start is on its way is stopped; relays ask first

Also: a relayed submission went to an entry whose session wasn't open, and its silence became 504; now an entry is asked first whether it can, which leaves a refusal true. entry/cell has process-like tests over HTTP stand-ins; they found a pool that was told something before its actor was there (a nil pointer).

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -94,8 +94,11 @@
 	return true
 }
 
-// Close ends all that the cell does.
+// Close ends all that the cell does. It may be called again.
 func (c *Cell) Close() {
+	if c.ctx.Err() != nil {
+		return
+	}
 	c.cancel()
 	c.peers.mesh.Close()
 	c.system.Shutdown()
@@ -132,7 +135,7 @@
 	}
 	c.mu.Unlock()
 	for _, p := range added {
-		p.start()
+		p.look()
 	}
 	c.workers.publishAll()
 }
--- /dev/null
+++ b/entry/cell/cell_test.go
@@ -0,0 +1,185 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/platform/stand"
+)
+
+func TestWorkflowsRunToTheirEnd(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 4, 2)
+	r.ready()
+	for i := range 10 {
+		path := []string{"/quick/", "/slow/"}[i%2]
+		result := r.submit(r.cells[i%2], path, fmt.Sprintf("%016x", i), 4, true)
+		is.Equal(result.Status, endive.SubmitAccepted)
+	}
+	for i := range 10 {
+		path := []string{"/quick/", "/slow/"}[i%2]
+		r.until("a workflow has succeeded", func() bool {
+			return r.state(r.cells[1], path, fmt.Sprintf("%016x", i)) == endive.WorkflowSucceeded
+		})
+	}
+	r.holds()
+	is.Equal(r.state(r.cells[0], "/quick/", "ffffffffffffffff"), endive.WorkflowState("not found: there is no workflow ffffffffffffffff"))
+}
+
+// The same id is the same workflow, at any entry.
+func TestResubmissionIsTheSameWorkflow(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 2)
+	r.ready()
+	for _, c := range r.cells {
+		is.Equal(r.submit(c, "/quick/", "00000000000000aa", 3, false).Status, endive.SubmitAccepted)
+	}
+	r.until("it has succeeded", func() bool { return r.state(r.cells[0], "/quick/", "00000000000000aa") == endive.WorkflowSucceeded })
+	is.Equal(r.submit(r.cells[1], "/quick/", "00000000000000aa", 3, false).Status, endive.SubmitAccepted)
+	r.holds()
+}
+
+// The holder dies while work runs: another entry adopts it, and nothing runs twice.
+func TestHolderDies(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 4, 3)
+	r.took = 2 * time.Second
+	r.ready()
+	first := r.holder()
+	for i := range 8 {
+		is.Equal(r.submit(first, "/quick/", fmt.Sprintf("%016x", i), 4, true).Status, endive.SubmitAccepted)
+	}
+	r.until("work runs", func() bool { return len(r.log.lines("ordered", `"kind":"start"`)) > 8 })
+	first.Close()
+	var other *Cell
+	r.until("another holds the pool", func() bool { other = r.holder(); return other != nil })
+	for i := range 8 {
+		r.until("a workflow has succeeded", func() bool {
+			return r.state(other, "/quick/", fmt.Sprintf("%016x", i)) == endive.WorkflowSucceeded
+		})
+	}
+	r.holds()
+}
+
+// A planned stop hands the pool over at once.
+func TestPlannedStopHandsThePoolOver(t *testing.T) {
+	r := newRig(t, 2, 2)
+	r.ready()
+	first := r.holder()
+	first.Leave()
+	r.until("the pool is given up", first.HoldsNone)
+	r.until("another holds it", func() bool { other := r.holder(); return other != nil && other != first })
+	if first.Ready() {
+		t.Error("an entry that leaves is ready")
+	}
+}
+
+// While the store refuses, new work is refused as not run; what runs is kept alive,
+// and its end is told afterwards.
+func TestStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 1)
+	r.took = 500 * time.Millisecond
+	r.ready()
+	c := r.cells[0]
+	is.Equal(r.submit(c, "/quick/", "00000000000000aa", 3, false).Status, endive.SubmitAccepted)
+	r.until("it runs", func() bool { return len(r.log.lines("ordered", "00000000000000aa")) == 3 })
+	r.store.SetTrouble(stand.TroubleBusy)
+	r.until("the outage is noticed", func() bool { return !c.Rows.usable() })
+	refused := r.submit(c, "/quick/", "00000000000000bb", 3, false)
+	is.Equal(refused.Status, endive.SubmitUnavailable)
+	is.True(refused.RetryAfter > 0)
+	r.until("the tasks have ended", func() bool { return len(r.log.lines("succeeded", `"kind":"end"`)) == 3 })
+	r.store.SetTrouble(stand.TroubleNone)
+	r.until("it has succeeded", func() bool { return r.state(c, "/quick/", "00000000000000aa") == endive.WorkflowSucceeded })
+	is.Equal(len(r.log.lines("00000000000000bb", "ordered")), 0)
+	r.holds()
+}
+
+// The store's feed forgets its history: nothing is missed.
+func TestStoreForgetsItsHistory(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 2)
+	r.ready()
+	for i := range 6 {
+		r.store.DropHistory()
+		is.Equal(r.submit(r.cells[i%2], "/quick/", fmt.Sprintf("%016x", i), 2, false).Status, endive.SubmitAccepted)
+	}
+	for i := range 6 {
+		r.until("a workflow has succeeded", func() bool {
+			return r.state(r.cells[0], "/quick/", fmt.Sprintf("%016x", i)) == endive.WorkflowSucceeded
+		})
+	}
+	r.holds()
+}
+
+// From the id of a failed workflow to its cause, by the log alone: each decision has
+// a line with its inputs.
+func TestLogTellsWhyAWorkflowFailed(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 1)
+	r.fails = "00000000000000aa"
+	r.ready()
+	c := r.cells[0]
+	is.Equal(r.submit(c, "/quick/", "00000000000000aa", 1, false).Status, endive.SubmitAccepted)
+	r.until("it has failed", func() bool { return r.state(c, "/quick/", "00000000000000aa") == endive.WorkflowFailed })
+	is.Equal(len(r.log.lines("00000000000000aa", `"kind":"submit"`, `"outcome":"accepted"`, `"configVersion":3`)), 1)
+	is.Equal(len(r.log.lines("00000000000000aa", `"kind":"job"`, `"outcome":"taken up"`)), 1)
+	is.Equal(len(r.log.lines("00000000000000aa", `"kind":"start"`, `"outcome":"ordered"`, `"worker":"i-`)), 2)
+	is.Equal(len(r.log.lines("00000000000000aa", `"kind":"end"`, `"outcome":"failed"`)), 2)
+	is.Equal(len(r.log.lines("00000000000000aa", `"kind":"job"`, `"outcome":"failed"`, "failed 2 times")), 1)
+	r.holds()
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 2)
+	r.took = 0
+	r.ready()
+	is.Equal(r.submit(r.cells[0], "/quick/", "00000000000000aa", 3, false).Status, endive.SubmitAccepted)
+	r.until("it runs", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.running) == 3 })
+	queue := r.cells[1].Match("a.example", "/quick/").Queue
+	is.NoErr(r.cells[1].Cancel(t.Context(), queue, "00000000000000aa"))
+	r.until("nothing runs", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.running) == 0 })
+	r.until("it is cancelled", func() bool { return r.state(r.cells[0], "/quick/", "00000000000000aa") == endive.WorkflowCancelled })
+	is.True(endive.ErrNotFound.Has(r.cells[0].Cancel(t.Context(), queue, "00000000000000ff")))
+	r.holds()
+}
+
+// An entry that the store turns away has another do what its callers ask for.
+func TestRelayThroughAnotherEntry(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 2)
+	r.ready()
+	cut := r.cells[0]
+	if cut == r.holder() {
+		cut = r.cells[1]
+	}
+	r.until("the entries are linked", func() bool { return len(cut.peers.ids()) == 1 })
+	cut.Rows.saw(endive.ErrUnavailable.New("turned away"))
+	before := len(r.log.lines(`"kind":"relay"`, "RELAY_DONE"))
+	// A refusal says that nothing was done, so a caller may come back; the session
+	// between the entries may not be open yet.
+	queue, job := cut.Match("a.example", "/quick/").Queue, encodeSubmission(cut, "00000000000000aa")
+	r.until("the submission is relayed", func() bool {
+		result := cut.relaySubmission(t.Context(), queue, "00000000000000aa", job)
+		is.True(result.Status == endive.SubmitAccepted || result.Status == endive.SubmitUnavailable)
+		return result.Status == endive.SubmitAccepted
+	})
+	r.until("the relaying is logged", func() bool { return len(r.log.lines(`"kind":"relay"`, "RELAY_DONE")) > before })
+	r.until("it has succeeded", func() bool { return r.state(cut, "/quick/", "00000000000000aa") == endive.WorkflowSucceeded })
+	r.holds()
+}
+
+// encodeSubmission returns the row of a workflow with one task.
+func encodeSubmission(c *Cell, id endive.JobID) []byte {
+	match := c.Match("a.example", "/quick/")
+	return mustEncode(endive.Submission{
+		Workflow: endive.Workflow{ID: id, Queue: "quick", Steps: []endive.Step{{Tasks: 1, Need: endive.Resources{Processors: 100}}}},
+		Policy:   match.Queue, ConfigVersion: match.ConfigVersion,
+	})
+}
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -60,6 +60,8 @@
 		GangWait: c.Settings.Bounds.GangWait, StopTime: c.Settings.Bounds.StopTime,
 		RemoteFactor: c.Settings.Bounds.RemoteFactor, Retention: c.Settings.Bounds.Retention, Harm: c.Settings.Bounds.Harm,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)))
+	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: c.Log}))
+	p.pid = c.system.Root.Spawn(props)
 	return p
 }
 
@@ -73,13 +75,6 @@
 // fence returns the write that begins an epoch for the pool's rows.
 func (p *pool) fence(epoch endive.Epoch) endive.Write { return flow.FenceWrite(p.name, epoch) }
 
-// start spawns the actor and reads the lease.
-func (p *pool) start() {
-	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: p.cell.Log}))
-	p.pid = p.cell.system.Root.Spawn(props)
-	p.look()
-}
-
 // Receive implements actor.Actor.
 func (p *pool) Receive(c actor.Context) {
 	if m, ok := c.Message().(message); ok {
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -11,8 +11,15 @@
 	"endiveroute.example/endive/wire"
 )
 
-// relayTimeout bounds the wait for an entry that does something for us.
-const relayTimeout = 1500 * time.Millisecond
+const (
+	// relayTimeout bounds the wait for an entry that does something for us.
+	relayTimeout = 1500 * time.Millisecond
+	// probeTimeout bounds the wait for an entry that tells whether it can.
+	probeTimeout = 250 * time.Millisecond
+	// probeAge is how long such an answer holds, and how long nobody is asked after
+	// none could.
+	probeAge = 500 * time.Millisecond
+)
 
 // relays has other entries do what this one can't while the store doesn't answer
 // it.
@@ -22,17 +29,19 @@
 	mu      sync.Mutex
 	last    uint64
 	waiting map[uint64]chan *wire.RelayAnswer
-	// goodAt is when another entry last did something for us.
-	goodAt time.Time
+	// able is when each entry last told that it can do something for us.
+	able map[endive.EntryID]time.Time
+	// noneAt is when no entry could.
+	noneAt time.Time
 }
 
 func newRelays(c *Cell) *relays {
-	return &relays{cell: c, waiting: make(map[uint64]chan *wire.RelayAnswer)}
+	return &relays{cell: c, waiting: make(map[uint64]chan *wire.RelayAnswer), able: make(map[endive.EntryID]time.Time)}
 }
 
-// ask has the nearest entry do something. It returns nil where nothing is known of
-// what became of it.
-func (r *relays) ask(ctx context.Context, to endive.EntryID, ask *wire.RelayAsk) *wire.RelayAnswer {
+// ask has an entry do something. It returns nil where nothing is known of what
+// became of it.
+func (r *relays) ask(ctx context.Context, to endive.EntryID, ask *wire.RelayAsk, timeout time.Duration) *wire.RelayAnswer {
 	answers := make(chan *wire.RelayAnswer, 1)
 	r.mu.Lock()
 	r.last++
@@ -40,7 +49,7 @@
 	r.waiting[ask.Tag] = answers
 	r.mu.Unlock()
 	defer r.forget(ask.Tag)
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if deadline, ok := ctx.Deadline(); ok {
 		ask.MillisLeft = time.Until(deadline).Milliseconds()
@@ -66,41 +75,72 @@
 func (r *relays) answered(m *wire.RelayAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m.GetStatus() != wire.RelayStatus_RELAY_UNAVAILABLE {
-		r.goodAt = r.cell.Clock.Now()
-	}
 	if answers := r.waiting[m.GetTag()]; answers != nil {
 		delete(r.waiting, m.GetTag())
 		answers <- m
 	}
 }
 
-// try asks one entry after the other until one answers with something certain.
-// Kinds that change something aren't tried again once an answer was lost.
+// try has the first entry that can do it do something. What isn't sent to an entry
+// that can is surely not done.
 func (r *relays) try(ctx context.Context, ask *wire.RelayAsk) *wire.RelayAnswer {
-	repeatable := ask.GetKind() == wire.RelayKind_RELAY_STATE || ask.GetKind() == wire.RelayKind_RELAY_PENDING
-	last := &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away, and no entry can be reached"}
-	for i, id := range r.cell.peers.ids() {
+	to, ok := r.findAble(ctx)
+	if !ok {
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away, and no entry reaches it"}
+	}
+	answer := r.ask(ctx, to, ask, relayTimeout)
+	if answer == nil {
+		r.forgetAble(to)
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_STATUS_UNKNOWN, Reason: "entry " + string(to) + " didn't answer"}
+	}
+	return answer
+}
+
+// findAble returns an entry that told a moment ago that it can do something for us.
+func (r *relays) findAble(ctx context.Context) (endive.EntryID, bool) {
+	ids := r.cell.peers.ids()
+	r.mu.Lock()
+	now := r.cell.Clock.Now()
+	for _, id := range ids {
+		if now.Sub(r.able[id]) < probeAge {
+			r.mu.Unlock()
+			return id, true
+		}
+	}
+	tired := now.Sub(r.noneAt) < probeAge
+	r.mu.Unlock()
+	if tired {
+		return "", false
+	}
+	for i, id := range ids {
 		if i == maxRelays || ctx.Err() != nil {
 			break
 		}
-		answer := r.ask(ctx, id, ask)
-		if answer == nil {
-			last = &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_STATUS_UNKNOWN, Reason: "entry " + string(id) + " didn't answer"}
-			if !repeatable {
-				return last
-			}
-			continue
+		answer := r.ask(ctx, id, &wire.RelayAsk{Kind: wire.RelayKind_RELAY_PROBE}, probeTimeout)
+		if answer.GetStatus() == wire.RelayStatus_RELAY_DONE {
+			r.noteAble(id)
+			return id, true
 		}
-		if answer.GetStatus() != wire.RelayStatus_RELAY_UNAVAILABLE {
-			return answer
-		}
-		last = answer
 	}
-	return last
+	r.mu.Lock()
+	r.noneAt = r.cell.Clock.Now()
+	r.mu.Unlock()
+	return "", false
+}
+
+func (r *relays) noteAble(id endive.EntryID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.able[id] = r.cell.Clock.Now()
+}
+
+func (r *relays) forgetAble(id endive.EntryID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.able, id)
 }
 
-// maxRelays bounds how many entries are tried for one call.
+// maxRelays bounds how many entries are asked whether they can.
 const maxRelays = 3
 
 // relayed does something for another entry.
@@ -117,6 +157,9 @@
 	answer := r.do(ctx)
 	answer.Tag = r.ask.GetTag()
 	r.cell.peers.mesh.Send(r.from, answer)
+	if r.ask.GetKind() == wire.RelayKind_RELAY_PROBE {
+		return
+	}
 	r.cell.Log.Info("decision", "kind", "relay", "job", r.ask.GetJob(), "entry", string(r.from),
 		"what", r.ask.GetKind().String(), "outcome", answer.GetStatus().String(), "reason", answer.GetReason())
 }
@@ -128,6 +171,8 @@
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away here too"}
 	}
 	switch r.ask.GetKind() {
+	case wire.RelayKind_RELAY_PROBE:
+		return answerOf(nil, "", 0)
 	case wire.RelayKind_RELAY_SUBMIT:
 		return r.submit(ctx, queue.Pool, id)
 	case wire.RelayKind_RELAY_STATE:
--- /dev/null
+++ b/entry/cell/rig_test.go
@@ -0,0 +1,245 @@
+package cell
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/guard"
+	plat "endiveroute.example/endive/platform"
+	"endiveroute.example/endive/platform/stand"
+	"endiveroute.example/endive/setup"
+)
+
+// patience bounds the wait for something that takes a few seconds at most.
+const patience = 30 * time.Second
+
+// rig is a platform of stand-ins with entries on it, all in this process.
+type rig struct {
+	t       *testing.T
+	store   *stand.Store
+	address endive.Address
+	advice  endive.Address
+	workers []*stand.Worker
+	cells   []*Cell
+	log     *logBuffer
+
+	mu      sync.Mutex
+	running map[string]stand.Run
+	done    map[string]int
+	broken  []string
+	// took tells how long a task runs.
+	took time.Duration
+	// fails has all tasks fail whose names begin so.
+	fails string
+}
+
+// logBuffer keeps what is logged.
+type logBuffer struct {
+	mu  sync.Mutex
+	got bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(line)
+}
+
+// lines returns the logged lines that hold all of the texts.
+func (b *logBuffer) lines(texts ...string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for _, line := range strings.Split(b.got.String(), "\n") {
+		all := true
+		for _, text := range texts {
+			all = all && strings.Contains(line, text)
+		}
+		if all {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func newRig(t *testing.T, workers, entries int) *rig {
+	r := &rig{
+		t: t, store: stand.NewStore(), log: &logBuffer{}, took: 300 * time.Millisecond,
+		running: make(map[string]stand.Run), done: make(map[string]int),
+	}
+	r.address = r.serve(r.store)
+	r.advice = r.serve(stand.Advice{ValidityMillis: 2000})
+	r.put("op", "config", map[string]any{
+		"version": 3,
+		"routes": []map[string]any{
+			{
+				"name": "quick", "host": "a.example", "prefix": "/quick/", "service": "svc", "max_attempts": 2, "slack_factor": 1.5,
+				"target_latency_ms": 600,
+			},
+			{
+				"name": "slow", "host": "a.example", "prefix": "/slow/", "service": "svc", "priority": 1, "max_attempts": 3, "slack_factor": 2,
+				"target_latency_ms": 600, "hint": map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000},
+			},
+		},
+		"services": []map[string]any{{"name": "svc"}},
+	})
+	for i := range workers {
+		r.addWorker(fmt.Sprintf("i-%d", i))
+	}
+	for i := range entries {
+		r.addEntry(fmt.Sprintf("entry-%d", i))
+	}
+	return r
+}
+
+// serve starts a server that ends with the test.
+func (r *rig) serve(handler http.Handler) endive.Address {
+	server := httptest.NewServer(handler)
+	r.t.Cleanup(server.CloseClientConnections)
+	return endive.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (r *rig) put(table, key string, value any) {
+	if err := r.store.Put(table, "", key, value); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) addWorker(id string) {
+	took := func(string) time.Duration { return r.took }
+	fails := func(task string) bool { return r.fails != "" && strings.HasPrefix(task, r.fails) }
+	worker := stand.NewWorker(id, "svc", r, took, fails)
+	worker.Address = string(r.serve(worker))
+	if err := worker.Register(r.store, 1, false); err != nil {
+		r.t.Fatal(err)
+	}
+	r.workers = append(r.workers, worker)
+}
+
+// addEntry starts an entry.
+func (r *rig) addEntry(name string) *Cell {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	settings := setup.Cell{
+		Name: endive.EntryID(name), Region: "gogledd", Zone: "zone-1",
+		Listen: setup.CellListen{Peers: endive.Address(listener.Addr().String())},
+	}
+	settings.Defaults()
+	clock := endive.NewBootClock()
+	log := hclog.New(&hclog.LoggerOptions{Name: name, Output: r.log, JSONFormat: true, Level: hclog.Info})
+	counters := NewCounters(tally.NoopScope)
+	guarded := guard.Settings{}
+	guarded.Defaults()
+	client := plat.NewClient(guarded, clock, counters)
+	platform := plat.NewStoreClock(clock)
+	rows := NewStore(plat.NewStore(client, r.address, platform), clock, log)
+	c := New(Deps{
+		Settings: settings, Incarnation: endive.Incarnation(fmt.Sprintf("%s-%d", name, len(r.cells))), Clock: clock, Platform: platform,
+		Log: log, Counters: counters, Rows: rows, Directory: plat.NewDirectory(rows), Fleet: plat.NewFleet(client),
+		Advisor: plat.NewAdvisor(client, r.advice),
+	})
+	c.Start(listener)
+	r.cells = append(r.cells, c)
+	r.t.Cleanup(func() { _ = listener.Close() })
+	r.t.Cleanup(c.Close)
+	return c
+}
+
+// Began implements stand.Watcher: no task runs twice at a time, nor after it is
+// done.
+func (r *rig) Began(run stand.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if other, ok := r.running[run.Task]; ok {
+		r.broken = append(r.broken, fmt.Sprintf("%s runs on %s and %s", run.Task, other.Worker, run.Worker))
+	}
+	if r.done[run.Task] > 0 {
+		r.broken = append(r.broken, run.Task+" starts after it was done")
+	}
+	r.running[run.Task] = run
+}
+
+// Ended implements stand.Watcher.
+func (r *rig) Ended(run stand.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, run.Task)
+	if run.How == "done" {
+		r.done[run.Task]++
+	}
+}
+
+// holds fails the test where anything was broken.
+func (r *rig) holds() {
+	r.t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.broken) > 0 {
+		r.t.Fatalf("%d broken: %s", len(r.broken), strings.Join(r.broken, "; "))
+	}
+}
+
+// until waits for something to be so.
+func (r *rig) until(what string, so func() bool) {
+	r.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !so() {
+		if time.Now().After(deadline) {
+			r.t.Fatalf("still not so: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// ready waits until all entries can serve and one holds the pool.
+func (r *rig) ready() {
+	r.t.Helper()
+	for _, c := range r.cells {
+		r.until("an entry is ready", c.Ready)
+	}
+	r.until("the pool is held", func() bool { return r.holder() != nil })
+}
+
+// holder returns the entry that holds the pool, or nil.
+func (r *rig) holder() *Cell {
+	for _, c := range r.cells {
+		if p := c.poolNamed("svc"); p != nil && p.holds.Load() && c.ctx.Err() == nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// submit hands a workflow of one or two steps in.
+func (r *rig) submit(c *Cell, path, id string, tasks int, second bool) endive.SubmitResult {
+	r.t.Helper()
+	step := endive.Step{Tasks: tasks, Need: endive.Resources{Processors: 1000}, Estimate: endive.Interval(r.took)}
+	workflow := endive.Workflow{ID: endive.JobID(id), Payload: "x", Steps: []endive.Step{step}}
+	if second {
+		step.After = []int{0}
+		workflow.Steps = append(workflow.Steps, step)
+	}
+	return c.Submit(r.t.Context(), c.Match("a.example", path+id), workflow)
+}
+
+// state returns what an entry says of a workflow.
+func (r *rig) state(c *Cell, path, id string) endive.WorkflowState {
+	state, err := c.State(r.t.Context(), c.Match("a.example", path).Queue, endive.JobID(id))
+	if err != nil {
+		return endive.WorkflowState(err.Error())
+	}
+	return state
+}
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -80,6 +80,25 @@
 	is.Equal(w.state("job1"), endive.WorkflowCancelled)
 }
 
+// A cancelling overtakes the answer to an order to start.
+func TestCancelWhileAStartIsOnItsWay(t *testing.T) {
+	for ms := range 12 {
+		t.Run(fmt.Sprintf("%d ms", ms), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, faults{})
+			w.addWorkers(1)
+			w.hold()
+			w.run(time.Second)
+			id := w.submit("job1", quick, stepOfTasks(2, 10*time.Second))
+			w.run(time.Second + time.Duration(ms)*time.Millisecond)
+			w.cancel(id)
+			w.run(3 * time.Second)
+			w.holds()
+			is.Equal(w.running(id), 0)
+		})
+	}
+}
+
 func TestFailuresAreBounded(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, faults{failedTask: 1})
--- a/flow/run.go
+++ b/flow/run.go
@@ -160,6 +160,10 @@
 	r.worker.read(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
 		m.confirm(r)
+		if r.state == runStopping {
+			// It was to be stopped while its start was on its way.
+			m.sendStop(r)
+		}
 		return
 	}
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
