--- a/flow/advice.go
+++ b/flow/advice.go
@@ -88,29 +88,27 @@
 // service. It answers bursts: a ticket is good for seconds only, so questions are
 // asked for no more work than there is room for. Room on workers that are known to
 // be good for the step is kept for it meanwhile, or smaller tasks that come after
-// it would take it while the question is on its way.
-func (m *Machine) want(s *step, waits int) {
+// it would take it while the question is on its way. It reports whether there is any
+// such room.
+func (m *Machine) want(s *step, waits int) bool {
 	need := s.spec.Reserved()
-	if !need.Fits(m.advice.room) {
+	if !need.Fits(m.advice.room) || !m.needsTicket(s) {
 		m.advice.short = true
-		return
-	}
-	if !m.needsTicket(s) {
-		m.advice.short = true
-		return
+		return false
 	}
 	if s.occ.job.inheritedUnseen(m) || len(m.advice.wanted) >= maxWanted {
-		return
+		return true
 	}
 	places := m.keepPlaces(s, waits)
 	if places == 0 {
 		m.advice.short = true
-		return
+		return false
 	}
 	if !s.tickets.asking {
 		m.advice.wanted = append(m.advice.wanted, s)
 	}
 	m.advice.room = m.advice.room.Sub(need.Times(int64(places)))
+	return true
 }
 
 // maxWanted bounds the steps that one look considers for questions.
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -230,6 +230,34 @@
 	}
 }
 
+// The load: a pool that is full of large tasks with time to spare, and a burst of
+// urgent small ones. The urgent ones meet their objective, and the large ones still
+// meet theirs.
+func TestUrgentBurstPreempts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(6)
+	w.hold()
+	w.run(time.Second)
+	patient := endive.Queue{Name: "patient", Pool: testPool, Rank: 2, MaxAttempts: 3, SlackFactor: 4}
+	large := stepOfTasks(12, 4*time.Second)
+	large.Need.Processors = 8000
+	large.Checkpoints = true
+	id := w.submit("large", patient, large)
+	w.run(2 * time.Second)
+	var urgent []endive.JobID
+	for i := range 4 {
+		urgent = append(urgent, w.submit(fmt.Sprintf("urgent%d", i), quick, stepOfTasks(5, 800*time.Millisecond)))
+	}
+	w.run(2*time.Second + 1800*time.Millisecond)
+	for _, one := range urgent {
+		is.Equal(w.state(one), endive.WorkflowSucceeded)
+	}
+	w.run(time.Second + 16*time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
 func TestLongRunningTasksAreRestarted(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, faults{})
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -46,6 +46,8 @@
 	// passAgainAt is when something that a look passed over is due; zero for never.
 	passAgainAt time.Time
 	wakeAt      time.Time
+	// starved are the steps of urgent work for which the current look found no room.
+	starved []starving
 	// gangsKept counts the late gangs for which the current look keeps room.
 	gangsKept int
 	// startsMade makes the run numbers of this epoch rise.
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -22,6 +22,7 @@
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
 	m.gangsKept = 0
+	m.starved = m.starved[:0]
 	for _, w := range m.ordered {
 		if w.usable() {
 			w.soon = m.endsSoon(w)
@@ -33,6 +34,7 @@
 			m.placeOccurrence(occ)
 		}
 	}
+	m.preempt()
 	m.status.crowd(m.advice.short, m.now)
 	// What was set aside holds within one look only; it must not keep a gang from
 	// asking about the workers that it waits for.
@@ -97,7 +99,9 @@
 		m.advice.room = m.advice.room.Sub(s.spec.Reserved())
 	}
 	if waits > 0 {
-		m.want(s, waits)
+		if !m.want(s, waits) {
+			m.starve(s, waits)
+		}
 	}
 }
 
