A holder whose process has ended is replaced at once; holders renew first after an outage

Change: a session that breaks and is refused when it is opened again tells that the process has ended; new work counts as inherited until the old lease has run out.

--- a/elect/events.go
+++ b/elect/events.go
@@ -16,6 +16,15 @@
 // entry.
 type Fenced struct{ Epoch endive.Epoch }
 
+// Suspected says that the process of an entry seems to have ended.
+type Suspected struct {
+	Holder      endive.EntryID
+	Incarnation endive.Incarnation
+}
+
+// IsEvent marks Suspected as an event.
+func (Suspected) IsEvent() {}
+
 // GiveUp asks to hand the pool over; nothing is taken any more.
 type GiveUp struct{}
 
@@ -25,6 +34,9 @@
 	Epoch        endive.Epoch
 	FenceVersion endive.Version
 	Until        time.Time
+	// LastUntil is when the lease of the last holder has surely run out; zero where
+	// it had before.
+	LastUntil time.Time
 }
 
 // Renewed is the action of telling until when the pool is held.
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -39,6 +39,8 @@
 	version endive.Version
 	lease   Lease
 	seen    bool
+	// suspected is the incarnation of a holder whose process seems to have ended.
+	suspected endive.Incarnation
 	// freeSince is when the lease was first found to have run out.
 	freeSince time.Time
 	// due tells until when this entry leaves a pool that is free since a time to
@@ -50,8 +52,10 @@
 	giveUp  bool
 	// inFlight is the write on its way.
 	inFlight endive.WriteID
-	written  Lease
-	nextAt   time.Time
+	// lastUntil is when the lease of the last holder has surely run out.
+	lastUntil time.Time
+	written   Lease
+	nextAt    time.Time
 }
 
 // New returns the machine of an entry for a pool. fence returns the write that
@@ -79,6 +83,10 @@
 		m.saw(e)
 	case Fenced:
 		m.fenced(e)
+	case Suspected:
+		if !m.holding && e.Holder == m.lease.Holder && e.Incarnation == m.lease.Incarnation {
+			m.suspected = e.Incarnation
+		}
 	case GiveUp:
 		m.giveUp = true
 		m.nextAt = now
@@ -99,6 +107,10 @@
 		return
 	}
 	m.seen = true
+	if e.Version > m.version {
+		// Whoever writes the lease is alive.
+		m.suspected = ""
+	}
 	m.version = e.Version
 	m.lease = Lease{}
 	if e.Version > 0 {
@@ -161,7 +173,9 @@
 	// A lease of this very process that isn't held any more was lost to a fence,
 	// or taken by a write whose answer was lost; nobody else may take it.
 	ours := m.lease.Incarnation == m.incarnation
-	if m.version > 0 && !m.lease.Vacant && !ours {
+	// The epoch keeps a holder out that is suspected wrongly.
+	suspected := m.suspected != "" && m.suspected == m.lease.Incarnation
+	if m.version > 0 && !m.lease.Vacant && !ours && !suspected {
 		over := m.clock.AtLeast(m.now) >= m.lease.Until
 		if !over {
 			m.freeSince = time.Time{}
@@ -181,6 +195,10 @@
 		m.wake(m.nextAt)
 		return
 	}
+	m.lastUntil = time.Time{}
+	if left := m.lease.Until - m.clock.AtLeast(m.now); left > 0 && !m.lease.Vacant && !ours {
+		m.lastUntil = m.now.Add(time.Duration(left) * time.Millisecond)
+	}
 	m.write(Lease{
 		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch + 1,
 		Until: m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds()),
@@ -228,7 +246,7 @@
 		return
 	}
 	m.holding = true
-	m.emit(Began{Epoch: m.written.Epoch, FenceVersion: e.Result.Versions[1], Until: m.until})
+	m.emit(Began{Epoch: m.written.Epoch, FenceVersion: e.Result.Versions[1], Until: m.until, LastUntil: m.lastUntil})
 }
 
 func (m *Machine) wake(at time.Time) { m.emit(endive.SetWake{At: at}) }
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -217,6 +217,31 @@
 	r.is.Equal(b.Epoch, endive.Epoch(8))
 }
 
+// A holder whose process has ended is replaced before its lease runs out, and one
+// that renews it isn't.
+func TestReplacesAHolderThatHasEnded(t *testing.T) {
+	r := newRig(t)
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 1500})
+	_, writes := recordIn(r.see())
+	r.is.True(!writes)
+	_, writes = recordIn(r.step(Suspected{Holder: "entry-2", Incarnation: "run-1"}))
+	r.is.True(!writes) // that was an earlier run of it
+	b, ok := began(r.commit(r.step(Suspected{Holder: "entry-2", Incarnation: "run-2"})))
+	r.is.True(ok)
+	r.is.Equal(b.LastUntil, r.now.Add(1500*time.Millisecond))
+
+	r = newRig(t)
+	r.wait = endive.Interval(50 * time.Millisecond)
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 1500})
+	r.see()
+	r.step(Suspected{Holder: "entry-2", Incarnation: "run-2"})
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 2500})
+	r.see()
+	r.now = r.now.Add(time.Second)
+	_, writes = recordIn(r.step(endive.Wake{}))
+	r.is.True(!writes)
+}
+
 // A row that can't be read belongs to nobody, but its epoch may have been anything
 // up to its version.
 func TestRowThatCannotBeRead(t *testing.T) {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/elect"
 	"endiveroute.example/endive/peer"
 	"endiveroute.example/endive/wire"
 )
@@ -82,6 +83,7 @@
 		Region: c.Settings.Region, Zone: c.Settings.Zone,
 	}
 	p.mesh = peer.New(self, p, c.Counters, c.Log)
+	p.mesh.Watch(p)
 	return p
 }
 
@@ -262,6 +264,14 @@
 	}
 }
 
+// Refused implements peer.Watcher: the process of an entry has ended, so the pools
+// that it held are free.
+func (p *peers) Refused(one endive.Peer) {
+	for _, pool := range p.cell.allPools() {
+		pool.send(toElect, elect.Suspected{Holder: one.ID, Incarnation: one.Incarnation})
+	}
+}
+
 // Deliver implements peer.Inbox.
 func (p *peers) Deliver(from endive.EntryID, _ endive.Incarnation, message proto.Message) {
 	switch m := message.(type) {
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -137,6 +137,9 @@
 }
 
 const (
+	// returnWait is how long after an outage of the store holders whose leases ran
+	// out meanwhile may take to renew them.
+	returnWait = 400 * time.Millisecond
 	// heldWait is how much longer an entry waits for each pool that it holds, so
 	// that pools spread over the entries.
 	heldWait = 300 * time.Millisecond
@@ -153,7 +156,7 @@
 // itself a moment ago counts like one that became free then, so that pools spread
 // over the entries.
 func (p *pool) due(freeSince time.Time) time.Time {
-	since := freeSince
+	since := latest(freeSince, p.cell.Rows.returned().Add(returnWait))
 	if count, newest := p.cell.taken(p); count > 0 {
 		since = latest(since, newest).Add(time.Duration(count) * heldWait)
 	}
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -45,10 +45,22 @@
 			l.take(news, after == 0)
 			after = news.Revision
 		}
-		l.cell.pause(time.Duration(l.cell.Settings.Timings.Poll))
+		l.cell.pause(l.period())
 	}
 }
 
+// idlePolls is how many times rarer an entry that holds no pool looks at the list.
+const idlePolls = 3
+
+// period lies between two looks at the list.
+func (l *workersLoop) period() time.Duration {
+	period := time.Duration(l.cell.Settings.Timings.Poll)
+	if l.cell.HoldsNone() {
+		return idlePolls * period
+	}
+	return period
+}
+
 func (l *workersLoop) next(after endive.Revision) (endive.WorkersNews, error) {
 	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
--- a/flow/events.go
+++ b/flow/events.go
@@ -13,6 +13,9 @@
 	FenceVersion endive.Version
 	// Until is when the lease of the pool ends.
 	Until time.Time
+	// LastUntil is until when the last holder may go on starting work, if it was
+	// replaced before its lease ran out.
+	LastUntil time.Time
 }
 
 // TenureRenewed says until when the pool is held.
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -49,7 +49,7 @@
 	recordRetry = 150 * time.Millisecond
 	// recordPause lies between two writes of ends, which gathers ends of one
 	// moment.
-	recordPause = 15 * time.Millisecond
+	recordPause = 30 * time.Millisecond
 	// lazyRecord is how long news that nobody waits for may stay unwritten.
 	lazyRecord = 700 * time.Millisecond
 	// statusPeriod is how often the other entries are told how the pool fares.
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -14,6 +14,9 @@
 	// until is when the lease of the pool ends. Nothing is started after it; what
 	// runs is kept alive until another holder is heard of.
 	until time.Time
+	// lastUntil is until when the last holder may start work that came after this
+	// tenure began; zero if it can't.
+	lastUntil time.Time
 	// unheardUntil is when everything that an earlier holder started on a worker
 	// that hasn't answered yet has surely ended.
 	unheardUntil time.Time
@@ -23,7 +26,7 @@
 
 func (m *Machine) tenureBegan(e TenureBegan) {
 	m.forget()
-	m.tenure = tenure{active: true, epoch: e.Epoch, until: e.Until}
+	m.tenure = tenure{active: true, epoch: e.Epoch, until: e.Until, lastUntil: e.LastUntil}
 	m.tenure.unheardUntil = m.now.Add(slowest(time.Duration(m.settings.MaxGrant)) + leaseMargin)
 	m.recorder.fence = Fence{Epoch: e.Epoch}
 	m.recorder.fenceVersion = e.FenceVersion
--- a/flow/work.go
+++ b/flow/work.go
@@ -35,7 +35,7 @@
 		kind, name := workRow(m.pool, row.Key)
 		id := endive.JobID(name)
 		if kind == kindJob && !row.Deleted && m.tenure.loaded && m.jobs[id] == nil && !m.hasEnded(id) {
-			m.addJob(id, row.Value, Progress{}, false)
+			m.addJob(id, row.Value, Progress{}, m.now.Before(m.tenure.lastUntil))
 		}
 	}
 	for _, row := range rows {
--- a/peer/link.go
+++ b/peer/link.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +22,7 @@
 	peer    endive.Peer
 	address endive.Address
 	meter   Meter
+	watcher Watcher
 	log     hclog.Logger
 	queue   chan queued
 	done    chan struct{}
@@ -34,12 +37,13 @@
 	until time.Time
 }
 
-func newLink(self, peer endive.Peer, meter Meter, log hclog.Logger) *link {
+func newLink(self, peer endive.Peer, meter Meter, watcher Watcher, log hclog.Logger) *link {
 	return &link{
 		self:    self,
 		peer:    peer,
 		address: peer.Address,
 		meter:   meter,
+		watcher: watcher,
 		log:     log.With("peer", string(peer.ID)),
 		queue:   make(chan queued, queueLength),
 		done:    make(chan struct{}),
@@ -59,26 +63,41 @@
 
 func (l *link) closeDone() { close(l.done) }
 
-// run opens sessions until the link is closed.
+// run opens sessions until the link is closed. After a session that broke, the next
+// is tried at once: if it is refused, the peer's process has ended.
 func (l *link) run() {
 	for {
-		if err := l.serve(); err != nil {
+		open, err := l.serve()
+		if err != nil {
 			l.log.Debug("session ended", "error", err.Error())
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) && l.watcher != nil {
+			l.watcher.Refused(l.peer)
+		}
+		pause := redialPause
+		if open {
+			pause = 0
+		}
 		select {
 		case <-l.done:
 			return
-		case <-time.After(redialPause):
+		case <-time.After(pause):
 		}
 	}
 }
 
-// serve opens one session and sends on it until it breaks.
-func (l *link) serve() error {
+// serve opens one session and sends on it until it breaks. It reports whether the
+// session was open.
+func (l *link) serve() (bool, error) {
 	conn, err := net.DialTimeout("tcp", string(l.address), dialTimeout)
 	if err != nil {
-		return endive.ErrUnavailable.Wrap(err)
+		return false, endive.ErrUnavailable.Wrap(err)
 	}
+	return true, l.converse(conn)
+}
+
+// converse opens a session on a connection and sends on it until it breaks.
+func (l *link) converse(conn net.Conn) error {
 	bound(conn)
 	session, err := yamux.Client(conn, muxConfig())
 	if err != nil {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -20,6 +20,8 @@
 	meter  Meter
 	log    hclog.Logger
 	closed chan struct{}
+	// watcher may be nil.
+	watcher Watcher
 
 	mu       sync.Mutex
 	links    map[endive.EntryID]*link
@@ -40,6 +42,10 @@
 	}
 }
 
+// Watch has a watcher told of peers whose processes have ended. It is called before
+// the first SetPeers.
+func (m *Mesh) Watch(watcher Watcher) { m.watcher = watcher }
+
 // SetPeers opens sessions to new peers, and ends those to peers that are gone or
 // have another address. This entry itself is passed over.
 func (m *Mesh) SetPeers(peers endive.Peers) {
@@ -72,7 +78,7 @@
 	if ok {
 		old.close()
 	}
-	l := newLink(m.self, p, m.meter, m.log)
+	l := newLink(m.self, p, m.meter, m.watcher, m.log)
 	m.links[p.ID] = l
 	go l.run()
 }
--- /dev/null
+++ b/peer/watcher.go
@@ -0,0 +1,10 @@
+package peer
+
+import "endiveroute.example/endive"
+
+// Watcher is told of signs that a peer's process has ended. It is called from
+// several goroutines.
+type Watcher interface {
+	// Refused is told that nobody listens any more at a peer's address.
+	Refused(peer endive.Peer)
+}
