--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,19 @@
 # endiveroute: commands for developers. "make demo" and "make test" are all that
 # a newcomer needs.
 
-MODULES := . entry endive stand meter
+MODULES := . entry endive stand meter soak
 GOTOOL  := GOWORK=off go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: all build demo test unit explore format lint vet model bench load generate
+SEED ?= 1
+LAST ?= $(SEED)
+
+.PHONY: all build soak demo test unit explore format lint vet model bench load generate
 
 all: build
 
 build:
 	@mkdir -p bin
-	@go build -o bin/ ./entry ./endive ./stand ./meter
+	@go build -o bin/ ./entry ./endive ./stand ./meter ./soak
 
 demo: build
 	@scripts/demo.sh
@@ -37,6 +40,10 @@
 model:
 	@scripts/model.sh
 
+# soak plays the fault soak for a seed, or for those from SEED to LAST.
+soak:
+	@scripts/soak.sh $(SEED) $(LAST)
+
 load: build
 	@scripts/load.sh
 
--- /dev/null
+++ b/endive/cmds/logs.go
@@ -0,0 +1,127 @@
+package cmds
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+)
+
+const logFollowHelp = `
+Follows one job, or one task of it, through the logs of all entries: each decision
+in the order of time, with the entry that took it, the inputs that decided it and
+the outcome. Lines that can't be read are passed over and counted.
+
+Examples:
+
+  endive log follow 5c0e7a21d94b36f8 entry-*.log
+  endive log follow 5c0e7a21d94b36f8.0.1.17 entry-*.log --json
+`
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// defineLogs defines the commands about collected logs.
+func (p *program) defineLogs() {
+	group := p.app.Command("log", "Collected logs of entries.")
+	follow := &logFollow{}
+	command := p.add(group, "follow", "Follow a job through the logs of all entries.", logFollowHelp, follow)
+	command.Arg("id", "The id of a job or a task.").Required().StringVar(&follow.id)
+	command.Arg("file", "Log files.").Required().StringsVar(&follow.files)
+}
+
+// logFollow follows a job through logs.
+type logFollow struct {
+	id    string
+	files []string
+}
+
+// logLine is a line of an entry's log.
+type logLine struct {
+	Time    time.Time `json:"@timestamp"`
+	Entry   string    `json:"@module"`
+	Message string    `json:"@message"`
+	Kind    string    `json:"kind"`
+	Pool    string    `json:"pool,omitempty"`
+	Queue   string    `json:"queue,omitempty"`
+	Job     string    `json:"job,omitempty"`
+	Task    string    `json:"task,omitempty"`
+	Run     int64     `json:"run,omitempty"`
+	Worker  string    `json:"worker,omitempty"`
+	Outcome string    `json:"outcome"`
+	Reason  string    `json:"reason,omitempty"`
+}
+
+// about reports whether the line is about a job or a task.
+func (l logLine) about(id string) bool {
+	return l.Job == id || l.Task == id || strings.HasPrefix(l.Task, id+".") || strings.Contains(l.Reason, id)
+}
+
+// row formats the line, with its time since the first.
+func (l logLine) row(first time.Time) string {
+	subject := l.Task
+	if subject == "" {
+		subject = l.Job
+	}
+	run := ""
+	if l.Run != 0 {
+		run = fmt.Sprint(l.Run)
+	}
+	return fmt.Sprintf("%s\t+%.3f s\t%s\t%s\t%s\t%s\t%s\t%s\t%s", l.Time.Format("15:04:05.000"), l.Time.Sub(first).Seconds(),
+		l.Entry, l.Kind, subject, run, l.Worker, l.Outcome, l.Reason)
+}
+
+// run implements command.
+func (c *logFollow) run(_ context.Context, s *session) error {
+	found := []logLine{}
+	unread := 0
+	for _, name := range c.files {
+		lines, bad, err := readLog(name, c.id)
+		if err != nil {
+			return err
+		}
+		found = append(found, lines...)
+		unread += bad
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].Time.Before(found[j].Time) })
+	rows := make([]string, 0, len(found))
+	for _, line := range found {
+		rows = append(rows, line.row(found[0].Time))
+	}
+	if unread > 0 {
+		fmt.Fprintf(s.Stderr, "endive: %s could not be read\n", plural(unread, "line"))
+	}
+	return s.show(found, "TIME\tSINCE\tENTRY\tKIND\tSUBJECT\tRUN\tWORKER\tOUTCOME\tREASON", rows)
+}
+
+// readLog returns the lines of a file about an id, and how many lines can't be
+// read.
+func readLog(name, id string) ([]logLine, int, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer file.Close()
+	var found []logLine
+	unread := 0
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), id) {
+			continue
+		}
+		var line logLine
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			unread++
+			continue
+		}
+		if line.about(id) {
+			found = append(found, line)
+		}
+	}
+	return found, unread, scanner.Err()
+}
--- a/endive/cmds/run.go
+++ b/endive/cmds/run.go
@@ -90,6 +90,7 @@
 	p.defineRequests()
 	p.defineShow()
 	p.defineSettings()
+	p.defineLogs()
 	return p
 }
 
--- a/endive/cmds/settings.go
+++ b/endive/cmds/settings.go
@@ -11,26 +11,36 @@
 together, each with the key and the reason; unknown keys come with the nearest
 known one. setup/sample.toml shows every key.
 
-Example:
+Examples:
 
   endive settings check entry-1.toml
+  endive settings check --cell cell.toml    an entry on the users' platform
 `
 
 // defineSettings defines the commands about settings files.
 func (p *program) defineSettings() {
 	group := p.app.Command("settings", "Settings files of entries.")
 	check := &settingsCheck{}
-	p.add(group, "check", "Check a settings file.", settingsCheckHelp, check).
-		Arg("file", "TOML file.").Required().StringVar(&check.file)
+	command := p.add(group, "check", "Check a settings file.", settingsCheckHelp, check)
+	command.Flag("cell", "The file is of an entry on the users' platform.").BoolVar(&check.cell)
+	command.Arg("file", "TOML file.").Required().StringVar(&check.file)
 }
 
 // settingsCheck checks a settings file.
 type settingsCheck struct {
 	file string
+	cell bool
 }
 
 // run implements command.
 func (c *settingsCheck) run(_ context.Context, s *session) error {
+	if c.cell {
+		cell, err := setup.LoadCell(c.file)
+		if err != nil {
+			return err
+		}
+		return s.say(cell, "The settings are good: %s.", cell)
+	}
 	settings, err := setup.Load(c.file)
 	if err != nil {
 		return err
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -8,7 +8,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 seed=${1:-1}
-modules="./... ./entry/... ./endive/... ./stand/... ./meter/..."
+modules="./... ./entry/... ./endive/... ./stand/... ./meter/... ./soak/..."
 
 property=() plain=()
 while read -r package imports; do
--- /dev/null
+++ b/soak/clients.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// callTimeout bounds one call of a client.
+	callTimeout = 3 * time.Second
+	// submitPause lies between two submissions.
+	submitPause = 120 * time.Millisecond
+)
+
+// clients submit, ask and cancel. They keep their connections open.
+type clients struct {
+	soak *soak
+	http *http.Client
+	rand *rand.Rand
+
+	mu        sync.Mutex
+	submitted int
+	accepted  int
+	refused   int
+	unknown   int
+	// open are accepted jobs that nobody cancelled; onlyRefused those of which every
+	// submission was refused.
+	open        map[string]bool
+	onlyRefused map[string]bool
+}
+
+func newClients(s *soak, seed int64) *clients {
+	return &clients{
+		soak: s, http: &http.Client{Timeout: callTimeout}, rand: rand.New(rand.NewSource(seed)),
+		open: make(map[string]bool), onlyRefused: make(map[string]bool),
+	}
+}
+
+// run submits until the context ends.
+func (c *clients) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.submit(fmt.Sprintf("%016x", c.rand.Uint64()))
+		time.Sleep(submitPause)
+	}
+}
+
+// submit hands one job in, with a few tries at any entry.
+func (c *clients) submit(id string) {
+	body := fmt.Sprintf(`{"task_spec":"s","steps":[{"count":%d,"cpu":1000,"estimate_ms":300},{"count":2,"cpu":500,"estimate_ms":300,"after":[0]}]}`, 1+c.rand.Intn(5))
+	path := []string{"/quick/", "/slow/"}[c.rand.Intn(2)] + id
+	refused := true
+	c.mu.Lock()
+	c.submitted++
+	c.mu.Unlock()
+	for try := 0; try < 4; try++ {
+		switch status := c.call(http.MethodPost, path, body, nil); status {
+		case http.StatusOK:
+			c.note(id, &c.accepted, true, false)
+			if c.rand.Intn(10) == 0 {
+				c.cancel(path, id)
+			}
+			return
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		default:
+			refused = false
+		}
+		time.Sleep(submitPause)
+	}
+	if refused {
+		c.note(id, &c.refused, false, true)
+		return
+	}
+	c.note(id, &c.unknown, false, false)
+}
+
+func (c *clients) note(id string, counter *int, open, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*counter++
+	if open {
+		c.open[id] = true
+	}
+	if refused {
+		c.onlyRefused[id] = true
+	}
+}
+
+// cancel asks for a job's cancelling. It isn't owed any more, whatever the answer.
+func (c *clients) cancel(path, id string) {
+	c.mu.Lock()
+	delete(c.open, id)
+	c.mu.Unlock()
+	c.call(http.MethodDelete, path, "", nil)
+}
+
+// call makes one request at any entry and returns the status, 0 without an answer.
+func (c *clients) call(method, path, body string, into any) int {
+	address := c.soak.entries[c.rand.Intn(len(c.soak.entries))].callers
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Host = "a.example"
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0
+	}
+	if into != nil && json.Unmarshal(data, into) != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// unfinished returns the accepted jobs that don't show as completed yet.
+func (c *clients) unfinished() []string {
+	c.mu.Lock()
+	ids := make([]string, 0, len(c.open))
+	for id := range c.open {
+		ids = append(ids, id)
+	}
+	c.mu.Unlock()
+	var left []string
+	for _, id := range ids {
+		var answer struct {
+			State string `json:"state"`
+		}
+		// The queue's prefix doesn't matter for finding a job within its pool.
+		if c.call(http.MethodGet, "/quick/"+id, "", &answer) == http.StatusOK && answer.State == "completed" {
+			c.mu.Lock()
+			delete(c.open, id)
+			c.mu.Unlock()
+			continue
+		}
+		left = append(left, id+" is "+answer.State)
+	}
+	return left
+}
