--- a/flow/health.go
+++ b/flow/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"endiveroute.example/endive"
@@ -120,6 +121,13 @@
 // number formats a number for a note.
 func number(n int64) string { return strconv.FormatInt(n, 10) }
 
-func (m *Machine) note(n Note) { m.emit(n) }
+// note emits a decision for the log. What is about a task is also about its job.
+func (m *Machine) note(n Note) {
+	if n.Job == "" && n.Task != "" {
+		job, _, _ := strings.Cut(string(n.Task), ".")
+		n.Job = endive.JobID(job)
+	}
+	m.emit(n)
+}
 
 var _ endive.Machine = (*Machine)(nil)
