--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -19,6 +19,9 @@
 	life     int
 	dark     bool
 	unlisted bool
+	// hangs has all tasks stand still, slow has them take so many times as long.
+	hangs bool
+	slow  int
 
 	epoch    endive.Epoch
 	leaseEnd endive.WorkerTime
@@ -35,8 +38,11 @@
 type fakeRun struct {
 	task   endive.TaskID
 	number endive.RunNumber
-	need   endive.Resources
-	gang   bool
+	// began and takes tell how far the run has come.
+	began time.Time
+	takes time.Duration
+	need  endive.Resources
+	gang  bool
 	// over counts changes, so that an old appointment to end it is passed over.
 	over bool
 }
@@ -155,6 +161,12 @@
 	if w.chance(w.faults.failedTask) {
 		kind, took = endive.EndFailed, took/2
 	}
+	took *= time.Duration(max(1, f.slow))
+	run.began, run.takes = w.now, took
+	if f.hangs {
+		run.takes = 0
+		return
+	}
 	w.after(took, func() {
 		if !run.over {
 			f.end(run, kind)
@@ -306,7 +318,7 @@
 func (f *fakeWorker) report() endive.HoldReport {
 	report := endive.HoldReport{Clock: f.clock(), Born: f.born, Ended: append([]endive.EndReport(nil), f.ends...)}
 	for _, r := range f.sorted() {
-		report.Running = append(report.Running, endive.RunReport{Task: r.task, Run: r.number, Percent: 1})
+		report.Running = append(report.Running, endive.RunReport{Task: r.task, Run: r.number, Percent: r.percent(f.world.now)})
 	}
 	return report
 }
@@ -319,3 +331,11 @@
 	sort.Slice(runs, func(i, j int) bool { return runs[i].task < runs[j].task })
 	return runs
 }
+
+// percent returns how far a run has come.
+func (r *fakeRun) percent(now time.Time) int {
+	if r.takes == 0 {
+		return 0
+	}
+	return int(now.Sub(r.began) * 100 / r.takes)
+}
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -258,6 +258,50 @@
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 }
 
+// The load: workers on which tasks stand still or take six times as long, while they
+// answer as ever. The work moves on.
+func TestSlowAndHangingWorkers(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(one *fakeWorker)
+		within time.Duration
+	}{
+		{"tasks stand still", func(one *fakeWorker) { one.hangs = true }, 6 * time.Second},
+		{"tasks are slow", func(one *fakeWorker) { one.slow = 8 }, 6 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, faults{})
+			w.addWorkers(6)
+			tt.change(w.workers["w0"])
+			w.hold()
+			w.run(time.Second)
+			id := w.submit("job1", quick, stepOfTasks(20, time.Second))
+			w.run(time.Second + tt.within)
+			w.holds()
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		})
+	}
+}
+
+// Estimates that are all too low are no reason to stop anything.
+func TestLowEstimates(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(6)
+	for _, one := range w.workers {
+		one.slow = 5
+	}
+	w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(20, time.Second))
+	w.run(14 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.True(w.starts <= 20+20)
+}
+
 func TestLongRunningTasksAreRestarted(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, faults{})
--- a/flow/health.go
+++ b/flow/health.go
@@ -15,6 +15,8 @@
 	// failedInRow counts runs that failed since one succeeded.
 	failedInRow int
 	failedAt    time.Time
+	// slowUntil is until when the worker is used last, since a run was too slow there.
+	slowUntil time.Time
 }
 
 const (
@@ -32,6 +34,9 @@
 
 // doubt returns how doubtful a worker is, from 0 to 1.
 func (h *health) doubt(now time.Time) float64 {
+	if now.Before(h.slowUntil) {
+		return 1
+	}
 	if h.failedInRow == 0 || now.Sub(h.failedAt) > doubtTime {
 		return 0
 	}
--- a/flow/held.go
+++ b/flow/held.go
@@ -49,6 +49,7 @@
 		w.hold.again = m.now.Add(idleLook)
 	}
 	m.watchHealth(w)
+	m.watchProgress(w)
 }
 
 // lookFailed decides when to look again.
@@ -244,7 +245,7 @@
 	}
 	r := m.addRun(w, t, t.id, report.Run, runRunning)
 	r.settled = m.steps
-	r.percent = report.Percent
+	r.percent, r.firstPercent = report.Percent, report.Percent
 	t.checkpoint = report.Checkpoint
 	j := t.step.occ.job
 	if !j.begun || j.state == endive.WorkflowQueued {
--- a/flow/job.go
+++ b/flow/job.go
@@ -83,6 +83,8 @@
 	// failed are the runs that failed.
 	failed     []endive.RunNumber
 	checkpoint endive.Checkpoint
+	// savedPercent is how far the last run had come.
+	savedPercent int
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	// avoid is where the task ended badly last.
--- a/flow/run.go
+++ b/flow/run.go
@@ -30,8 +30,11 @@
 
 	percent   int
 	percentAt time.Time
-	tail      endive.Interval
-	pace      int
+	// firstPercent is where the run began: what it resumes from isn't its own
+	// progress.
+	firstPercent int
+	tail         endive.Interval
+	pace         int
 }
 
 // runState says how far a run is.
@@ -70,6 +73,9 @@
 			t.step.waiting--
 		}
 		t.run = r
+		if t.checkpoint != "" {
+			r.percent, r.firstPercent = t.savedPercent, t.savedPercent
+		}
 		t.lastRun = max(t.lastRun, n)
 		t.step.perWorker[w.id]++
 		if t.step.began.IsZero() {
@@ -112,6 +118,7 @@
 		return
 	}
 	t.run = nil
+	t.savedPercent = r.percent
 	if t.state == taskPlaced {
 		t.state = taskWaiting
 		t.step.waiting++
