--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -175,6 +175,21 @@
 	r.holds()
 }
 
+// A holder that the store turns away has another entry take its pool.
+func TestHolderThatCannotReachTheStoreOffersItsPool(t *testing.T) {
+	r := newRig(t, 2, 3)
+	r.ready()
+	first := r.holder()
+	r.until("the entries are linked", func() bool { return len(first.peers.ids()) == 2 })
+	p := first.poolNamed("svc")
+	r.until("another holds the pool", func() bool {
+		first.leases.offer()
+		return !p.holds.Load()
+	})
+	r.until("another holds the pool", func() bool { other := r.holder(); return other != nil && other != first })
+	r.holds()
+}
+
 // encodeSubmission returns the row of a workflow with one task.
 func encodeSubmission(c *Cell, id endive.JobID) []byte {
 	match := c.Match("a.example", "/quick/")
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -7,6 +7,7 @@
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/elect"
 	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
 )
 
 // leaseLoop follows the leases of all pools.
@@ -26,6 +27,7 @@
 			continue
 		}
 		if err != nil {
+			l.offer()
 			continue
 		}
 		after = changes.Revision
@@ -55,6 +57,28 @@
 	return l.cell.Rows.Follow(ctx, elect.Table+"/", after, 0)
 }
 
+// offer asks an entry that reaches the store to take the pools that this one holds,
+// since it can start nothing once their leases have run out.
+func (l *leaseLoop) offer() {
+	if l.cell.HoldsNone() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(l.cell.ctx, relayTimeout)
+	defer cancel()
+	to, ok := l.cell.relays.findAble(ctx)
+	if !ok {
+		return
+	}
+	for _, p := range l.cell.allPools() {
+		if !p.holds.Load() {
+			continue
+		}
+		ask := &wire.RelayAsk{Kind: wire.RelayKind_RELAY_TAKE, Pool: string(p.name)}
+		sent := l.cell.peers.mesh.Send(to, ask)
+		l.cell.Log.Info("pool is offered", "pool", string(p.name), "entry", string(to), "sent", sent)
+	}
+}
+
 func (l *leaseLoop) saw(row endive.Row) {
 	for _, p := range l.cell.allPools() {
 		switch row.Key {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -273,7 +273,7 @@
 }
 
 // Deliver implements peer.Inbox.
-func (p *peers) Deliver(from endive.EntryID, _ endive.Incarnation, message proto.Message) {
+func (p *peers) Deliver(from endive.EntryID, incarnation endive.Incarnation, message proto.Message) {
 	switch m := message.(type) {
 	case *wire.AdviceAsk:
 		p.asked(from)
@@ -281,6 +281,10 @@
 	case *wire.AdviceAnswer:
 		p.cell.helpers.answered(from, m)
 	case *wire.RelayAsk:
+		if m.GetKind() == wire.RelayKind_RELAY_TAKE {
+			p.offered(from, incarnation, endive.PoolName(m.GetPool()))
+			return
+		}
 		p.asked(from)
 		go (&relayed{cell: p.cell, from: from, ask: m}).run()
 	case *wire.RelayAnswer:
@@ -288,6 +292,13 @@
 	}
 }
 
+// offered lets this entry take a pool whose holder can't go on.
+func (p *peers) offered(from endive.EntryID, incarnation endive.Incarnation, name endive.PoolName) {
+	if pool := p.cell.poolNamed(name); pool != nil {
+		pool.send(toElect, elect.Suspected{Holder: from, Incarnation: incarnation})
+	}
+}
+
 // ids returns the entries that there are sessions with, those of this region first.
 func (p *peers) ids() []endive.EntryID {
 	p.mu.Lock()
