--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -10,7 +10,7 @@
 
 const (
 	// configWait is how long a question for a new configuration may wait.
-	configWait = endive.Interval(800 * time.Millisecond)
+	configWait = endive.Interval(1500 * time.Millisecond)
 	// followRetry is the pause after a question that failed.
 	followRetry = 150 * time.Millisecond
 )
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -16,7 +16,7 @@
 func (l *leaseLoop) run() {
 	var after endive.Revision
 	for l.cell.ctx.Err() == nil {
-		l.cell.pause(time.Duration(l.cell.Settings.Timings.Poll))
+		l.cell.pause(l.period())
 		if after == 0 {
 			after = l.readAll()
 			continue
@@ -57,6 +57,22 @@
 	return l.cell.Rows.Follow(ctx, elect.Table+"/", after, 0)
 }
 
+// firstPlaces are the entries that would take a pool first, and look at its lease
+// most often.
+const firstPlaces = 4
+
+// period lies between two looks at the leases. An entry that many others suit better
+// than looks more rarely.
+func (l *leaseLoop) period() time.Duration {
+	period := time.Duration(l.cell.Settings.Timings.Poll)
+	for _, p := range l.cell.allPools() {
+		if p.holds.Load() || l.cell.peers.place(p.name) < firstPlaces {
+			return period
+		}
+	}
+	return period * time.Duration(l.cell.peers.rarity())
+}
+
 // offer asks an entry that reaches the store to take the pools that this one holds,
 // since it can start nothing once their leases have run out.
 func (l *leaseLoop) offer() {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -112,7 +112,7 @@
 		}
 		after = p.follow(after)
 		p.link()
-		p.cell.pause(entriesPoll)
+		p.cell.pause(entriesPoll * time.Duration(p.rarity()))
 	}
 }
 
@@ -249,6 +249,20 @@
 	return better
 }
 
+// rarity is how many times rarer an entry polls than one of a few, so that many
+// entries don't cost the store many times as much.
+func (p *peers) rarity() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.rows) > fullMesh {
+		return manyRarity
+	}
+	return 1
+}
+
+// manyRarity is the rarity where there are many entries.
+const manyRarity = 3
+
 // unknownPlace is the place of an entry that doesn't know the others yet, which
 // gives them the time to register when all start at once.
 const unknownPlace = 24
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -56,7 +56,7 @@
 func (l *workersLoop) period() time.Duration {
 	period := time.Duration(l.cell.Settings.Timings.Poll)
 	if l.cell.HoldsNone() {
-		return idlePolls * period
+		return idlePolls * period * time.Duration((l.cell.peers.rarity()+1)/2)
 	}
 	return period
 }
