--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -43,20 +43,6 @@
 	c.pool.tell(flow.Stopped{Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Result: resultOf(err), Answer: answer})
 }
 
-// paceCall sends an order to slow down.
-type paceCall struct {
-	pool  *pool
-	order endive.PaceOrder
-}
-
-func (c *paceCall) run() {
-	answer, err := c.pool.cell.Fleet.Pace(c.pool.cell.ctx, c.order)
-	c.pool.tell(flow.Paced{
-		Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Percent: c.order.Percent,
-		Result: resultOf(err), Answer: answer,
-	})
-}
-
 // holdCall looks at a worker.
 type holdCall struct {
 	pool  *pool
--- a/entry/cell/perform.go
+++ b/entry/cell/perform.go
@@ -40,8 +40,6 @@
 		go (&startCall{pool: p, order: a.Order}).run()
 	case flow.Stop:
 		go (&stopCall{pool: p, order: a.Order}).run()
-	case flow.Pace:
-		go (&paceCall{pool: p, order: a.Order}).run()
 	case flow.Ask:
 		p.cell.helpers.ask(question{step: a.Step, workers: a.Workers, pool: p, own: true, cost: a.Cost})
 	case flow.Note:
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -56,9 +56,8 @@
 		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
 	p.flow = flow.New(name, flow.Settings{
-		Grant: c.Settings.Bounds.MaxGrant / 4 * 3, MaxGrant: c.Settings.Bounds.MaxGrant,
-		GangWait: c.Settings.Bounds.GangWait, StopTime: c.Settings.Bounds.StopTime,
-		RemoteFactor: c.Settings.Bounds.RemoteFactor, Retention: c.Settings.Bounds.Retention, Harm: c.Settings.Bounds.Harm,
+		Grant:     min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
+		Retention: c.Settings.Bounds.Retention,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)))
 	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: c.Log}))
 	p.pid = c.system.Root.Spawn(props)
@@ -66,6 +65,9 @@
 }
 
 const (
+	// taskLease is how long tasks run on without their holder. It outlasts a
+	// takeover, and a worker that is lost holds its tasks up for as long.
+	taskLease = endive.Interval(4500 * time.Millisecond)
 	// renewalsPerLease is how often a lease is renewed before it would end.
 	renewalsPerLease = 3
 	// electRetry is the pause after a write of the lease that failed.
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -15,9 +15,6 @@
 // Stop sends an order to stop a run. It is answered by Stopped.
 type Stop struct{ Order endive.StopOrder }
 
-// Pace sends an order to slow a run down. It is answered by Paced.
-type Pace struct{ Order endive.PaceOrder }
-
 // Ask asks the advice service. It is answered by Advised.
 type Ask struct {
 	Step    endive.StepID
@@ -72,9 +69,6 @@
 // IsAction marks Stop as an action.
 func (Stop) IsAction() {}
 
-// IsAction marks Pace as an action.
-func (Pace) IsAction() {}
-
 // IsAction marks Ask as an action.
 func (Ask) IsAction() {}
 
--- a/flow/events.go
+++ b/flow/events.go
@@ -77,16 +77,6 @@
 	Answer endive.OrderAnswer
 }
 
-// Paced is the answer to a Pace.
-type Paced struct {
-	Worker  endive.WorkerID
-	Task    endive.TaskID
-	Run     endive.RunNumber
-	Percent int
-	Result  OrderResult
-	Answer  endive.OrderAnswer
-}
-
 // Advised is the answer to an Ask.
 type Advised struct {
 	Step  endive.StepID
@@ -131,8 +121,5 @@
 // IsEvent marks Stopped as an event.
 func (Stopped) IsEvent() {}
 
-// IsEvent marks Paced as an event.
-func (Paced) IsEvent() {}
-
 // IsEvent marks Advised as an event.
 func (Advised) IsEvent() {}
--- a/flow/health.go
+++ b/flow/health.go
@@ -118,7 +118,7 @@
 func (r *run) left(now time.Time) time.Duration {
 	estimate := time.Duration(r.task.step.spec.Estimate)
 	if r.percent > 0 {
-		return estimate * time.Duration(fullPace-r.percent) / fullPace
+		return estimate * time.Duration(fullPercent-r.percent) / fullPercent
 	}
 	return max(estimate-now.Sub(r.began), estimate/10)
 }
--- a/flow/held.go
+++ b/flow/held.go
@@ -260,7 +260,7 @@
 
 // addOrphan takes room for a run that is to be stopped. It isn't the task's run.
 func (m *Machine) addOrphan(w *worker, t *task, report endive.RunReport) *run {
-	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, began: m.now, percentAt: m.now, pace: fullPace}
+	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, began: m.now, percentAt: m.now}
 	r.need = w.self.Capacity
 	if t != nil {
 		r.need = t.step.spec.Reserved()
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -126,8 +126,6 @@
 		m.started(e)
 	case Stopped:
 		m.stopped(e)
-	case Paced:
-		m.paced(e)
 	case Advised:
 		m.advised(e)
 	case endive.Committed:
--- a/flow/run.go
+++ b/flow/run.go
@@ -34,7 +34,6 @@
 	// progress.
 	firstPercent int
 	tail         endive.Interval
-	pace         int
 }
 
 // runState says how far a run is.
@@ -62,7 +61,7 @@
 
 // addRun takes a worker's room for a run.
 func (m *Machine) addRun(w *worker, t *task, id endive.TaskID, n endive.RunNumber, state runState) *run {
-	r := &run{task: t, id: id, number: n, worker: w, state: state, began: m.now, percentAt: m.now, pace: fullPace}
+	r := &run{task: t, id: id, number: n, worker: w, state: state, began: m.now, percentAt: m.now}
 	if t == nil {
 		// What it takes isn't known, so nothing is started beside it.
 		r.need = w.self.Capacity
@@ -320,16 +319,8 @@
 	}
 }
 
-// paced takes in the answer to an order to slow down.
-func (m *Machine) paced(e Paced) {
-	r := m.runOf(e.Worker, e.Task, e.Run)
-	if r != nil && e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
-		r.pace = e.Percent
-	}
-}
-
-// fullPace is the pace of a run that works undisturbed, in percent.
-const fullPace = 100
+// fullPercent is the progress of a run whose work is done.
+const fullPercent = 100
 
 // runOf returns the run that an answer is about, if it is still of interest.
 func (m *Machine) runOf(id endive.WorkerID, task endive.TaskID, n endive.RunNumber) *run {
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -9,20 +9,11 @@
 // Settings are the bounds and intervals of a Machine.
 type Settings struct {
 	// Grant is how long a lease of a worker's tasks lasts from the order that
-	// renews it. It has to outlast a takeover of the pool.
+	// renews it. It has to outlast a takeover of the pool, and to be the same for all
+	// holders: a new one waits so long for what it can't see.
 	Grant endive.Interval
-	// MaxGrant is the longest lease that a worker accepts from anybody.
-	MaxGrant endive.Interval
-	// GangWait is how long a member of a gang waits on its worker for the others.
-	GangWait endive.Interval
-	// StopTime is how long a worker takes at most to end a run.
-	StopTime endive.Interval
-	// RemoteFactor is how much slower a task is on another rack than its data's.
-	RemoteFactor float64
 	// Retention is how long the rows of an ended workflow are kept.
 	Retention endive.Interval
-	// Harm is how long a task that serves may be over its latency target.
-	Harm endive.Interval
 }
 
 const (
@@ -37,6 +28,9 @@
 	clockRate = 0.98
 	// leaseMargin covers the time between reading the clock and sending an order.
 	leaseMargin = 60 * time.Millisecond
+	// guessMargin is how far a worker's time can be overestimated by a holder whose
+	// last reading is as old as a lease, at the slowest rate.
+	guessMargin = 150 * time.Millisecond
 	// startTries is how often an order to start is sent before the task is given
 	// up there.
 	startTries = 3
--- a/flow/stall.go
+++ b/flow/stall.go
@@ -31,7 +31,7 @@
 // watchProgress stops runs that go on too slowly.
 func (m *Machine) watchProgress(w *worker) {
 	for _, r := range w.sortedRuns() {
-		if r.task == nil || r.state != runRunning || r.task.step.spec.LongRunning || r.pace < fullPace {
+		if r.task == nil || r.state != runRunning || r.task.step.spec.LongRunning {
 			continue
 		}
 		if r.task.step.spec.Gang {
@@ -60,8 +60,8 @@
 	if estimate == 0 || elapsed < slowAge || progress <= 0 {
 		return false
 	}
-	whole := elapsed * fullPace / time.Duration(progress)
-	left := whole * time.Duration(fullPace-r.percent) / fullPace
+	whole := elapsed * fullPercent / time.Duration(progress)
+	left := whole * time.Duration(fullPercent-r.percent) / fullPercent
 	if whole < slowFactor*estimate || left < estimate {
 		return false
 	}
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -119,7 +119,7 @@
 // each run is given up only when the new incarnation doesn't list it.
 func (m *Machine) beginLife(w *worker, born time.Time) {
 	m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "started anew", Reason: number(int64(len(w.runs))) + " runs were there"})
-	w.overBy = latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.MaxGrant))+leaseMargin))
+	w.overBy = latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.Grant))+guessMargin+leaseMargin))
 	w.self.Born = born
 	w.life++
 	w.adopted, w.stale = false, false
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -228,9 +228,7 @@
 		old.machine.tenure.until = w.now
 	}
 	settings := Settings{
-		Grant: endive.Interval(testGrant), MaxGrant: endive.Interval(6 * time.Second), GangWait: endive.Interval(3 * time.Second),
-		StopTime: endive.Interval(400 * time.Millisecond), RemoteFactor: 3, Retention: endive.Interval(time.Minute),
-		Harm: endive.Interval(4 * time.Second),
+		Grant: endive.Interval(testGrant), Retention: endive.Interval(time.Minute),
 	}
 	ids := endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "flow")
 	h := &holder{world: w, machine: New(testPool, settings, worldClock{w.start}, ids), epoch: w.epoch}
@@ -309,8 +307,6 @@
 			func(r OrderResult, answer endive.OrderAnswer) endive.Event {
 				return Stopped{Worker: a.Order.Worker.ID, Task: a.Order.Task, Run: a.Order.Run, Result: r, Answer: answer}
 			})
-	case Pace:
-		h.tell(Paced{Worker: a.Order.Worker.ID, Task: a.Order.Task, Run: a.Order.Run, Percent: a.Order.Percent, Result: OrderAnswered})
 	case Hold:
 		w.look(h, a.Order)
 	}
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -55,18 +55,10 @@
 type CellBounds struct {
 	// MaxGrant is the longest lease that a worker accepts.
 	MaxGrant endive.Interval `toml:"maxGrant" json:"maxGrant"`
-	// GangWait is how long a member of a gang waits for the others.
-	GangWait endive.Interval `toml:"gangWait" json:"gangWait"`
-	// StopTime is how long a worker takes at most to end a run.
-	StopTime endive.Interval `toml:"stopTime" json:"stopTime"`
 	// StopGrace is how long the entry has between the signal to stop and its end.
 	StopGrace endive.Interval `toml:"stopGrace" json:"stopGrace"`
 	// Retention is how long the state of an ended workflow can be asked for.
 	Retention endive.Interval `toml:"retention" json:"retention"`
-	// Harm is how long a task that serves may be over its latency target.
-	Harm endive.Interval `toml:"harm" json:"harm"`
-	// RemoteFactor is how much slower a task is on another rack than its data's.
-	RemoteFactor float64 `toml:"remoteFactor" json:"remoteFactor"`
 }
 
 // CellTimings are the entry's own intervals.
@@ -84,12 +76,9 @@
 	DefaultPoolLease    = endive.Interval(2200 * time.Millisecond)
 	DefaultPoll         = endive.Interval(400 * time.Millisecond)
 	DefaultStoreTimeout = endive.Interval(800 * time.Millisecond)
-	DefaultGangWait     = endive.Interval(3 * time.Second)
 	DefaultMaxGrant     = endive.Interval(6 * time.Second)
-	DefaultStopTime     = endive.Interval(400 * time.Millisecond)
 	DefaultStopGrace    = endive.Interval(6 * time.Second)
 	DefaultRetention    = endive.Interval(2 * time.Minute)
-	DefaultHarm         = endive.Interval(4 * time.Second)
 )
 
 // LoadCell reads the settings from a TOML file of any name, fills in the defaults
@@ -112,14 +101,8 @@
 		c.LogLevel = DefaultLogLevel
 	}
 	c.Bounds.MaxGrant.Default(DefaultMaxGrant)
-	c.Bounds.GangWait.Default(DefaultGangWait)
-	c.Bounds.StopTime.Default(DefaultStopTime)
 	c.Bounds.StopGrace.Default(DefaultStopGrace)
 	c.Bounds.Retention.Default(DefaultRetention)
-	c.Bounds.Harm.Default(DefaultHarm)
-	if c.Bounds.RemoteFactor == 0 {
-		c.Bounds.RemoteFactor = 1
-	}
 	c.Timings.PoolLease.Default(DefaultPoolLease)
 	c.Timings.Poll.Default(DefaultPoll)
 	c.Timings.StoreTimeout.Default(DefaultStoreTimeout)
@@ -147,9 +130,8 @@
 		place string
 		value endive.Interval
 	}{
-		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.gangWait", c.Bounds.GangWait},
-		{"bounds.stopTime", c.Bounds.StopTime}, {"bounds.stopGrace", c.Bounds.StopGrace},
-		{"bounds.retention", c.Bounds.Retention}, {"bounds.harm", c.Bounds.Harm},
+		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.stopGrace", c.Bounds.StopGrace},
+		{"bounds.retention", c.Bounds.Retention},
 		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poll", c.Timings.Poll},
 		{"timings.storeTimeout", c.Timings.StoreTimeout},
 	} {
@@ -160,9 +142,6 @@
 	if c.Limits.Cores < 0 {
 		f.Add("limits.cores", "is %g; it must not be negative", c.Limits.Cores)
 	}
-	if c.Bounds.RemoteFactor < 1 {
-		f.Add("bounds.remoteFactor", "is %g; it must be at least 1", c.Bounds.RemoteFactor)
-	}
 	if c.Timings.PoolLease < RenewalsPerLease*c.Timings.Poll {
 		f.Add("timings.poolLease", "is %s; it must be at least %d times timings.poll", c.Timings.PoolLease, RenewalsPerLease)
 	}
