--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -148,7 +148,7 @@
 	for _, p := range c.allPools() {
 		if p != except && p.takes.Load() {
 			count++
-			newest = latest(newest, *p.takenAt.Load())
+			newest = endive.Latest(newest, *p.takenAt.Load())
 		}
 	}
 	return count, newest
--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -83,7 +83,7 @@
 	h.known[self].busyUntil = h.cell.adviser.busy().After(now)
 	to := h.soonest(now)
 	one := h.known[to]
-	one.busyUntil = latest(one.busyUntil, now).Add(time.Duration(q.cost))
+	one.busyUntil = endive.Latest(one.busyUntil, now).Add(time.Duration(q.cost))
 	if to == self {
 		h.mu.Unlock()
 		h.cell.adviser.ask(q)
@@ -110,7 +110,7 @@
 		if now.Before(one.avoidUntil) {
 			continue
 		}
-		free, bestFree := latest(one.busyUntil, now), latest(h.known[best].busyUntil, now)
+		free, bestFree := endive.Latest(one.busyUntil, now), endive.Latest(h.known[best].busyUntil, now)
 		if free.Before(bestFree) || free.Equal(bestFree) && id < best && best != self {
 			best = id
 		}
@@ -167,14 +167,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if one := h.known[from]; one != nil {
-		one.busyUntil = latest(one.busyUntil, h.cell.Clock.Now().Add(backlog))
+		one.busyUntil = endive.Latest(one.busyUntil, h.cell.Clock.Now().Add(backlog))
 	}
 }
-
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -160,9 +160,9 @@
 // itself a moment ago counts like one that became free then, so that pools spread
 // over the entries.
 func (p *pool) due(freeSince time.Time) time.Time {
-	since := latest(freeSince, p.cell.Rows.returned().Add(returnWait))
+	since := endive.Latest(freeSince, p.cell.Rows.returned().Add(returnWait))
 	if count, newest := p.cell.taken(p); count > 0 {
-		since = latest(since, newest).Add(time.Duration(count) * heldWait)
+		since = endive.Latest(since, newest).Add(time.Duration(count) * heldWait)
 	}
 	wait := min(time.Duration(p.cell.peers.place(p.name))*placeWait, maxPlaceWait)
 	return since.Add(wait + time.Duration(p.cell.before(p))*poolWait)
--- a/flow/job.go
+++ b/flow/job.go
@@ -237,7 +237,7 @@
 	var next time.Time
 	for _, j := range m.scheduled {
 		if !j.state.Ended() && j.nextOcc < j.spec.Schedule.Count() {
-			next = earliest(next, j.spec.Schedule.Due(j.nextOcc))
+			next = endive.Earliest(next, j.spec.Schedule.Due(j.nextOcc))
 		}
 	}
 	return next
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -163,16 +163,16 @@
 // setWake asks for a wake-up when something is due next.
 func (m *Machine) setWake() {
 	next := m.now.Add(time.Second)
-	next = earliest(next, m.nextDue())
-	next = earliest(next, m.sweepAt)
+	next = endive.Earliest(next, m.nextDue())
+	next = endive.Earliest(next, m.sweepAt)
 	if m.mayStart() {
 		if m.passDue {
-			next = earliest(next, m.passAt)
+			next = endive.Earliest(next, m.passAt)
 		}
-		next = earliest(next, m.passAgainAt)
+		next = endive.Earliest(next, m.passAgainAt)
 	}
-	next = earliest(next, m.recorder.nextAt)
-	next = earliest(next, m.advice.nextAt)
+	next = endive.Earliest(next, m.recorder.nextAt)
+	next = endive.Earliest(next, m.advice.nextAt)
 	if next.Before(m.now) {
 		next = m.now
 	}
@@ -181,11 +181,3 @@
 		m.emit(endive.SetWake{At: next})
 	}
 }
-
-// earliest returns the earlier of two times; the zero time means never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -57,7 +57,7 @@
 }
 
 // passAgain asks for another look at a time.
-func (m *Machine) passAgain(at time.Time) { m.passAgainAt = earliest(m.passAgainAt, at) }
+func (m *Machine) passAgain(at time.Time) { m.passAgainAt = endive.Earliest(m.passAgainAt, at) }
 
 func (m *Machine) placeOccurrence(occ *occurrence) {
 	if occ.left == 0 {
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -70,7 +70,7 @@
 	if due.IsZero() {
 		return
 	}
-	due = latest(due, rec.retryAt)
+	due = endive.Latest(due, rec.retryAt)
 	if due.After(m.now) {
 		rec.nextAt = due
 		return
@@ -81,42 +81,20 @@
 // recordDue returns when something has to be written; zero for never.
 func (m *Machine) recordDue() time.Time {
 	var due time.Time
-	soon := latest(m.recorder.wroteAt.Add(recordPause), m.now)
+	soon := endive.Latest(m.recorder.wroteAt.Add(recordPause), m.now)
 	if m.recorder.urgent || len(m.recorder.ends) > 0 || m.rosterGrows() {
-		due = earliest(due, soon)
+		due = endive.Earliest(due, soon)
 	}
 	if len(m.recorder.dirty) > 0 {
-		due = earliest(due, latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
+		due = endive.Earliest(due, endive.Latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
 	}
-	due = earliest(due, m.status.due(m))
+	due = endive.Earliest(due, m.status.due(m))
 	for _, one := range m.ended {
-		due = earliest(due, one.deleteAt)
+		due = endive.Earliest(due, one.deleteAt)
 	}
 	return due
 }
 
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// rosterGrows reports whether a worker isn't in the roster yet.
-func (m *Machine) rosterGrows() bool {
-	if !m.recorder.rosterStale {
-		return false
-	}
-	for _, w := range m.ordered {
-		if w.listed && !m.recorder.roster[w.id] {
-			return true
-		}
-	}
-	m.recorder.rosterStale = false
-	return false
-}
-
 // writeRows sends one transaction of rows that have changed.
 func (m *Machine) writeRows() {
 	rec := &m.recorder
@@ -180,29 +158,6 @@
 	return taken
 }
 
-// rosterShrinks reports whether many workers of the roster are gone.
-func (m *Machine) rosterShrinks() bool {
-	return m.tenure.settled && len(m.recorder.roster) > len(m.workers)
-}
-
-// newRoster returns the workers that may run something.
-func (m *Machine) newRoster() map[endive.WorkerID]bool {
-	roster := make(map[endive.WorkerID]bool, len(m.workers))
-	for id := range m.workers {
-		roster[id] = true
-	}
-	return roster
-}
-
-func sorted(ids map[endive.WorkerID]bool) []endive.WorkerID {
-	list := make([]endive.WorkerID, 0, len(ids))
-	for id := range ids {
-		list = append(list, id)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
-	return list
-}
-
 // deletions returns writes that delete the rows of workflows that ended long ago.
 func (m *Machine) deletions(room int, sent *recording) []endive.Write {
 	var writes []endive.Write
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -111,7 +111,7 @@
 	if w.clock.received.IsZero() {
 		return w.overBy
 	}
-	return latest(w.clock.surely(w.leaseEnd).Add(leaseMargin), w.overBy)
+	return endive.Latest(w.clock.surely(w.leaseEnd).Add(leaseMargin), w.overBy)
 }
 
 // beginLife takes in that another incarnation runs under the worker's id. It knows
@@ -119,7 +119,7 @@
 // each run is given up only when the new incarnation doesn't list it.
 func (m *Machine) beginLife(w *worker, born time.Time) {
 	m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "started anew", Reason: number(int64(len(w.runs))) + " runs were there"})
-	w.overBy = latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.Grant))+guessMargin+leaseMargin))
+	w.overBy = endive.Latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.Grant))+guessMargin+leaseMargin))
 	w.self.Born = born
 	w.life++
 	w.adopted, w.stale = false, false
@@ -198,7 +198,7 @@
 	gone := false
 	for _, w := range m.touched {
 		gone = m.lookAtWorker(w) || gone
-		m.sweepAt = earliest(m.sweepAt, w.nextAt)
+		m.sweepAt = endive.Earliest(m.sweepAt, w.nextAt)
 	}
 	m.touched = m.touched[:0]
 	if gone {
@@ -225,7 +225,7 @@
 	m.look(w)
 	m.retryOrders(w)
 	if w.failures > 0 && len(w.runs) > 0 {
-		w.nextAt = earliest(w.nextAt, over)
+		w.nextAt = endive.Earliest(w.nextAt, over)
 	}
 	return false
 }
