Answers to an earlier run of an entry end no waiting

Relays had the same tags. Change: tags begin at the time of day, an answer ends only what its sender was asked, a question without an answer is given up after 6 s.

--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -49,9 +49,13 @@
 const self = endive.EntryID("")
 
 func newHelpers(c *Cell) *helpers {
-	return &helpers{cell: c, waiting: make(map[uint64]*helped), known: map[endive.EntryID]*helper{self: {}}}
+	return &helpers{cell: c, last: firstTag(c), waiting: make(map[uint64]*helped), known: map[endive.EntryID]*helper{self: {}}}
 }
 
+// firstTag returns a tag that no earlier run of this entry has reached, since answers
+// to an earlier run may still come.
+func firstTag(c *Cell) uint64 { return uint64(c.Clock.Now().UnixNano()) }
+
 // changed takes over which entries there are sessions with.
 func (h *helpers) changed(others endive.Peers) {
 	h.mu.Lock()
@@ -118,21 +122,23 @@
 	return best
 }
 
-// take ends the waiting for a question; it returns nil if it has ended already.
-func (h *helpers) take(tag uint64) *helped {
+// take ends the waiting for a question that an entry was asked; it returns nil if it
+// has ended already, or if another entry was asked.
+func (h *helpers) take(tag uint64, to endive.EntryID) *helped {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	asked := h.waiting[tag]
-	delete(h.waiting, tag)
-	if asked != nil {
-		asked.timer.Stop()
+	if asked == nil || asked.to != to {
+		return nil
 	}
+	delete(h.waiting, tag)
+	asked.timer.Stop()
 	return asked
 }
 
 // expire gives a question up, and leaves the entry that didn't answer alone.
 func (a *helped) expire() {
-	if a.helpers.take(a.tag) == nil {
+	if a.helpers.take(a.tag, a.to) == nil {
 		return
 	}
 	a.helpers.mu.Lock()
@@ -147,8 +153,8 @@
 
 // answered takes in the answer of another entry.
 func (h *helpers) answered(from endive.EntryID, m *wire.AdviceAnswer) {
-	asked := h.take(m.GetTag())
-	if asked == nil || asked.to != from {
+	asked := h.take(m.GetTag(), from)
+	if asked == nil {
 		return
 	}
 	advice := endive.Advice{Validity: endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)}
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -36,7 +36,7 @@
 }
 
 func newRelays(c *Cell) *relays {
-	return &relays{cell: c, waiting: make(map[uint64]chan *wire.RelayAnswer), able: make(map[endive.EntryID]time.Time)}
+	return &relays{cell: c, last: firstTag(c), waiting: make(map[uint64]chan *wire.RelayAnswer), able: make(map[endive.EntryID]time.Time)}
 }
 
 // ask has an entry do something. It returns nil where nothing is known of what
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -12,6 +12,8 @@
 type advice struct {
 	// asking is the cost of the questions on their way.
 	asking endive.Interval
+	// askedAt is when the newest of them was asked.
+	askedAt time.Time
 	// wanted lists the steps that could use an answer, in the order of the pass.
 	wanted []*step
 	// nextAt is when the next question may be asked; zero for never.
@@ -45,7 +47,7 @@
 		m.advice.short = true
 		return false
 	}
-	if !s.tickets.asking {
+	if !s.tickets.onItsWay(m.now) {
 		m.advice.wanted = append(m.advice.wanted, s)
 	}
 	m.advice.room = m.advice.room.Sub(need.Times(int64(places)))
@@ -84,7 +86,7 @@
 // foresee asks early for a step whose predecessors are about to end, since an
 // answer takes as long as a part of a task.
 func (m *Machine) foresee(s *step) {
-	if !m.needsTicket(s) || s.tickets.asking || s.tickets.asks > 0 {
+	if !m.needsTicket(s) || s.tickets.onItsWay(m.now) || s.tickets.asks > 0 {
 		return
 	}
 	cost := time.Duration(s.occ.job.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
@@ -116,6 +118,9 @@
 // help can ask for soon.
 func (m *Machine) ask() {
 	m.advice.nextAt = time.Time{}
+	if m.now.Sub(m.advice.askedAt) > adviceLost {
+		m.advice.asking = 0
+	}
 	for m.advice.asking < askAhead*endive.Interval(max(1, m.helpers)) {
 		if !m.askOne() {
 			return
@@ -127,6 +132,10 @@
 // each entry that asks.
 const askAhead = endive.Interval(250 * time.Millisecond)
 
+// adviceLost is when a question that has no answer is given up. Each is answered or
+// failed long before, unless its answer is lost.
+const adviceLost = 6 * time.Second
+
 // askAheadOf is how far ahead room is foreseen: about as long as an answer takes.
 const askAheadOf = 200 * time.Millisecond
 
@@ -154,6 +163,7 @@
 		s.tickets.asking = true
 		s.tickets.asks++
 		s.tickets.askedAt = m.now
+		m.advice.askedAt = m.now
 		m.emit(Ask{Step: s.id, Workers: workers, Cost: cost})
 		return true
 	}
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -302,6 +302,26 @@
 	is.True(w.starts <= 20+20)
 }
 
+// Answers of the advice service are lost on their way. Work goes on.
+func TestAdviceIsLost(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{lostAdvice: 1})
+	w.addWorkers(3)
+	w.hold()
+	w.run(time.Second)
+	var ids []endive.JobID
+	for i := range 12 {
+		ids = append(ids, w.submit(fmt.Sprintf("job%d", i), advised, stepOfTasks(3, 300*time.Millisecond)))
+	}
+	w.run(4 * time.Second)
+	w.faults.lostAdvice = 0
+	w.run(20 * time.Second)
+	w.holds()
+	for _, id := range ids {
+		is.Equal(w.state(id), endive.WorkflowSucceeded)
+	}
+}
+
 func TestLongRunningTasksAreRestarted(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, faults{})
--- a/flow/tickets.go
+++ b/flow/tickets.go
@@ -64,3 +64,8 @@
 		t.bad[id] = true
 	}
 }
+
+// onItsWay reports whether a question about the step has no answer yet.
+func (t *tickets) onItsWay(now time.Time) bool {
+	return t.asking && now.Sub(t.askedAt) < adviceLost
+}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -49,7 +49,7 @@
 type faults struct {
 	lostOrder, lostAnswer, lateOrder      float64
 	lostWrite, lostWriteAnswer, lateWrite float64
-	failedTask                            float64
+	failedTask, lostAdvice                float64
 }
 
 // fakeJob is what the world knows of a submission.
@@ -412,6 +412,9 @@
 
 // advise answers a question: two workers of three are good for a step.
 func (h *holder) advise(a Ask) {
+	if h.world.chance(h.world.faults.lostAdvice) {
+		return
+	}
 	event := Advised{Step: a.Step, Asked: a.Workers, Cost: a.Cost, OK: true, Expiry: h.world.now.Add(2 * time.Second)}
 	for _, id := range a.Workers {
 		if (len(a.Step)+int(id[len(id)-1]))%3 != 0 {
