The last holder is told that its pool is held by another; early takeovers wait for its lease

Change: the new holder tells all entries, which ends the old tenure at once, and waits for unseen runs from the end of the old lease. Tests: TestEarlyTakeoverWaits- ForTheOldLease and 'another entry says so' failed before. Not proved: an old holder cut off from the store and all entries (docs/PROMISES.md).

--- a/elect/events.go
+++ b/elect/events.go
@@ -25,6 +25,12 @@
 // IsEvent marks Suspected as an event.
 func (Suspected) IsEvent() {}
 
+// Superseded says that another entry holds the pool under an epoch.
+type Superseded struct{ Epoch endive.Epoch }
+
+// IsEvent marks Superseded as an event.
+func (Superseded) IsEvent() {}
+
 // GiveUp asks to hand the pool over; nothing is taken any more.
 type GiveUp struct{}
 
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -87,6 +87,8 @@
 		if !m.holding && e.Holder == m.lease.Holder && e.Incarnation == m.lease.Incarnation {
 			m.suspected = e.Incarnation
 		}
+	case Superseded:
+		m.superseded(e)
 	case GiveUp:
 		m.giveUp = true
 		m.nextAt = now
@@ -140,6 +142,16 @@
 	}
 }
 
+// superseded ends a tenure of which another entry says that it is over, which a
+// holder that can't reach the store doesn't read there.
+func (m *Machine) superseded(e Superseded) {
+	if m.holding && e.Epoch > m.written.Epoch {
+		m.lose(fmt.Sprintf("epoch %d is held by another entry", e.Epoch))
+		m.seen = false
+		m.emit(Look{})
+	}
+}
+
 // advance does what is due.
 func (m *Machine) advance() {
 	if m.inFlight != "" || !m.clock.Known() || !m.seen {
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -197,6 +197,7 @@
 			return r.see()
 		}},
 		{"a worker refused the epoch", func(r *rig) []endive.Action { return r.step(Fenced{Epoch: 1}) }},
+		{"another entry says so", func(r *rig) []endive.Action { return r.step(Superseded{Epoch: 2}) }},
 		{"handed over", func(r *rig) []endive.Action { return r.commit(r.step(GiveUp{})) }},
 	}
 	for _, tt := range tests {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -157,9 +157,13 @@
 	case *wire.AdviceAnswer:
 		p.cell.helpers.answered(from, m)
 	case *wire.RelayAsk:
-		if m.GetKind() == wire.RelayKind_RELAY_TAKE {
+		switch m.GetKind() {
+		case wire.RelayKind_RELAY_TAKE:
 			p.offered(from, incarnation, endive.PoolName(m.GetPool()))
 			return
+		case wire.RelayKind_RELAY_TAKEN:
+			p.taken(endive.PoolName(m.GetPool()), endive.Epoch(m.GetEpoch()))
+			return
 		}
 		p.asked(from)
 		go (&relayed{cell: p.cell, from: from, ask: m}).run()
@@ -175,6 +179,21 @@
 	}
 }
 
+// tellTaken tells the others that this entry holds a pool now. The last holder may
+// not be able to read it in the store.
+func (p *peers) tellTaken(name endive.PoolName, epoch endive.Epoch) {
+	for _, id := range p.ids() {
+		p.mesh.Send(id, &wire.RelayAsk{Kind: wire.RelayKind_RELAY_TAKEN, Pool: string(name), Epoch: uint64(epoch)})
+	}
+}
+
+// taken takes in that another entry holds a pool.
+func (p *peers) taken(name endive.PoolName, epoch endive.Epoch) {
+	if pool := p.cell.poolNamed(name); pool != nil {
+		pool.send(toElect, elect.Superseded{Epoch: epoch})
+	}
+}
+
 // ids returns the entries that there are sessions with, those of this region first.
 func (p *peers) ids() []endive.EntryID {
 	p.mu.Lock()
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -179,6 +179,19 @@
 	is.True(!first.machine.tenure.active)
 }
 
+// A holder is replaced before its lease is over. On a worker that the new one can't
+// reach, it may go on renewing until then.
+func TestEarlyTakeoverWaitsForTheOldLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(2)
+	h := w.hold()
+	w.run(time.Second)
+	last := w.now.Add(2 * time.Second)
+	h.step(TenureBegan{Epoch: 2, Until: w.now.Add(time.Hour), LastUntil: last})
+	is.True(!h.machine.tenure.unheardUntil.Before(last.Add(testGrant)))
+}
+
 func TestGangStartsTogether(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, faults{})
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -27,7 +27,8 @@
 func (m *Machine) tenureBegan(e TenureBegan) {
 	m.forget()
 	m.tenure = tenure{active: true, epoch: e.Epoch, until: e.Until, lastUntil: e.LastUntil}
-	m.tenure.unheardUntil = m.now.Add(slowest(time.Duration(m.settings.Grant)) + guessMargin + leaseMargin)
+	// The last holder may renew leases for as long as it may start tasks.
+	m.tenure.unheardUntil = endive.Latest(m.now, e.LastUntil).Add(slowest(time.Duration(m.settings.Grant)) + guessMargin + leaseMargin)
 	m.recorder.fence = Fence{Epoch: e.Epoch}
 	m.recorder.fenceVersion = e.FenceVersion
 	m.note(Note{Kind: NoteTenure, Outcome: "began", Reason: "epoch " + number(int64(e.Epoch))})
