Dead fields and constants go; one bound on the workers that a question names

Behaviour stays; the tests keep their assertions. Format, lint, vet and the tests of flow, elect, platform and entry/cell pass.

--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
 	"endiveroute.example/endive/wire"
 )
 
@@ -124,8 +125,6 @@
 }
 
 const (
-	// maxAdviceWorkers is how many workers one question may name.
-	maxAdviceWorkers = 100
 	// minAdviceWorkers is how many are named at least, as far as there are so many.
 	minAdviceWorkers = 24
 	// workersPerTask is how many are named for each task: a part of them isn't good
@@ -148,5 +147,5 @@
 	}
 	first := int(endive.Rendezvous("", string(id)) % uint64(len(able)))
 	able = append(able[first:], able[:first]...)
-	return able[:min(len(able), maxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
+	return able[:min(len(able), flow.MaxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
 }
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -89,7 +89,7 @@
 	if !m.needsTicket(s) || s.tickets.onItsWay(m.now) || s.tickets.asks > 0 {
 		return
 	}
-	cost := time.Duration(s.occ.job.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
+	cost := time.Duration(s.occ.job.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
 	for _, before := range s.spec.After {
 		b := s.occ.steps[before]
 		if b.left == 0 {
@@ -110,8 +110,8 @@
 const (
 	// foresight is how much earlier than needed advice is asked for.
 	foresight = 200 * time.Millisecond
-	// maxAdviceWorkers is how many workers a question may name.
-	maxAdviceWorkers = 100
+	// MaxAdviceWorkers is how many workers a question may name.
+	MaxAdviceWorkers = 100
 )
 
 // ask asks for the first steps that can use an answer, as many as the entries that
@@ -202,7 +202,7 @@
 	workers := append(roomy, others...)
 	perWorker := max(1, places/len(roomy))
 	wanted := max(minAdviceWorkers, workersPerPlace*(s.waiting/perWorker+1))
-	return workers[:min(len(workers), maxAdviceWorkers, wanted)]
+	return workers[:min(len(workers), MaxAdviceWorkers, wanted)]
 }
 
 const (
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -84,7 +84,7 @@
 	return false
 }
 
-func (f *fakeWorker) start(h *holder, order endive.StartOrder) endive.OrderAnswer {
+func (f *fakeWorker) start(order endive.StartOrder) endive.OrderAnswer {
 	answer := endive.OrderAnswer{Clock: f.clock()}
 	switch {
 	case f.fenced(order.Epoch):
@@ -102,7 +102,7 @@
 		answer.Refused = endive.RefusalOldRun
 		return answer
 	}
-	f.begin(h, order)
+	f.begin(order)
 	return answer
 }
 
@@ -146,13 +146,13 @@
 }
 
 // begin starts a run, and checks what must hold for it.
-func (f *fakeWorker) begin(h *holder, order endive.StartOrder) {
+func (f *fakeWorker) begin(order endive.StartOrder) {
 	w := f.world
 	w.starts++
-	job, step, spec := w.stepOf(order.Task)
+	job, spec := w.stepOf(order.Task)
 	run := &fakeRun{task: order.Task, number: order.Run, need: spec.Reserved(), gang: spec.Gang}
 	f.runs[order.Task] = run
-	w.checkStart(f, order, job, step, spec)
+	w.checkStart(f, order, job, spec)
 	took := time.Duration(spec.Estimate)
 	if spec.LongRunning {
 		return
@@ -172,11 +172,10 @@
 			f.end(run, kind)
 		}
 	})
-	_ = h
 }
 
 // checkStart notes what is broken by a start.
-func (w *world) checkStart(f *fakeWorker, order endive.StartOrder, job *fakeJob, step int, spec endive.Step) {
+func (w *world) checkStart(f *fakeWorker, order endive.StartOrder, job *fakeJob, spec endive.Step) {
 	var used endive.Resources
 	for _, r := range f.runs {
 		used = used.Add(r.need)
@@ -213,18 +212,17 @@
 	if order.Ticket == "" && job.policy.Advice.Required() {
 		w.breaks("ticket: %s starts without one", order.Task)
 	}
-	_ = step
 }
 
 // stepOf returns the job and the step of a task.
-func (w *world) stepOf(task endive.TaskID) (*fakeJob, int, endive.Step) {
+func (w *world) stepOf(task endive.TaskID) (*fakeJob, endive.Step) {
 	parts := strings.Split(string(task), ".")
 	job := w.jobs[endive.JobID(parts[0])]
 	step, err := strconv.Atoi(parts[2])
 	if err != nil || job == nil {
 		w.t.Fatalf("task %s belongs to nothing", task)
 	}
-	return job, step, job.workflow.Steps[step]
+	return job, job.workflow.Steps[step]
 }
 
 // end ends a run and tells whoever waits.
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -49,7 +49,6 @@
 	roster  map[endive.WorkerID]bool
 	deleted int
 	status  *Status
-	sentAt  time.Time
 }
 
 // recordEnd has an end recorded together with the row of its job.
@@ -106,7 +105,7 @@
 		Conditions: []endive.Condition{{Key: fenceKey, Version: rec.fenceVersion}},
 		Writes:     []endive.Write{{Key: fenceKey, Value: encode(next)}},
 	}
-	sent := &recording{writeID: txn.WriteID, sentAt: m.now}
+	sent := &recording{writeID: txn.WriteID}
 	for _, j := range m.dirtyJobs() {
 		sent.jobs = append(sent.jobs, j)
 		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: encode(j.progress())})
--- a/flow/work.go
+++ b/flow/work.go
@@ -263,7 +263,7 @@
 	if m.status.written.Crowded && j.policy.Rank > 0 {
 		return
 	}
-	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), maxAdviceWorkers)))
+	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
 	for _, occ := range j.occs {
 		for _, s := range occ.steps {
 			if len(s.spec.After) == 0 {
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -57,7 +57,6 @@
 	inFlight bool
 	// sentStep is the machine's step in which the last look was sent.
 	sentStep uint64
-	sentAt   time.Time
 	// again is when the next look is due.
 	again time.Time
 }
@@ -258,7 +257,6 @@
 	}
 	w.hold.inFlight = true
 	w.hold.sentStep = m.steps
-	w.hold.sentAt = m.now
 	m.emit(Hold{Order: order})
 }
 
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -298,7 +298,7 @@
 	case Ask:
 		w.after(time.Duration(a.Cost), func() { h.advise(a) })
 	case Start:
-		w.deliver(h, a.Order.Worker.ID, func(one *fakeWorker) endive.OrderAnswer { return one.start(h, a.Order) },
+		w.deliver(h, a.Order.Worker.ID, func(one *fakeWorker) endive.OrderAnswer { return one.start(a.Order) },
 			func(r OrderResult, answer endive.OrderAnswer) endive.Event {
 				return Started{Worker: a.Order.Worker.ID, Task: a.Order.Task, Run: a.Order.Run, Result: r, Answer: answer}
 			})
