A step begins when the ends of those before it are seen

An end stays listed at its worker until it is acknowledged, so nothing is lost by going on. While an end was open, its worker was looked at once a second only, so further ends there were seen late.

Ruled out: a start beside a predecessor that has to run again breaks no promise, since each step still began after those before it had succeeded.

--- a/flow/advice.go
+++ b/flow/advice.go
@@ -92,7 +92,7 @@
 	cost := time.Duration(s.occ.job.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
 	for _, before := range s.spec.After {
 		b := s.occ.steps[before]
-		if b.left == 0 {
+		if b.unended == 0 {
 			continue
 		}
 		if b.waiting > 0 || b.began.IsZero() {
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -59,6 +59,25 @@
 	is.Equal(w.starts, 10)
 }
 
+// The store is slow while a step's tasks end: the next step doesn't wait for it.
+func TestNextStepDoesNotWaitForTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(6, 500*time.Millisecond), stepOfTasks(4, 300*time.Millisecond, 0))
+	w.run(1200 * time.Millisecond)
+	w.faults.lostWrite = 1
+	w.run(2200 * time.Millisecond)
+	is.Equal(w.starts, 10)
+	is.Equal(w.state(id), endive.WorkflowRunning)
+	w.faults.lostWrite = 0
+	w.run(4 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
 // A history that the store dropped brings a job and its cancelling in one batch, in
 // the order of their keys.
 func TestCancelInOneBatchWithItsJob(t *testing.T) {
--- a/flow/held.go
+++ b/flow/held.go
@@ -43,6 +43,8 @@
 	w.hold.again = m.now
 	switch {
 	case e.Report.More:
+	case len(w.open) > 0 && len(w.runs) > 0:
+		w.hold.again = m.now.Add(openLook)
 	case len(w.open) > 0:
 		w.hold.again = m.now.Add(time.Duration(holdWait))
 	case len(w.runs) == 0 && w.recorded() == w.newestEnd:
@@ -145,9 +147,11 @@
 		}
 		if one.state < taskSucceeded {
 			one.state = taskSucceeded
+			one.step.unended--
 		}
 	}
 	t.step.gang.run = 0
+	m.passDue = true
 	m.closeJob(t.step.occ.job)
 }
 
--- a/flow/job.go
+++ b/flow/job.go
@@ -59,9 +59,10 @@
 	id    endive.StepID
 	spec  *endive.Step
 	tasks []*task
-	// waiting counts tasks that could start as far as they themselves go; left
-	// counts those whose success isn't recorded.
+	// waiting counts tasks that could start as far as they themselves go, unended
+	// those that haven't succeeded, and left those whose success isn't recorded.
 	waiting int
+	unended int
 	left    int
 	// began is when the first task of the step was started.
 	began time.Time
@@ -155,6 +156,7 @@
 			perWorker: make(map[endive.WorkerID]int),
 		}
 		s.left = s.spec.Tasks
+		s.unended = s.spec.Tasks
 		s.waiting = s.spec.Tasks
 		for n := range s.spec.Tasks {
 			t := &task{step: s, index: n, id: endive.TaskID(string(s.id) + "." + strconv.Itoa(n)), inherited: j.inherited}
@@ -191,10 +193,13 @@
 	return occs
 }
 
-// ready reports whether all steps before s have succeeded, and recorded so.
+// ready reports whether all steps before s have succeeded. That needn't be recorded
+// yet: an end stays listed at its worker until it is. If both the holder and that
+// worker are lost before, some task runs again beside its successors, but each step
+// still began after those before it had succeeded.
 func (s *step) ready() bool {
 	for _, before := range s.spec.After {
-		if s.occ.steps[before].left > 0 {
+		if s.occ.steps[before].unended > 0 {
 			return false
 		}
 	}
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -62,7 +62,7 @@
 			for _, before := range s.spec.After {
 				ends[i] = max(ends[i], ends[before])
 			}
-			if s.left > 0 {
+			if s.unended > 0 {
 				ends[i] += time.Duration(s.spec.Estimate)
 			}
 			longest = max(longest, ends[i])
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -20,6 +20,10 @@
 	// holdWait is how long a worker's answer waits for an end. It bounds how old
 	// the figures of running tasks get.
 	holdWait = endive.Interval(time.Second)
+	// openLook lies between two looks at a worker of which ends aren't recorded yet:
+	// it answers at once until they are, so that waiting for the next end is left to
+	// the holder.
+	openLook = 100 * time.Millisecond
 	// idleLook is how often a worker without tasks is looked at, for its clock.
 	idleLook = 3 * time.Second
 	// holdRetry is the pause after a look that failed.
--- a/flow/work.go
+++ b/flow/work.go
@@ -117,6 +117,7 @@
 		if done.All || i < len(done.Succeeded) && done.Succeeded[i] == '1' {
 			t.state = taskRecorded
 			s.left--
+			s.unended--
 			s.waiting--
 		}
 	}
