Advice is asked while work is written; quick questions don't wait for long ones; a pool goes to an entry that can carry it

The accepting entry asked for advice only after its write, behind other entries' questions that take a second each, and wrote the answer to the store, from where the holder read it. Where an entry was busy, the holder waited for 600 ms first.

The pool was held by an entry with 0.192 of a core, which took it before the others had registered, ran late, lost its lease, and offered the pool to another small one. Now entries wait until those that started with them have probably registered, a holder hands its pool on to an entry with twice its processor time, and offers go to what suits best.

--- a/elect/machine.go
+++ b/elect/machine.go
@@ -72,6 +72,15 @@
 // Holding reports whether this entry holds the pool.
 func (m *Machine) Holding() bool { return m.holding }
 
+// Holder returns the entry that held the pool when its lease was seen last; empty
+// where there was none.
+func (m *Machine) Holder() endive.EntryID {
+	if m.lease.Vacant {
+		return ""
+	}
+	return m.lease.Holder
+}
+
 // Taking reports whether this entry holds the pool or is about to.
 func (m *Machine) Taking() bool { return m.holding || m.inFlight != "" }
 
--- a/entry/cell/adviser.go
+++ b/entry/cell/adviser.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sort"
 	"sync"
@@ -21,9 +20,9 @@
 	// maxQuestions bounds the questions that wait; what is beyond is left to the
 	// pool's holder.
 	maxQuestions = 64
-	// maxBacklog is up to which backlog questions about new work are asked here;
-	// beyond it the holder finds an entry that is less busy.
-	maxBacklog = endive.Interval(400 * time.Millisecond)
+	// maxBacklog is how long a question about new work may wait; one that would wait
+	// longer is left to the holder, which finds an entry that is less busy.
+	maxBacklog = 400 * time.Millisecond
 	// maxWait is how long a question waits at the most. Nobody waits for the answer
 	// to an older one.
 	maxWait = 1500 * time.Millisecond
@@ -35,7 +34,7 @@
 	workers []endive.WorkerID
 	pool    *pool
 	// own questions come from the holder here, and from is set for those of other
-	// entries' holders. Answers to all others are stored for the holder to see.
+	// entries. Answers to all others are for the holder, wherever it is.
 	own  bool
 	from endive.EntryID
 	tag  uint64
@@ -53,6 +52,8 @@
 	waiting []question
 	// backlog is the cost of the questions that wait or are being answered.
 	backlog endive.Interval
+	// freeAt is when the question that is being answered has its answer.
+	freeAt time.Time
 	// more is filled when a question comes.
 	more chan struct{}
 }
@@ -69,7 +70,7 @@
 func (a *adviser) ask(q question) {
 	q.due = a.cell.Clock.Now().Add(costWeight * time.Duration(q.cost))
 	a.mu.Lock()
-	full := len(a.waiting) >= maxQuestions || !q.own && q.from == "" && a.backlog > maxBacklog
+	full := len(a.waiting) >= maxQuestions
 	if !full {
 		a.backlog += q.cost
 		at := sort.Search(len(a.waiting), func(i int) bool { return a.waiting[i].due.After(q.due) })
@@ -95,9 +96,26 @@
 	}
 	q := a.waiting[0]
 	a.waiting = a.waiting[1:]
+	a.freeAt = a.cell.Clock.Now().Add(time.Duration(q.cost))
 	return q, true
 }
 
+// waitFor returns how long a question of some cost would wait for those before it.
+func (a *adviser) waitFor(cost endive.Interval) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.cell.Clock.Now()
+	due := now.Add(costWeight * time.Duration(cost))
+	wait := max(0, a.freeAt.Sub(now))
+	for _, q := range a.waiting {
+		if q.due.After(due) {
+			break
+		}
+		wait += time.Duration(q.cost)
+	}
+	return wait
+}
+
 // busy returns the cost of the questions that wait or are being answered.
 func (a *adviser) busy() endive.Interval {
 	a.mu.Lock()
@@ -153,7 +171,7 @@
 		return
 	}
 	if ok {
-		go (&adviceNote{cell: a.cell, question: q, advice: advice, taken: a.cell.Clock.Now()}).run()
+		q.pool.noteAdvice(q, advice)
 	}
 }
 
@@ -171,38 +189,7 @@
 
 // send gives the advice to the entry that asked.
 func (a *adviser) send(q question, advice endive.Advice, ok bool) {
-	message := &wire.AdviceAnswer{Tag: q.tag, Answered: ok, ValidityMillis: time.Duration(advice.Validity).Milliseconds(),
+	message := &wire.AdviceAnswer{Tag: q.tag, Answered: ok, Good: grantsOf(advice.Good), ValidityMillis: time.Duration(advice.Validity).Milliseconds(),
 		BacklogMillis: time.Duration(a.busy() - q.cost).Milliseconds()}
-	for _, one := range advice.Good {
-		message.Good = append(message.Good, &wire.AdviceGrant{Worker: string(one.Worker), Ticket: string(one.Ticket)})
-	}
 	a.cell.peers.mesh.Send(q.from, message)
 }
-
-// adviceNote stores advice for the pool's holder. It helps to start work sooner;
-// if it is lost, the holder asks for itself.
-type adviceNote struct {
-	cell     *Cell
-	question question
-	advice   endive.Advice
-	taken    time.Time
-}
-
-func (n *adviceNote) run() {
-	until := n.cell.Platform.AtLeast(n.taken) + endive.PlatformTime(time.Duration(n.advice.Validity).Milliseconds())
-	value, err := json.Marshal(flow.AdviceRow{
-		Good: n.advice.Good, Bad: flow.BadOf(n.question.workers, n.advice.Good), Until: until,
-	})
-	if err != nil {
-		n.cell.Log.Error("advice can't be encoded", "step", string(n.question.step), "error", err.Error())
-		return
-	}
-	ctx, cancel := context.WithTimeout(n.cell.ctx, time.Duration(n.cell.Settings.Timings.StoreTimeout))
-	defer cancel()
-	_, err = n.cell.Rows.Commit(ctx, endive.Transaction{
-		Writes: []endive.Write{{Key: flow.AdviceKey(n.question.pool.name, n.question.step), Value: value}},
-	})
-	if err != nil {
-		n.cell.Log.Warn("advice isn't stored", "step", string(n.question.step), "error", err.Error())
-	}
-}
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -140,6 +140,15 @@
 	c.workers.publishAll()
 }
 
+// holders returns the other entries that hold a pool.
+func (c *Cell) holders() map[endive.EntryID]bool {
+	holders := make(map[endive.EntryID]bool)
+	for _, p := range c.allPools() {
+		holders[p.heldIn()] = true
+	}
+	return holders
+}
+
 // taken counts the other pools that this entry holds or is about to hold, and tells
 // when it took the newest.
 func (c *Cell) taken(except *pool) (int, time.Time) {
--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -20,7 +21,8 @@
 // helpers spreads the questions to the advice service over the entries, each of
 // which is answered one after the other.
 type helpers struct {
-	cell *Cell
+	cell  *Cell
+	lanes lanes
 
 	mu   sync.Mutex
 	last uint64
@@ -34,6 +36,8 @@
 type helper struct {
 	busyUntil  time.Time
 	avoidUntil time.Time
+	// far says that the entry is in another region.
+	far bool
 }
 
 // helped is a question that another entry asks for us.
@@ -63,7 +67,7 @@
 	for _, one := range others {
 		seen[one.ID] = true
 		if h.known[one.ID] == nil {
-			h.known[one.ID] = &helper{}
+			h.known[one.ID] = &helper{far: one.Region != h.cell.Settings.Region}
 		}
 	}
 	for id := range h.known {
@@ -81,17 +85,28 @@
 }
 
 // ask has a question asked by the entry that can ask it soonest.
-func (h *helpers) ask(q question) {
+func (h *helpers) ask(q question) { h.askWithin(q, maxTime) }
+
+// maxTime stands for no bound.
+const maxTime = time.Duration(math.MaxInt64)
+
+// askWithin does so if the question waits for others no longer than a bound, and
+// reports whether it does.
+func (h *helpers) askWithin(q question, bound time.Duration) bool {
 	now := h.cell.Clock.Now()
 	h.mu.Lock()
-	h.known[self].busyUntil = h.cell.adviser.busy().After(now)
-	to := h.soonest(now)
+	h.known[self].busyUntil = now.Add(h.cell.adviser.waitFor(q.cost))
+	to := h.soonest(now, q.cost)
 	one := h.known[to]
+	if one.busyUntil.Sub(now) > bound {
+		h.mu.Unlock()
+		return false
+	}
 	one.busyUntil = endive.Latest(one.busyUntil, now).Add(time.Duration(q.cost))
 	if to == self {
 		h.mu.Unlock()
 		h.cell.adviser.ask(q)
-		return
+		return true
 	}
 	h.last++
 	asked := &helped{helpers: h, tag: h.last, to: to, question: q}
@@ -105,18 +120,25 @@
 	if !h.cell.peers.mesh.Send(to, message) {
 		asked.expire()
 	}
+	return true
 }
 
-// soonest returns the entry whose questions are answered soonest.
-func (h *helpers) soonest(now time.Time) endive.EntryID {
-	best := self
+// soonest returns the entry that should be asked a question of some cost: the one
+// that is free soonest, but for the way there and for long questions in the quick
+// lane.
+func (h *helpers) soonest(now time.Time, cost endive.Interval) endive.EntryID {
+	best, bestAt := self, time.Time{}
 	for id, one := range h.known {
 		if now.Before(one.avoidUntil) {
 			continue
 		}
-		free, bestFree := endive.Latest(one.busyUntil, now), endive.Latest(h.known[best].busyUntil, now)
-		if free.Before(bestFree) || free.Equal(bestFree) && id < best && best != self {
-			best = id
+		lane := id
+		if id == self {
+			lane = h.cell.Settings.Name
+		}
+		at := endive.Latest(one.busyUntil, now).Add(detour(cost, h.lanes.isQuick(lane), one.far, id == self))
+		if bestAt.IsZero() || at.Before(bestAt) || at.Equal(bestAt) && id < best {
+			best, bestAt = id, at
 		}
 	}
 	return best
@@ -157,11 +179,8 @@
 	if asked == nil {
 		return
 	}
-	advice := endive.Advice{Validity: endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)}
-	for _, one := range m.GetGood() {
-		advice.Good = append(advice.Good, endive.AdviceGrant{
-			Worker: endive.WorkerID(one.GetWorker()), Ticket: endive.AdviceTicket(one.GetTicket()),
-		})
+	advice := endive.Advice{
+		Good: grantsIn(m.GetGood()), Validity: endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond),
 	}
 	h.heardBacklog(from, time.Duration(m.GetBacklogMillis())*time.Millisecond)
 	h.cell.adviser.answer(asked.question, advice, m.GetAnswered())
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -11,7 +11,11 @@
 )
 
 // leaseLoop follows the leases of all pools.
-type leaseLoop struct{ cell *Cell }
+type leaseLoop struct {
+	cell *Cell
+	// handedOnAt is when a pool was last offered to an entry that suits better.
+	handedOnAt time.Time
+}
 
 func (l *leaseLoop) run() {
 	var after endive.Revision
@@ -34,6 +38,7 @@
 		for _, row := range changes.Rows {
 			l.saw(row)
 		}
+		l.handOn()
 	}
 }
 
@@ -73,6 +78,27 @@
 	return period * time.Duration(l.cell.peers.rarity())
 }
 
+// handOn asks an entry that suits much better to take a pool which is held here.
+func (l *leaseLoop) handOn() {
+	now := l.cell.Clock.Now()
+	for _, p := range l.cell.allPools() {
+		if !p.holds.Load() || now.Sub(*p.takenAt.Load()) < handOnAfter || now.Sub(l.handedOnAt) < handOnAfter {
+			continue
+		}
+		if to, ok := l.cell.peers.bestFor(p.name, l.cell.holders()); ok {
+			l.handedOnAt = now
+			l.offerTo(to, p, "it suits better")
+		}
+	}
+}
+
+// offerTo asks an entry to take a pool.
+func (l *leaseLoop) offerTo(to endive.EntryID, p *pool, reason string) {
+	ask := &wire.RelayAsk{Kind: wire.RelayKind_RELAY_TAKE, Pool: string(p.name)}
+	sent := l.cell.peers.mesh.Send(to, ask)
+	l.cell.Log.Info("pool is offered", "pool", string(p.name), "entry", string(to), "reason", reason, "sent", sent)
+}
+
 // offer asks an entry that reaches the store to take the pools that this one holds,
 // since it can start nothing once their leases have run out.
 func (l *leaseLoop) offer() {
@@ -81,17 +107,13 @@
 	}
 	ctx, cancel := context.WithTimeout(l.cell.ctx, relayTimeout)
 	defer cancel()
-	to, ok := l.cell.relays.findAble(ctx)
-	if !ok {
-		return
-	}
 	for _, p := range l.cell.allPools() {
 		if !p.holds.Load() {
 			continue
 		}
-		ask := &wire.RelayAsk{Kind: wire.RelayKind_RELAY_TAKE, Pool: string(p.name)}
-		sent := l.cell.peers.mesh.Send(to, ask)
-		l.cell.Log.Info("pool is offered", "pool", string(p.name), "entry", string(to), "sent", sent)
+		if to, ok := l.cell.relays.findAble(ctx, l.cell.peers.linkedFor(p.name)); ok {
+			l.offerTo(to, p, "the store is away")
+		}
 	}
 }
 
--- /dev/null
+++ b/entry/cell/noted.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+	"endiveroute.example/endive/wire"
+)
+
+// noteAdvice gives an answer of the advice service to the pool's holder. One that is
+// lost costs time only, since the holder then asks for itself.
+func (p *pool) noteAdvice(q question, advice endive.Advice) {
+	bad := flow.BadOf(q.workers, advice.Good)
+	if p.holds.Load() {
+		p.tell(flow.AdviceNoted{Step: q.step, Good: advice.Good, Bad: bad, Expiry: advice.Validity.After(p.cell.Clock.Now())})
+		return
+	}
+	note := &wire.AdviceNote{
+		Pool: string(p.name), Step: string(q.step), Good: grantsOf(advice.Good),
+		ValidityMillis: time.Duration(advice.Validity).Milliseconds(),
+	}
+	for _, id := range bad {
+		note.Bad = append(note.Bad, string(id))
+	}
+	if holder := p.heldIn(); !p.cell.peers.mesh.Send(holder, note) {
+		p.cell.Log.Info("advice isn't delivered", "pool", string(p.name), "step", string(q.step), "holder", string(holder))
+	}
+}
+
+// adviceNoted takes in an answer that another entry got for a pool that is held here.
+func (c *Cell) adviceNoted(m *wire.AdviceNote) {
+	p := c.poolNamed(endive.PoolName(m.GetPool()))
+	if p == nil || !p.holds.Load() {
+		c.Log.Info("advice isn't taken", "pool", m.GetPool(), "step", m.GetStep(), "reason", "the pool isn't held here")
+		return
+	}
+	validity := endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)
+	noted := flow.AdviceNoted{Step: endive.StepID(m.GetStep()), Good: grantsIn(m.GetGood()), Expiry: validity.After(c.Clock.Now())}
+	for _, id := range m.GetBad() {
+		noted.Bad = append(noted.Bad, endive.WorkerID(id))
+	}
+	p.tell(noted)
+}
+
+// grantsOf returns grants as other entries are told of them.
+func grantsOf(grants []endive.AdviceGrant) []*wire.AdviceGrant {
+	told := make([]*wire.AdviceGrant, 0, len(grants))
+	for _, one := range grants {
+		told = append(told, &wire.AdviceGrant{Worker: string(one.Worker), Ticket: string(one.Ticket)})
+	}
+	return told
+}
+
+// grantsIn returns grants that another entry told of.
+func grantsIn(told []*wire.AdviceGrant) []endive.AdviceGrant {
+	grants := make([]endive.AdviceGrant, 0, len(told))
+	for _, one := range told {
+		grants = append(grants, endive.AdviceGrant{Worker: endive.WorkerID(one.GetWorker()), Ticket: endive.AdviceTicket(one.GetTicket())})
+	}
+	return grants
+}
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -38,8 +38,10 @@
 
 	mu   sync.Mutex
 	rows map[endive.EntryID]entryRow
-	// known says that the rows have been read.
+	// known says that the rows of all entries have probably been read.
 	known bool
+	// knownSince is when rows of others were read first.
+	knownSince time.Time
 	// askers are entries that asked something lately.
 	askers map[endive.EntryID]time.Time
 	linked map[endive.EntryID]bool
@@ -50,11 +52,7 @@
 		cell: c, rows: make(map[endive.EntryID]entryRow), askers: make(map[endive.EntryID]time.Time),
 		linked: make(map[endive.EntryID]bool),
 	}
-	self := endive.Peer{
-		ID: c.Settings.Name, Incarnation: c.Incarnation, Address: c.Settings.Listen.Peers,
-		Region: c.Settings.Region, Zone: c.Settings.Zone,
-	}
-	p.mesh = peer.New(self, p, c.Counters, c.Log)
+	p.mesh = peer.New(p.own(), p, c.Counters, c.Log)
 	p.mesh.Watch(p)
 	return p
 }
@@ -79,7 +77,7 @@
 	var after endive.Revision
 	var registerAt time.Time
 	for p.cell.ctx.Err() == nil {
-		if now := p.cell.Clock.Now(); p.cell.Platform.Known() && !now.Before(registerAt) && p.register(now) {
+		if now := p.cell.Clock.Now(); p.cell.Platform.Known() && !now.Before(registerAt) && p.register() {
 			registerAt = now.Add(registration)
 		}
 		after = p.follow(after)
@@ -95,11 +93,11 @@
 	defer p.mu.Unlock()
 	var others endive.Peers
 	for id, row := range p.rows {
-		fresh := row.At+endive.PlatformTime(entryAge.Milliseconds()) >= p.cell.Platform.AtLeast(now)
-		if id != p.cell.Settings.Name && fresh {
+		if id != p.cell.Settings.Name && row.living(p.cell.Platform.AtLeast(now)) {
 			others = append(others, endive.Peer{ID: id, Incarnation: row.Incarnation, Address: row.Address, Region: row.Region, Zone: row.Zone})
 		}
 	}
+	p.cell.helpers.lanes.assign(append(others, p.own()))
 	others = p.nearest(others, now)
 	clear(p.linked)
 	for _, one := range others {
@@ -109,16 +107,29 @@
 	p.cell.helpers.changed(others)
 }
 
-// nearest leaves of many entries a part that spreads the links, and all that asked
-// something lately.
+// own returns this entry as a peer of the others.
+func (p *peers) own() endive.Peer {
+	settings := p.cell.Settings
+	return endive.Peer{
+		ID: settings.Name, Incarnation: p.cell.Incarnation, Address: settings.Listen.Peers,
+		Region: settings.Region, Zone: settings.Zone,
+	}
+}
+
+// nearest leaves of many entries a part that spreads the links, those that hold a
+// pool or may soon, and all that asked something lately.
 func (p *peers) nearest(others endive.Peers, now time.Time) endive.Peers {
 	sort.Slice(others, func(i, j int) bool { return p.rank(others[i].ID) > p.rank(others[j].ID) })
 	if len(others) <= fullMesh {
 		return others
 	}
 	kept := others[:fullMesh:fullMesh]
+	wanted := p.cell.holders()
+	for _, id := range p.suited("")[:suitedLinks] {
+		wanted[id] = true
+	}
 	for _, one := range others[fullMesh:] {
-		if asked, ok := p.askers[one.ID]; ok && now.Sub(asked) < entryAge {
+		if asked, ok := p.askers[one.ID]; ok && now.Sub(asked) < entryAge || wanted[one.ID] {
 			kept = append(kept, one)
 		}
 	}
@@ -156,13 +167,15 @@
 		p.cell.adviser.askFor(from, m)
 	case *wire.AdviceAnswer:
 		p.cell.helpers.answered(from, m)
+	case *wire.AdviceNote:
+		p.cell.adviceNoted(m)
 	case *wire.RelayAsk:
 		switch m.GetKind() {
 		case wire.RelayKind_RELAY_TAKE:
 			p.offered(from, incarnation, endive.PoolName(m.GetPool()))
 			return
 		case wire.RelayKind_RELAY_TAKEN:
-			p.taken(endive.PoolName(m.GetPool()), endive.Epoch(m.GetEpoch()))
+			p.taken(from, endive.PoolName(m.GetPool()), endive.Epoch(m.GetEpoch()))
 			return
 		}
 		p.asked(from)
@@ -188,8 +201,9 @@
 }
 
 // taken takes in that another entry holds a pool.
-func (p *peers) taken(name endive.PoolName, epoch endive.Epoch) {
+func (p *peers) taken(by endive.EntryID, name endive.PoolName, epoch endive.Epoch) {
 	if pool := p.cell.poolNamed(name); pool != nil {
+		pool.heldBy(by)
 		pool.send(toElect, elect.Superseded{Epoch: epoch})
 	}
 }
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -30,6 +30,8 @@
 	status atomic.Pointer[flow.Status]
 	// holds mirrors whether this entry holds the pool.
 	holds atomic.Bool
+	// holder mirrors which entry holds the pool, as far as it is known.
+	holder atomic.Value
 	// takes mirrors whether it does, or is about to.
 	takes atomic.Bool
 	// takenAt is when that changed last.
@@ -54,6 +56,7 @@
 	id := c.Settings.Name
 	p := &pool{name: name, cell: c}
 	p.status.Store(&flow.Status{})
+	p.holder.Store(endive.EntryID(""))
 	p.elect = elect.New(id, c.Incarnation, name, p.fence, p.due, elect.Settings{
 		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
@@ -94,6 +97,7 @@
 	if m.to == toElect {
 		actions = p.elect.Step(now, m.event)
 		p.holds.Store(p.elect.Holding())
+		p.heldBy(p.elect.Holder())
 		if takes := p.elect.Taking(); takes != p.takes.Load() {
 			p.takenAt.Store(&now)
 			p.takes.Store(takes)
@@ -107,6 +111,16 @@
 	}
 }
 
+// heldBy notes which entry holds the pool, and links to it.
+func (p *pool) heldBy(holder endive.EntryID) {
+	if p.holder.Swap(holder) != holder {
+		p.cell.peers.link()
+	}
+}
+
+// heldIn returns the entry that holds the pool, as far as it is known.
+func (p *pool) heldIn() endive.EntryID { return p.holder.Load().(endive.EntryID) }
+
 // send queues an event for a machine. It never blocks.
 func (p *pool) send(to machineKind, event endive.Event) {
 	p.cell.system.Root.Send(p.pid, message{to: to, event: event})
--- a/entry/cell/registry.go
+++ b/entry/cell/registry.go
@@ -21,33 +21,16 @@
 	WayMillis int64   `json:"wayMillis"`
 }
 
-// wayStep is the difference in distance to the store below which two entries are
-// equally near.
-const wayStep = 20
-
-// suitsBetter reports whether an entry is better placed to hold a pool than
-// another: a holder needs processor time, and asks the store often.
-func (r entryRow) suitsBetter(o entryRow) bool {
-	if r.Cores != o.Cores {
-		return r.Cores > o.Cores
-	}
-	return r.WayMillis/wayStep < o.WayMillis/wayStep
-}
-
 // register writes this entry's row, and deletes those of entries that are gone.
-func (p *peers) register(now time.Time) bool {
-	settings := p.cell.Settings
-	at := p.cell.Platform.AtLeast(now)
-	value, err := json.Marshal(entryRow{
-		Address: settings.Listen.Peers, Incarnation: p.cell.Incarnation, Region: settings.Region, Zone: settings.Zone, At: at,
-		Cores: settings.Limits.Cores, WayMillis: p.cell.Rows.distance().Milliseconds(),
-	})
+func (p *peers) register() bool {
+	own := p.ownRow()
+	value, err := json.Marshal(own)
 	if err != nil {
 		p.cell.Log.Error("the entry's row can't be encoded", "error", err.Error())
 		return false
 	}
-	txn := endive.Transaction{Writes: []endive.Write{{Key: prefixEntries + string(settings.Name), Value: value}}}
-	for _, id := range p.olderThan(at, forgottenAge) {
+	txn := endive.Transaction{Writes: []endive.Write{{Key: prefixEntries + string(p.cell.Settings.Name), Value: value}}}
+	for _, id := range p.olderThan(own.At, forgottenAge) {
 		txn.Writes = append(txn.Writes, endive.Write{Key: prefixEntries + string(id), Delete: true})
 	}
 	return p.cell.commit(p.cell.ctx, txn) == nil
@@ -86,7 +69,7 @@
 	for _, row := range changes.Rows {
 		p.takeRow(row)
 	}
-	p.known = p.known || after > 0 || len(p.rows) > 1
+	p.noteKnown()
 	return changes.Revision
 }
 
@@ -104,28 +87,6 @@
 	p.rows[id] = read
 }
 
-// place returns how many living entries suit a pool better than this one.
-func (p *peers) place(pool endive.PoolName) int {
-	now := p.cell.Platform.AtLeast(p.cell.Clock.Now())
-	own := entryRow{Cores: p.cell.Settings.Limits.Cores, WayMillis: p.cell.Rows.distance().Milliseconds()}
-	rank := endive.Rendezvous(p.cell.Settings.Name, string(pool))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.known {
-		return len(p.rows) + unknownPlace
-	}
-	better := 0
-	for id, row := range p.rows {
-		if id == p.cell.Settings.Name || row.At+endive.PlatformTime(entryAge.Milliseconds()) < now {
-			continue
-		}
-		if row.suitsBetter(own) || !own.suitsBetter(row) && endive.Rendezvous(id, string(pool)) > rank {
-			better++
-		}
-	}
-	return better
-}
-
 // rarity is how many times rarer an entry polls than one of a few, so that many
 // entries don't cost the store many times as much.
 func (p *peers) rarity() int {
@@ -139,7 +100,3 @@
 
 // manyRarity is the rarity where there are many entries.
 const manyRarity = 3
-
-// unknownPlace is the place of an entry that doesn't know the others yet, which
-// gives them the time to register when all start at once.
-const unknownPlace = 24
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -84,7 +84,7 @@
 // try has the first entry that can do it do something. What isn't sent to an entry
 // that can is surely not done.
 func (r *relays) try(ctx context.Context, ask *wire.RelayAsk) *wire.RelayAnswer {
-	to, ok := r.findAble(ctx)
+	to, ok := r.findAble(ctx, r.cell.peers.ids())
 	if !ok {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away, and no entry reaches it"}
 	}
@@ -96,9 +96,9 @@
 	return answer
 }
 
-// findAble returns an entry that told a moment ago that it can do something for us.
-func (r *relays) findAble(ctx context.Context) (endive.EntryID, bool) {
-	ids := r.cell.peers.ids()
+// findAble returns the first of some entries that told a moment ago that it can do
+// something for us, or that tells so now.
+func (r *relays) findAble(ctx context.Context, ids []endive.EntryID) (endive.EntryID, bool) {
 	r.mu.Lock()
 	now := r.cell.Clock.Now()
 	for _, id := range ids {
--- a/entry/cell/rig_test.go
+++ b/entry/cell/rig_test.go
@@ -42,6 +42,8 @@
 	took time.Duration
 	// fails has all tasks fail whose names begin so.
 	fails string
+	// cores is the processor time of the entries that are added next.
+	cores float64
 }
 
 // logBuffer keeps what is logged.
@@ -138,6 +140,7 @@
 		Listen: setup.CellListen{Peers: endive.Address(listener.Addr().String())},
 	}
 	settings.Defaults()
+	settings.Limits.Cores = r.cores
 	clock := endive.NewBootClock()
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Output: r.log, JSONFormat: true, Level: hclog.Info})
 	counters := NewCounters(tally.NoopScope)
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -27,9 +27,6 @@
 	c.Log.Info("decision", "kind", "submit", "job", string(workflow.ID), "queue", string(match.Queue.Name),
 		"configVersion", int64(match.ConfigVersion), "steps", len(workflow.Steps), "outcome", string(result.Status),
 		"reason", result.Reason, "millis", c.Clock.Now().Sub(start).Milliseconds())
-	if result.Status == endive.SubmitAccepted && result.Reason == reasonStored {
-		c.askForRoots(match.Queue, workflow)
-	}
 	return result
 }
 
@@ -42,7 +39,7 @@
 	}
 	job, err := json.Marshal(endive.Submission{
 		Workflow: workflow, Policy: match.Queue, ConfigVersion: match.ConfigVersion,
-		Accepted: c.Platform.AtLeast(c.Clock.Now()),
+		Accepted: c.Platform.AtLeast(c.Clock.Now()), Advised: c.Rows.usable() && c.askForRoots(match.Queue, workflow),
 	})
 	if err != nil {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "it can't be encoded: " + err.Error()}
@@ -100,28 +97,32 @@
 	return err
 }
 
-// askForRoots asks early which workers may run the steps that come first, so that
-// the questions of all entries are answered side by side.
-func (c *Cell) askForRoots(queue endive.Queue, workflow endive.Workflow) {
+// askForRoots asks which workers may run the steps that come first, while the
+// workflow is written, so that the answer is there when it is. The questions of all
+// entries are answered side by side. It reports whether it asked about all of them.
+func (c *Cell) askForRoots(queue endive.Queue, workflow endive.Workflow) bool {
 	if !queue.Advice.Required() || workflow.Schedule.Occurrences > 0 {
-		return
+		return false
 	}
 	p := c.poolNamed(queue.Pool)
 	// In a crowded pool the tickets would run out before there is room, but for work
 	// that goes first.
-	if p == nil || p.status.Load().Crowded && queue.Rank > 0 {
-		return
+	if p == nil || p.heldIn() == "" || p.status.Load().Crowded && queue.Rank > 0 {
+		return false
 	}
 	workers, _ := c.workers.of(queue.Pool)
+	all := true
 	for i, step := range workflow.Steps {
 		if len(step.After) > 0 {
 			continue
 		}
 		id := endive.StepID(string(workflow.ID) + ".0." + strconv.Itoa(i))
-		if named := ableWorkers(workers, step, id); len(named) > 0 {
-			c.adviser.ask(question{step: id, workers: named, pool: p, cost: queue.Advice.Cost(len(named))})
-		}
+		named := ableWorkers(workers, step, id)
+		asked := len(named) > 0 &&
+			c.helpers.askWithin(question{step: id, workers: named, pool: p, cost: queue.Advice.Cost(len(named))}, maxBacklog)
+		all = all && asked
 	}
+	return all
 }
 
 const (
--- /dev/null
+++ b/entry/cell/suits.go
@@ -0,0 +1,133 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// A pool's holder needs processor time, and asks the store often. Entries differ in
+// both, so each leaves a free pool to those that suit better, and a holder hands its
+// pool on where it finds one that suits much better.
+
+const (
+	// wayStep is the difference in distance to the store, in milliseconds, below
+	// which two entries are equally near.
+	wayStep = 20
+	// muchBetter is how many times an entry's processor time has to be that of the
+	// holder for a pool to be handed on.
+	muchBetter = 2
+	// handOnAfter is how long an entry holds a pool before it is handed on, and the
+	// pause between two tries.
+	handOnAfter = 4 * time.Second
+	// unknownPlace is the place of an entry that doesn't know the others yet, which
+	// gives them the time to register when all start at once.
+	unknownPlace = 24
+	// knownAfter is how long after it first reads the others' rows an entry trusts
+	// that all have registered which started with it.
+	knownAfter = 1200 * time.Millisecond
+	// suitedLinks is how many of the entries that suit best are always linked with.
+	suitedLinks = 4
+)
+
+// suitsBetter reports whether an entry is better placed to hold a pool than another.
+func (r entryRow) suitsBetter(o entryRow) bool {
+	if r.Cores != o.Cores {
+		return r.Cores > o.Cores
+	}
+	return r.WayMillis/wayStep < o.WayMillis/wayStep
+}
+
+// ownRow returns what this entry tells of itself.
+func (p *peers) ownRow() entryRow {
+	settings := p.cell.Settings
+	return entryRow{
+		Address: settings.Listen.Peers, Incarnation: p.cell.Incarnation, Region: settings.Region, Zone: settings.Zone,
+		At: p.cell.Platform.AtLeast(p.cell.Clock.Now()), Cores: settings.Limits.Cores, WayMillis: p.cell.Rows.distance().Milliseconds(),
+	}
+}
+
+// noteKnown notes since when others are known. The caller holds the lock.
+func (p *peers) noteKnown() {
+	if p.knownSince.IsZero() && len(p.rows) > 1 {
+		p.knownSince = p.cell.Clock.Now()
+	}
+	p.known = p.known || !p.knownSince.IsZero() && p.cell.Clock.Now().Sub(p.knownSince) > knownAfter
+}
+
+// living reports whether a row was renewed lately.
+func (r entryRow) living(now endive.PlatformTime) bool {
+	return r.At+endive.PlatformTime(entryAge.Milliseconds()) >= now
+}
+
+// place returns how many living entries suit a pool better than this one.
+func (p *peers) place(pool endive.PoolName) int {
+	own := p.ownRow()
+	rank := endive.Rendezvous(p.cell.Settings.Name, string(pool))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.known {
+		return len(p.rows) + unknownPlace
+	}
+	better := 0
+	for id, row := range p.rows {
+		if id == p.cell.Settings.Name || !row.living(own.At) {
+			continue
+		}
+		if row.suitsBetter(own) || !own.suitsBetter(row) && endive.Rendezvous(id, string(pool)) > rank {
+			better++
+		}
+	}
+	return better
+}
+
+// suited returns the other living entries, those that suit a pool best first. The
+// caller holds the lock.
+func (p *peers) suited(pool endive.PoolName) []endive.EntryID {
+	now := p.cell.Platform.AtLeast(p.cell.Clock.Now())
+	var ids []endive.EntryID
+	for id, row := range p.rows {
+		if id != p.cell.Settings.Name && row.living(now) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := p.rows[ids[i]], p.rows[ids[j]]
+		if a.suitsBetter(b) != b.suitsBetter(a) {
+			return a.suitsBetter(b)
+		}
+		return endive.Rendezvous(ids[i], string(pool)) > endive.Rendezvous(ids[j], string(pool))
+	})
+	return ids
+}
+
+// linkedFor returns the linked entries, those that suit a pool best first.
+func (p *peers) linkedFor(pool endive.PoolName) []endive.EntryID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []endive.EntryID
+	for _, id := range p.suited(pool) {
+		if p.linked[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// bestFor returns the entry that suits a pool best of those that are linked and hold
+// no other, if it suits much better than this one.
+func (p *peers) bestFor(pool endive.PoolName, holders map[endive.EntryID]bool) (endive.EntryID, bool) {
+	cores := p.cell.Settings.Limits.Cores
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range p.suited(pool) {
+		if p.rows[id].Cores < muchBetter*cores {
+			return "", false
+		}
+		if p.linked[id] && !holders[id] {
+			return id, true
+		}
+	}
+	return "", false
+}
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -293,20 +293,6 @@
 	return bad
 }
 
-// adviceRow takes in an answer that another entry got.
-func (m *Machine) adviceRow(step endive.StepID, value []byte) {
-	s := m.stepOf(step)
-	if s == nil || !m.clock.Known() {
-		return
-	}
-	var row AdviceRow
-	if err := decode(value, &row); err != nil {
-		m.note(Note{Kind: NoteAdvice, Outcome: "skipped", Reason: "step " + string(step) + ": " + err.Error()})
-		return
-	}
-	m.takeAdvice(s, row.Good, row.Bad, m.clock.Earliest(row.Until), "asked by the accepting entry")
-}
-
 func (m *Machine) takeAdvice(s *step, good []endive.AdviceGrant, bad []endive.WorkerID, until time.Time, origin string) {
 	s.tickets.take(good, bad, until)
 	s.tickets.askAt = time.Time{}
--- a/flow/events.go
+++ b/flow/events.go
@@ -88,6 +88,19 @@
 	Expiry time.Time
 }
 
+// AdviceNoted is an answer of the advice service that the entry got which accepted a
+// workflow. It may come before the workflow itself.
+type AdviceNoted struct {
+	Step endive.StepID
+	Good []endive.AdviceGrant
+	// Bad are workers that were named in the question and aren't good.
+	Bad    []endive.WorkerID
+	Expiry time.Time
+}
+
+// IsEvent marks AdviceNoted as an event.
+func (AdviceNoted) IsEvent() {}
+
 // HelpersChanged says how many entries can ask the advice service at the same time.
 type HelpersChanged struct{ Count int }
 
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -38,8 +38,10 @@
 	helpers  int
 	recorder recorder
 	advice   advice
-	status   statusReport
-	ended    []endedJob
+	// early are answers about steps that aren't known yet.
+	early  map[endive.StepID]AdviceNoted
+	status statusReport
+	ended  []endedJob
 	// passDue asks for a look at what could start; passAt is the earliest time.
 	passDue bool
 	passAt  time.Time
@@ -71,6 +73,7 @@
 	m.ordered = nil
 	m.recorder = recorder{}
 	m.advice = advice{}
+	m.early = make(map[endive.StepID]AdviceNoted)
 	m.status = statusReport{}
 	m.ended = nil
 	m.touched, m.sweepAt = nil, time.Time{}
@@ -128,6 +131,8 @@
 		m.stopped(e)
 	case Advised:
 		m.advised(e)
+	case AdviceNoted:
+		m.adviceNoted(e)
 	case endive.Committed:
 		m.committed(e)
 	}
--- /dev/null
+++ b/flow/noted_test.go
@@ -0,0 +1,75 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// The answer about a workflow's first step comes before the workflow itself, or after
+// it; either way the holder starts the step with it and asks nothing.
+func TestAdviceOfTheAcceptingEntry(t *testing.T) {
+	for _, late := range []time.Duration{0, 100 * time.Millisecond} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, faults{lostAdvice: 1})
+			w.addWorkers(3)
+			h := w.hold()
+			w.run(time.Second)
+			noted := AdviceNoted{
+				Step: "job1.0.0", Good: []endive.AdviceGrant{{Worker: "w1", Ticket: "ticket"}}, Bad: []endive.WorkerID{"w0", "w2"},
+				Expiry: w.now.Add(1500 * time.Millisecond),
+			}
+			if late == 0 {
+				h.step(noted)
+			}
+			w.accepts = true
+			id := w.submit("job1", advised, stepOfTasks(2, 500*time.Millisecond))
+			w.after(late, func() { h.step(noted) })
+			w.run(time.Second + late + 10*time.Millisecond)
+			is.Equal(w.starts, 2)
+			is.Equal(len(h.machine.early), 0)
+			w.run(3 * time.Second)
+			w.holds()
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		})
+	}
+}
+
+// The accepting entry's answer never comes: the holder asks for itself in time.
+func TestAdviceOfTheAcceptingEntryIsLost(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	w.hold()
+	w.run(time.Second)
+	w.accepts = true
+	id := w.submit("job1", advised, stepOfTasks(2, 500*time.Millisecond))
+	w.run(1300 * time.Millisecond)
+	is.Equal(w.starts, 0)
+	w.run(1700 * time.Millisecond)
+	is.Equal(w.starts, 2)
+	w.run(3 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
+// Answers about workflows that are never heard of don't pile up.
+func TestEarlyAdviceIsBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(1)
+	h := w.hold()
+	w.run(time.Second)
+	for i := range 3 * maxEarly {
+		h.step(AdviceNoted{Step: endive.StepID(fmt.Sprintf("job%d.0.0", i)), Expiry: w.now.Add(time.Second)})
+	}
+	is.Equal(len(h.machine.early), maxEarly)
+	w.run(3 * time.Second)
+	h.step(AdviceNoted{Step: "job9999.0.0", Expiry: w.now.Add(time.Second)})
+	is.Equal(len(h.machine.early), 1)
+}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -157,11 +157,14 @@
 	return taken
 }
 
+// rowsPerJob is how many rows a workflow has at the most.
+const rowsPerJob = 3
+
 // deletions returns writes that delete the rows of workflows that ended long ago.
 func (m *Machine) deletions(room int, sent *recording) []endive.Write {
 	var writes []endive.Write
 	for _, one := range m.ended {
-		if one.deleteAt.After(m.now) || len(writes)+3+len(one.steps) > room {
+		if one.deleteAt.After(m.now) || len(writes)+rowsPerJob > room {
 			break
 		}
 		sent.deleted++
@@ -170,9 +173,6 @@
 			endive.Write{Key: JobKey(m.pool, one.id), Delete: true},
 			endive.Write{Key: CancelKey(m.pool, one.id), Delete: true},
 		)
-		for _, step := range one.steps {
-			writes = append(writes, endive.Write{Key: AdviceKey(m.pool, step), Delete: true})
-		}
 	}
 	return writes
 }
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -20,7 +20,6 @@
 const (
 	kindJob    = "j."
 	kindCancel = "c."
-	kindAdvice = "a."
 )
 
 // WorkPrefix returns what to scan and follow for a pool's new work.
@@ -53,11 +52,6 @@
 	return WorkPrefix(pool) + kindCancel + string(id)
 }
 
-// AdviceKey returns the row of the advice for a step.
-func AdviceKey(pool endive.PoolName, step endive.StepID) string {
-	return WorkPrefix(pool) + kindAdvice + string(step)
-}
-
 // StateKey returns the row of a workflow's progress.
 func StateKey(pool endive.PoolName, id endive.JobID) string {
 	return StatePrefix(pool) + string(id)
@@ -87,15 +81,6 @@
 	At endive.PlatformTime `json:"at"`
 }
 
-// AdviceRow is the row of an answer of the advice service.
-type AdviceRow struct {
-	Good []endive.AdviceGrant `json:"good"`
-	// Bad lists the workers that were named and aren't good.
-	Bad []endive.WorkerID `json:"bad,omitempty"`
-	// Until is when the tickets end.
-	Until endive.PlatformTime `json:"until"`
-}
-
 // Progress is the row of a workflow's progress.
 type Progress struct {
 	State endive.WorkflowState `json:"state"`
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -60,9 +60,6 @@
 	rowsPerRecord = 90
 	// ticketMargin is how long before its end a ticket isn't used any more.
 	ticketMargin = 150 * time.Millisecond
-	// adviceWait is how much longer than its cost the advice for a new workflow
-	// may take before the holder asks for itself.
-	adviceWait = 600 * time.Millisecond
 	// adviceRetry is the pause after a question that failed, or that named no
 	// good worker.
 	adviceRetry = 300 * time.Millisecond
--- a/flow/work.go
+++ b/flow/work.go
@@ -43,11 +43,8 @@
 		if row.Deleted {
 			continue
 		}
-		switch kind {
-		case kindCancel:
+		if kind == kindCancel {
 			m.cancel(endive.JobID(name))
-		case kindAdvice:
-			m.adviceRow(endive.StepID(name), row.Value)
 		}
 	}
 }
@@ -89,8 +86,9 @@
 	if j.spec.Schedule.Occurrences == 0 {
 		j.nextOcc = 1
 	}
-	if !inherited {
-		j.awaitAdvice(m)
+	m.takeEarly(j)
+	if !inherited && s.Advised {
+		m.awaitAdvice(j)
 	}
 	m.passDue = true
 	m.note(Note{Kind: NoteJob, Job: id, Outcome: "taken up", Reason: "queue " + string(j.policy.Name) +
@@ -208,7 +206,6 @@
 type endedJob struct {
 	id       endive.JobID
 	deleteAt time.Time
-	steps    []endive.StepID
 }
 
 // finish gives a job its final state and stops what still runs of it.
@@ -243,33 +240,9 @@
 	}
 	one := endedJob{id: j.id, deleteAt: m.now.Add(time.Duration(m.settings.Retention))}
 	for _, occ := range j.sortedOccs() {
-		for _, s := range occ.steps {
-			if len(one.steps) < maxAdviceRows {
-				one.steps = append(one.steps, s.id)
-			}
-		}
 		m.dropOccurrence(occ)
 	}
 	delete(m.jobs, j.id)
 	delete(m.scheduled, j.id)
 	m.ended = append(m.ended, one)
 }
-
-// maxAdviceRows bounds the rows of advice that are deleted with a workflow.
-const maxAdviceRows = 16
-
-// awaitAdvice leaves the first questions about a new job to the entry that accepted
-// it, unless that entry has been told that the pool is crowded.
-func (j *job) awaitAdvice(m *Machine) {
-	if m.status.written.Crowded && j.policy.Rank > 0 {
-		return
-	}
-	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
-	for _, occ := range j.occs {
-		for _, s := range occ.steps {
-			if len(s.spec.After) == 0 {
-				s.tickets.askAt = m.now.Add(cost + adviceWait)
-			}
-		}
-	}
-}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -42,6 +42,8 @@
 	// atOnce counts what happened at the present moment.
 	atOnce int
 	starts int
+	// accepts says that entries ask for advice about what they accept.
+	accepts bool
 }
 
 // faults are the chances, from 0 to 1, that something goes wrong with an order or a
@@ -200,7 +202,7 @@
 	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: policy}
 	w.put(StateKey(testPool, workflow.ID), Progress{State: endive.WorkflowQueued})
 	w.put(JobKey(testPool, workflow.ID), endive.Submission{
-		Workflow: workflow, Policy: policy, Accepted: worldClock{w.start}.AtLeast(w.now),
+		Workflow: workflow, Policy: policy, Accepted: worldClock{w.start}.AtLeast(w.now), Advised: w.accepts,
 	})
 	return workflow.ID
 }
--- a/queue.go
+++ b/queue.go
@@ -48,6 +48,9 @@
 	ConfigVersion ConfigVersion `json:"configVersion"`
 	// Accepted is the platform's time of the acceptance.
 	Accepted PlatformTime `json:"accepted"`
+	// Advised says that the accepting entry asks which workers may run the first
+	// steps.
+	Advised bool `json:"advised,omitempty"`
 }
 
 // CellConfig is what the operators configure: queues, pools of workers and bounds
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -42,6 +42,8 @@
 		return &Frame{Body: &Frame_AdviceAsk{m}}
 	case *AdviceAnswer:
 		return &Frame{Body: &Frame_AdviceAnswer{m}}
+	case *AdviceNote:
+		return &Frame{Body: &Frame_AdviceNote{m}}
 	case *RelayAsk:
 		return &Frame{Body: &Frame_RelayAsk{m}}
 	case *RelayAnswer:
@@ -88,6 +90,8 @@
 		return b.AdviceAsk
 	case *Frame_AdviceAnswer:
 		return b.AdviceAnswer
+	case *Frame_AdviceNote:
+		return b.AdviceNote
 	case *Frame_RelayAsk:
 		return b.RelayAsk
 	case *Frame_RelayAnswer:
