A new holder asks unlisted workers of the roster; pools are offered only to entries that can carry them

And after a restart of all entries none trusted the list of the others for a while, though each had registered before: 3.5 s without a holder.

Change: the roster has the workers' addresses. One that isn't listed and at whose address nothing, or another worker, answers is gone; one that gives no answer may run on, and is waited for as before. Offers go to entries about as good as this one. An entry that finds its own row from before knows the others. Advice for an entry that held the pool a moment ago is passed on.

--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"endiveroute.example/endive"
@@ -14,6 +15,8 @@
 	switch {
 	case err == nil:
 		return flow.OrderAnswered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return flow.OrderRefused
 	case endive.ErrUnavailable.Has(err):
 		return flow.OrderNotSent
 	default:
--- a/entry/cell/noted.go
+++ b/entry/cell/noted.go
@@ -32,7 +32,7 @@
 func (c *Cell) adviceNoted(m *wire.AdviceNote) {
 	p := c.poolNamed(endive.PoolName(m.GetPool()))
 	if p == nil || !p.holds.Load() {
-		c.Log.Info("advice isn't taken", "pool", m.GetPool(), "step", m.GetStep(), "reason", "the pool isn't held here")
+		c.forwardAdvice(p, m)
 		return
 	}
 	validity := endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)
@@ -43,6 +43,18 @@
 	p.tell(noted)
 }
 
+// forwardAdvice passes a note on to the entry that holds the pool now, as far as it is
+// known here. The sender hasn't heard of it yet.
+func (c *Cell) forwardAdvice(p *pool, m *wire.AdviceNote) {
+	if p != nil && !m.GetForwarded() {
+		m.Forwarded = true
+		if c.peers.mesh.Send(p.heldIn(), m) {
+			return
+		}
+	}
+	c.Log.Info("advice isn't taken", "pool", m.GetPool(), "step", m.GetStep(), "reason", "the pool isn't held here")
+}
+
 // grantsOf returns grants as other entries are told of them.
 func grantsOf(grants []endive.AdviceGrant) []*wire.AdviceGrant {
 	told := make([]*wire.AdviceGrant, 0, len(grants))
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -77,10 +77,11 @@
 	var after endive.Revision
 	var registerAt time.Time
 	for p.cell.ctx.Err() == nil {
-		if now := p.cell.Clock.Now(); p.cell.Platform.Known() && !now.Before(registerAt) && p.register() {
+		// The rows are read first, which tells whether this entry registered before.
+		after = p.follow(after)
+		if now := p.cell.Clock.Now(); after > 0 && !now.Before(registerAt) && p.register() {
 			registerAt = now.Add(registration)
 		}
-		after = p.follow(after)
 		p.link()
 		p.cell.pause(entriesPoll * time.Duration(p.rarity()))
 	}
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -84,8 +84,12 @@
 // try has the first entry that can do it do something. What isn't sent to an entry
 // that can is surely not done.
 func (r *relays) try(ctx context.Context, ask *wire.RelayAsk) *wire.RelayAnswer {
+	if r.tired() {
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away, and no entry reached it a moment ago"}
+	}
 	to, ok := r.findAble(ctx, r.cell.peers.ids())
 	if !ok {
+		r.noteNone()
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away, and no entry reaches it"}
 	}
 	answer := r.ask(ctx, to, ask, relayTimeout)
@@ -107,11 +111,7 @@
 			return id, true
 		}
 	}
-	tired := now.Sub(r.noneAt) < probeAge
 	r.mu.Unlock()
-	if tired {
-		return "", false
-	}
 	for i, id := range ids {
 		if i == maxRelays || ctx.Err() != nil {
 			break
@@ -122,10 +122,20 @@
 			return id, true
 		}
 	}
+	return "", false
+}
+
+// tired reports whether no entry could do anything for us a moment ago.
+func (r *relays) tired() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cell.Clock.Now().Sub(r.noneAt) < probeAge
+}
+
+func (r *relays) noteNone() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.noneAt = r.cell.Clock.Now()
-	r.mu.Unlock()
-	return "", false
 }
 
 func (r *relays) noteAble(id endive.EntryID) {
--- a/entry/cell/suits.go
+++ b/entry/cell/suits.go
@@ -48,12 +48,20 @@
 	}
 }
 
-// noteKnown notes since when others are known. The caller holds the lock.
+// noteKnown notes when the others are known: a while after they are read first, or at
+// once where this entry has registered before, so that only it starts anew or all do.
+// The caller holds the lock.
 func (p *peers) noteKnown() {
-	if p.knownSince.IsZero() && len(p.rows) > 1 {
-		p.knownSince = p.cell.Clock.Now()
+	if p.known || len(p.rows) < 2 {
+		return
 	}
-	p.known = p.known || !p.knownSince.IsZero() && p.cell.Clock.Now().Sub(p.knownSince) > knownAfter
+	now := p.cell.Clock.Now()
+	if p.knownSince.IsZero() {
+		p.knownSince = now
+	}
+	own, registered := p.rows[p.cell.Settings.Name]
+	before := registered && own.Incarnation != p.cell.Incarnation
+	p.known = before || now.Sub(p.knownSince) > knownAfter
 }
 
 // living reports whether a row was renewed lately.
@@ -102,16 +110,25 @@
 	return ids
 }
 
-// linkedFor returns the linked entries, those that suit a pool best first.
+// linkedFor returns the linked entries that suit a pool about as well as this one, or
+// all where none does, those that suit it best first.
 func (p *peers) linkedFor(pool endive.PoolName) []endive.EntryID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var ids []endive.EntryID
+	own := p.cell.Settings.Limits.Cores
+	var ids, weak []endive.EntryID
 	for _, id := range p.suited(pool) {
-		if p.linked[id] {
+		switch {
+		case !p.linked[id]:
+		case p.rows[id].Cores*muchBetter > own:
 			ids = append(ids, id)
+		default:
+			weak = append(weak, id)
 		}
 	}
+	if len(ids) == 0 {
+		return weak
+	}
 	return ids
 }
 
--- a/flow/events.go
+++ b/flow/events.go
@@ -29,7 +29,7 @@
 	Epoch  endive.Epoch
 	Work   []endive.Row
 	States []endive.Row
-	Roster []endive.WorkerID
+	Roster []RosterWorker
 }
 
 // WorkChanged gives rows of the pool's table of work that were written.
@@ -47,6 +47,8 @@
 	OrderAnswered OrderResult = "answered"
 	// OrderNotSent means that the order never arrived and never will.
 	OrderNotSent OrderResult = "notSent"
+	// OrderRefused means the same, since nothing listens at the worker's address.
+	OrderRefused OrderResult = "refused"
 	// OrderUnknown means that the order may be carried out, also later.
 	OrderUnknown OrderResult = "unknown"
 )
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -19,6 +19,8 @@
 	life     int
 	dark     bool
 	unlisted bool
+	// gone workers have ended: nothing listens at their address.
+	gone bool
 	// hangs has all tasks stand still, slow has them take so many times as long.
 	hangs bool
 	slow  int
@@ -271,6 +273,10 @@
 	id := order.Worker.ID
 	one := w.workers[id]
 	patience := time.Duration(order.Wait) + 700*time.Millisecond
+	if one != nil && one.gone {
+		w.after(3*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderRefused}) })
+		return
+	}
 	if one == nil || one.dark || w.chance(w.faults.lostOrder) {
 		w.after(patience, func() { h.step(Held{Worker: id, Result: OrderUnknown}) })
 		return
@@ -337,3 +343,10 @@
 	}
 	return int(now.Sub(r.began) * 100 / r.takes)
 }
+
+// leave ends the worker's process: all that it runs ends, unheard.
+func (f *fakeWorker) leave() {
+	f.bear(f.self.Capacity, f.self.Labels)
+	f.gone, f.unlisted = true, true
+	f.world.list()
+}
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -177,6 +177,50 @@
 	is.Equal(w.starts, 11)
 }
 
+// Workers end while there is no holder. The new one finds them in the roster only, sees
+// that nothing listens there, and starts what they ran at once.
+func TestTakeoverAfterWorkersHaveEnded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	first := w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(12, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	first.kill()
+	w.workers["w0"].leave()
+	w.run(2 * time.Second)
+	second := w.hold()
+	w.run(2100 * time.Millisecond)
+	is.True(second.machine.tenure.settled)
+	w.run(6 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 17)
+}
+
+// A worker that isn't listed may be cut off and run on: without an answer, what it ran
+// isn't started elsewhere before its leases have run out.
+func TestTakeoverWithAWorkerCutOff(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(3)
+	first := w.hold()
+	w.run(time.Second)
+	id := w.submit("job1", quick, stepOfTasks(12, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	first.kill()
+	w.workers["w0"].dark, w.workers["w0"].unlisted = true, true
+	w.list()
+	w.run(2 * time.Second)
+	second := w.hold()
+	w.run(5 * time.Second)
+	is.True(!second.machine.tenure.settled)
+	w.run(12 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
 // A holder that stood still while another took the pool over starts nothing when it
 // goes on.
 func TestFrozenHolderIsFenced(t *testing.T) {
--- a/flow/held.go
+++ b/flow/held.go
@@ -67,6 +67,10 @@
 	case endive.RefusalIncarnation:
 		w.stale = true
 	}
+	if m.isGone(w, e) {
+		m.forgetGone(w, reason)
+		return
+	}
 	if w.failures == 0 {
 		m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "doesn't answer", Reason: reason + ", " + number(int64(len(w.runs))) + " runs there"})
 	}
@@ -74,6 +78,22 @@
 	w.hold.again = m.now.Add(holdRetry * time.Duration(min(w.failures, 6)))
 }
 
+// isGone reports whether a look has shown that a worker's life is over. The platform
+// doesn't list it any more, and nothing, or somebody else, answers at its address.
+// Neither alone is enough: a list lags, and a worker that is cut off runs on.
+func (m *Machine) isGone(w *worker, e Held) bool {
+	return !w.listed && (e.Result == OrderRefused || e.Answer.Refused == endive.RefusalIncarnation)
+}
+
+// forgetGone gives up what a worker ran whose life is over.
+func (m *Machine) forgetGone(w *worker, reason string) {
+	m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "gone", Reason: "it isn't listed, and a look says " + reason})
+	m.loseRuns(w, "its worker is gone")
+	delete(m.workers, w.id)
+	m.sortWorkers()
+	m.passDue = true
+}
+
 // takeEnds takes in the ends that a worker lists. The room of each is free from
 // now on; what follows from it waits until it is recorded.
 func (m *Machine) takeEnds(w *worker, ends []endive.EndReport) {
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -114,7 +114,7 @@
 	sent.ends = rec.takeEnds()
 	if m.rosterGrows() || m.rosterShrinks() {
 		sent.roster = m.newRoster()
-		txn.Writes = append(txn.Writes, endive.Write{Key: RosterKey(m.pool), Value: encode(Roster{Workers: sorted(sent.roster)})})
+		txn.Writes = append(txn.Writes, endive.Write{Key: RosterKey(m.pool), Value: encode(m.rosterRow(sent.roster))})
 	}
 	if due := m.status.due(m); !due.IsZero() && !due.After(m.now) {
 		status := m.status.current
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -34,11 +34,12 @@
 	return roster
 }
 
-func sorted(ids map[endive.WorkerID]bool) []endive.WorkerID {
-	list := make([]endive.WorkerID, 0, len(ids))
-	for id := range ids {
-		list = append(list, id)
+// rosterRow returns the row of a roster.
+func (m *Machine) rosterRow(roster map[endive.WorkerID]bool) Roster {
+	var row Roster
+	for id := range roster {
+		row.Workers = append(row.Workers, RosterWorker{ID: id, Address: m.workers[id].self.Address})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
-	return list
+	sort.Slice(row.Workers, func(i, j int) bool { return row.Workers[i].ID < row.Workers[j].ID })
+	return row
 }
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -68,7 +68,14 @@
 
 // Roster is the row of the workers that may run something of the pool.
 type Roster struct {
-	Workers []endive.WorkerID `json:"workers"`
+	Workers []RosterWorker `json:"workers"`
+}
+
+// RosterWorker is a worker in the roster. It can be asked at its address what it
+// still runs when the platform doesn't list it any more.
+type RosterWorker struct {
+	ID      endive.WorkerID `json:"id"`
+	Address endive.Address  `json:"address"`
 }
 
 // Status is the row that tells how a pool fares.
--- a/flow/run.go
+++ b/flow/run.go
@@ -225,7 +225,7 @@
 			m.sendStart(r)
 			return
 		}
-	case e.Result == OrderNotSent:
+	case e.Result == OrderNotSent, e.Result == OrderRefused:
 		w.health.avoidUntil = m.now.Add(refusedPause)
 		w.hold.again = m.now
 	case e.Answer.Refused == endive.RefusalLate && again:
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -74,10 +74,10 @@
 		}
 	}
 	m.recorder.roster = make(map[endive.WorkerID]bool)
-	for _, id := range e.Roster {
-		m.recorder.roster[id] = true
-		if m.workers[id] == nil {
-			m.addUnlisted(id)
+	for _, one := range e.Roster {
+		m.recorder.roster[one.ID] = true
+		if m.workers[one.ID] == nil {
+			m.addUnlisted(one)
 		}
 	}
 	m.takeRows(e.Work, progress)
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -129,8 +129,10 @@
 
 // addUnlisted adds a worker of the roster that isn't listed: something may run
 // there that nobody has recorded.
-func (m *Machine) addUnlisted(id endive.WorkerID) {
-	m.workers[id] = newWorker(id)
+func (m *Machine) addUnlisted(one RosterWorker) {
+	w := newWorker(one.ID)
+	w.self.Address = one.Address
+	m.workers[one.ID] = w
 	m.sortWorkers()
 }
 
@@ -235,10 +237,6 @@
 	if w.hold.inFlight {
 		return
 	}
-	if w.self.ID == "" {
-		// Only its id is known, from the roster.
-		return
-	}
 	due := w.hold.again
 	if due.After(m.now) {
 		w.nextAt = due
