A worker that is missing for three seconds and doesn't answer a new holder is gone

Cause: after a power cut of all entries the new holder still waited for 5 s: the workers that had left meanwhile drop packets, so nothing refuses. By the platform's word an entry that isn't back 2 s after the store is to be taken as gone; three seconds outlast every lease that an earlier holder renewed, since an entry disappears two heartbeats after the last one at the earliest, and leases aren't renewed any more after one look without an answer.

--- a/entry/cell/perform.go
+++ b/entry/cell/perform.go
@@ -50,8 +50,8 @@
 func (p *pool) tenureBegan(a elect.Began) {
 	p.cell.Log.Info("pool is held", "pool", string(p.name), "epoch", uint64(a.Epoch))
 	p.cell.peers.tellTaken(p.name, a.Epoch)
-	workers, _ := p.cell.workers.of(p.name)
-	p.tell(flow.WorkersSeen{Workers: workers})
+	seen, _ := p.cell.workers.seenOf(p.name)
+	p.tell(seen)
 	p.tell(flow.TenureBegan{Epoch: a.Epoch, FenceVersion: a.FenceVersion, Until: a.Until, LastUntil: a.LastUntil})
 }
 
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -62,6 +62,7 @@
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
 	p.flow = flow.New(name, flow.Settings{
 		Grant:     min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
+		MaxGrant:  c.Settings.Bounds.MaxGrant,
 		Retention: c.Settings.Bounds.Retention,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)))
 	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: c.Log}))
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"reflect"
 	"sort"
 	"sync"
@@ -25,11 +26,19 @@
 	missing map[endive.WorkerID]bool
 	changed bool
 	ready   bool
+	// knownSince is since when all looks at the list have been answered.
+	knownSince time.Time
+	// goneAt is when workers disappeared from the list lately.
+	goneAt map[endive.WorkerID]time.Time
 }
 
+// goneKept is how long it is known when a worker disappeared.
+const goneKept = time.Minute
+
 func newWorkersLoop(c *Cell) *workersLoop {
 	return &workersLoop{
 		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), missing: make(map[endive.WorkerID]bool),
+		goneAt: make(map[endive.WorkerID]time.Time),
 	}
 }
 
@@ -44,6 +53,8 @@
 		case err == nil:
 			l.take(news, after == 0)
 			after = news.Revision
+		default:
+			l.unknown()
 		}
 		l.cell.pause(l.period())
 	}
@@ -67,13 +78,26 @@
 	return l.cell.Directory.Workers(ctx, after)
 }
 
+// unknown notes that a look at the list wasn't answered.
+func (l *workersLoop) unknown() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.knownSince = time.Time{}
+}
+
 // take takes in what is new, and tells the pools if anything changed that matters.
 func (l *workersLoop) take(news endive.WorkersNews, all bool) {
 	l.mu.Lock()
+	now := l.cell.Clock.Now()
+	if l.knownSince.IsZero() {
+		l.knownSince = now
+	}
+	l.forgetGone(now)
 	seen := make(map[endive.WorkerID]bool, len(news.Workers))
 	for _, w := range news.Workers {
 		seen[w.ID] = true
 		delete(l.missing, w.ID)
+		delete(l.goneAt, w.ID)
 		if old, ok := l.workers[w.ID]; !ok || !reflect.DeepEqual(old, w) {
 			l.workers[w.ID] = w
 			l.changed = true
@@ -90,6 +114,7 @@
 	for _, id := range gone {
 		if _, ok := l.workers[id]; ok {
 			l.missing[id] = true
+			l.goneAt[id] = now
 		}
 	}
 	l.dropMissing()
@@ -101,6 +126,23 @@
 	}
 }
 
+// forgetGone forgets workers that disappeared long ago. The caller holds the lock.
+func (l *workersLoop) forgetGone(now time.Time) {
+	for id, at := range l.goneAt {
+		if now.Sub(at) > goneKept {
+			delete(l.goneAt, id)
+		}
+	}
+}
+
+// missingSince returns since when workers that aren't listed are missing: each of the
+// map since its time, any other since the time that is returned too.
+func (l *workersLoop) missingSince() (map[endive.WorkerID]time.Time, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.goneAt), l.knownSince
+}
+
 // dropMissing forgets the workers whose entries are gone. After an outage of the
 // store they get the time to register again.
 func (l *workersLoop) dropMissing() {
@@ -132,8 +174,15 @@
 // publishAll tells each pool its workers.
 func (l *workersLoop) publishAll() {
 	for _, p := range l.cell.allPools() {
-		if workers, ok := l.of(p.name); ok {
-			p.tell(flow.WorkersSeen{Workers: workers})
+		if seen, ok := l.seenOf(p.name); ok {
+			p.tell(seen)
 		}
 	}
 }
+
+// seenOf returns what a pool's holder is told of the list.
+func (l *workersLoop) seenOf(pool endive.PoolName) (flow.WorkersSeen, bool) {
+	workers, ok := l.of(pool)
+	missing, known := l.missingSince()
+	return flow.WorkersSeen{Workers: workers, Missing: missing, KnownSince: known}, ok
+}
--- a/flow/held.go
+++ b/flow/held.go
@@ -78,11 +78,25 @@
 	w.hold.again = m.now.Add(holdRetry * time.Duration(min(w.failures, 6)))
 }
 
+// goneAfter is how long a worker has to be missing from the list for it to be gone if
+// it doesn't answer a new holder. Its entry disappears two heartbeats after the last
+// one at the earliest, and leases that an earlier holder renewed meanwhile run out
+// before this is over.
+const goneAfter = 3 * time.Second
+
 // isGone reports whether a look has shown that a worker's life is over. The platform
-// doesn't list it any more, and nothing, or somebody else, answers at its address.
-// Neither alone is enough: a list lags, and a worker that is cut off runs on.
+// doesn't list it any more, and nothing, or somebody else, answers at its address, or
+// it never answered this holder and has been missing for long. Either alone is not
+// enough: a list lags, and a worker that is cut off runs on.
 func (m *Machine) isGone(w *worker, e Held) bool {
-	return !w.listed && (e.Result == OrderRefused || e.Answer.Refused == endive.RefusalIncarnation)
+	if w.listed {
+		return false
+	}
+	if e.Result == OrderRefused || e.Answer.Refused == endive.RefusalIncarnation {
+		return true
+	}
+	missing := m.listed.missingSince(w.id)
+	return !w.adopted && !missing.IsZero() && m.now.Sub(missing) > goneAfter
 }
 
 // forgetGone gives up what a worker ran whose life is over.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -29,7 +29,7 @@
 	scheduled map[endive.JobID]*job
 	workers   map[endive.WorkerID]*worker
 	ordered   []*worker
-	listed    []endive.FleetWorker
+	listed    WorkersSeen
 	// touched are the workers that something happened to in this step; sweepAt is
 	// when something is due at any.
 	touched []*worker
@@ -102,7 +102,7 @@
 		m.tenureEnded()
 		return
 	case WorkersSeen:
-		m.listed = e.Workers
+		m.listed = e
 		m.updateWorkers()
 		return
 	case HelpersChanged:
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -12,6 +12,8 @@
 	// renews it. It has to outlast a takeover of the pool, and to be the same for all
 	// holders: a new one waits so long for what it can't see.
 	Grant endive.Interval
+	// MaxGrant is what a worker shortens longer leases to.
+	MaxGrant endive.Interval
 	// Retention is how long the rows of an ended workflow are kept.
 	Retention endive.Interval
 }
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -104,7 +104,7 @@
 	m.passDue = true
 	m.sweepAt = m.now
 	for _, w := range m.ordered {
-		if !w.adopted && !w.listed {
+		if !w.adopted && !w.listed && len(w.runs) == 0 {
 			delete(m.workers, w.id)
 		}
 	}
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -118,7 +118,8 @@
 // each run is given up only when the new incarnation doesn't list it.
 func (m *Machine) beginLife(w *worker, born time.Time) {
 	m.note(Note{Kind: NoteWorker, Worker: w.id, Outcome: "started anew", Reason: number(int64(len(w.runs))) + " runs were there"})
-	w.overBy = endive.Latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.Grant))+guessMargin+leaseMargin))
+	// Such an order has a lease by the clock of the incarnation before.
+	w.overBy = endive.Latest(w.surelyOver(), m.now.Add(slowest(time.Duration(m.settings.MaxGrant))+guessMargin+leaseMargin))
 	w.self.Born = born
 	w.life++
 	w.adopted, w.stale = false, false
@@ -145,8 +146,8 @@
 	if !m.tenure.active {
 		return
 	}
-	seen := make(map[endive.WorkerID]bool, len(m.listed))
-	for _, self := range m.listed {
+	seen := make(map[endive.WorkerID]bool, len(m.listed.Workers))
+	for _, self := range m.listed.Workers {
 		seen[self.ID] = true
 		m.updateWorker(self)
 	}
@@ -274,7 +275,7 @@
 // extends reports whether leases there are to be renewed. Those of a worker that
 // doesn't answer are left to run out, so that its tasks can go elsewhere.
 func (w *worker) extends() bool {
-	return w.adopted && w.failures < 2 && len(w.runs) > 0
+	return w.adopted && w.failures == 0 && len(w.runs) > 0
 }
 
 // leaseEnd returns the end of a lease that begins now, on the worker's clock, and
