Submissions are spread over 32 parts of the store

A part carries out one transaction after the other, and parts fail by themselves.

Change: a submission and its cancelling are in one of 32 parts, by the workflow's id; what the holder writes stays in the part of the pool. A workflow without a row of progress waits. Rows of ended workflows are deleted in transactions of their own, over several parts.

--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(f.ctx, loadTimeout)
 	defer cancel()
 	rows, name := f.pool.cell.Rows, f.pool.name
-	work, err := rows.Scan(ctx, flow.WorkPrefix(name), 0)
+	work, err := f.pool.cell.scanWork(ctx, name)
 	if err != nil {
 		return flow.Loaded{}, err
 	}
@@ -83,7 +83,7 @@
 	var changes endive.Changes
 	var err error
 	if f.after == 0 {
-		changes, err = f.pool.cell.Rows.Scan(ctx, prefix, 0)
+		changes, err = f.pool.cell.scanWork(ctx, f.pool.name)
 	} else {
 		changes, err = f.pool.cell.Rows.Follow(ctx, prefix, f.after, followWait)
 	}
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -54,22 +54,31 @@
 		}
 	}
 	for _, pool := range pools {
-		rows, err := c.read(ctx, flow.StateKey(pool, id))
-		if err != nil {
-			return flow.Progress{}, "", err
+		progress, found, err := c.findIn(ctx, pool, id)
+		if found || err != nil {
+			return progress, pool, err
 		}
-		if len(rows) == 0 {
-			continue
-		}
-		var progress flow.Progress
-		if err := json.Unmarshal(rows[0].Value, &progress); err != nil {
-			return flow.Progress{}, "", endive.ErrUnavailable.New("the state of %s can't be read: %w", id, err)
-		}
-		return progress, pool, nil
 	}
 	return flow.Progress{}, "", endive.ErrNotFound.New("there is no workflow %s", id)
 }
 
+// findIn looks for a workflow in a pool. One of which nothing is recorded waits.
+func (c *Cell) findIn(ctx context.Context, pool endive.PoolName, id endive.JobID) (flow.Progress, bool, error) {
+	progress := flow.Progress{State: endive.WorkflowQueued}
+	rows, err := c.read(ctx, flow.StateKey(pool, id))
+	if err != nil {
+		return progress, false, err
+	}
+	if len(rows) == 0 {
+		rows, err = c.read(ctx, flow.JobKey(pool, id))
+		return progress, len(rows) > 0, err
+	}
+	if err := json.Unmarshal(rows[0].Value, &progress); err != nil {
+		return progress, false, endive.ErrUnavailable.New("the state of %s can't be read: %w", id, err)
+	}
+	return progress, true, nil
+}
+
 // read reads a row, and tries again where the store didn't answer.
 func (c *Cell) read(ctx context.Context, key string) ([]endive.Row, error) {
 	for {
--- a/entry/cell/queued.go
+++ b/entry/cell/queued.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,21 +29,48 @@
 	if !q.readAt.IsZero() && now.Sub(q.readAt) < queuedAge {
 		return q.counts[queue.Name], nil
 	}
-	scan, err := c.Rows.Scan(ctx, flow.StatePrefix(queue.Pool), 0)
+	counts, err := c.countQueued(ctx, queue.Pool)
 	if err != nil {
 		return 0, err
 	}
-	q.counts = make(map[endive.QueueName]int)
-	for _, row := range scan.Rows {
+	q.counts = counts
+	q.readAt = now
+	return q.counts[queue.Name], nil
+}
+
+// countQueued counts the workflows of a pool of which nothing has begun, by their
+// queues.
+func (c *Cell) countQueued(ctx context.Context, pool endive.PoolName) (map[endive.QueueName]int, error) {
+	// The states are read last, so that what begins meanwhile isn't counted.
+	work, err := c.scanWork(ctx, pool)
+	if err != nil {
+		return nil, err
+	}
+	states, err := c.Rows.Scan(ctx, flow.StatePrefix(pool), 0)
+	if err != nil {
+		return nil, err
+	}
+	begun := make(map[endive.JobID]bool)
+	for _, row := range states.Rows {
 		var progress flow.Progress
 		if err := json.Unmarshal(row.Value, &progress); err != nil {
 			c.Log.Warn("the state of a workflow can't be read", "row", row.Key, "error", err.Error())
 			continue
 		}
-		if progress.State == endive.WorkflowQueued {
-			q.counts[progress.Queue]++
+		begun[endive.JobID(strings.TrimPrefix(row.Key, flow.StatePrefix(pool)))] = progress.State != endive.WorkflowQueued
+	}
+	counts := make(map[endive.QueueName]int)
+	for _, row := range work.Rows {
+		id, ok := flow.JobOfRow(pool, row.Key)
+		if !ok || begun[id] {
+			continue
 		}
+		var job endive.Submission
+		if err := json.Unmarshal(row.Value, &job); err != nil {
+			c.Log.Warn("a submission can't be read", "row", row.Key, "error", err.Error())
+			continue
+		}
+		counts[job.Policy.Name]++
 	}
-	q.readAt = now
-	return q.counts[queue.Name], nil
+	return counts, nil
 }
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -199,7 +198,7 @@
 }
 
 func (r *relayed) submit(ctx context.Context, queue endive.Queue, id endive.JobID) *wire.RelayAnswer {
-	result := r.cell.commitSubmission(ctx, submission(queue.Pool, queue.Name, id, r.ask.GetSubmission()))
+	result := r.cell.commitSubmission(ctx, submission(queue.Pool, id, r.ask.GetSubmission()))
 	answer := &wire.RelayAnswer{Reason: result.Reason}
 	switch result.Status {
 	case endive.SubmitAccepted:
@@ -248,22 +247,10 @@
 }
 
 // submission returns the transaction that stores an encoded submission.
-func submission(pool endive.PoolName, queue endive.QueueName, id endive.JobID, job []byte) endive.Transaction {
+func submission(pool endive.PoolName, id endive.JobID, job []byte) endive.Transaction {
 	key := flow.JobKey(pool, id)
 	return endive.Transaction{
 		Conditions: []endive.Condition{{Key: key}},
-		Writes: []endive.Write{
-			{Key: key, Value: job},
-			{Key: flow.StateKey(pool, id), Value: mustEncode(flow.Progress{State: endive.WorkflowQueued, Queue: queue})},
-		},
+		Writes:     []endive.Write{{Key: key, Value: job}},
 	}
 }
-
-// mustEncode encodes a value that always has a JSON form.
-func mustEncode(value any) []byte {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic("cell: a row can't be encoded: " + err.Error())
-	}
-	return data
-}
--- /dev/null
+++ b/entry/cell/scan.go
@@ -0,0 +1,53 @@
+package cell
+
+import (
+	"context"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
+)
+
+// shardScan reads one of the parts that a pool's work is spread over.
+type shardScan struct {
+	rows    Rows
+	prefix  string
+	results chan<- shardResult
+}
+
+// shardResult is what a shardScan has read.
+type shardResult struct {
+	changes endive.Changes
+	err     error
+}
+
+func (s *shardScan) run(ctx context.Context) {
+	changes, err := s.rows.Scan(ctx, s.prefix, 0)
+	s.results <- shardResult{changes: changes, err: err}
+}
+
+// scanWork reads all rows of a pool's table of work, its parts side by side. What
+// changes meanwhile is told by what follows after its revision.
+func (c *Cell) scanWork(ctx context.Context, pool endive.PoolName) (endive.Changes, error) {
+	prefixes := flow.WorkShards(pool)
+	results := make(chan shardResult, len(prefixes))
+	for _, prefix := range prefixes {
+		go (&shardScan{rows: c.Rows, prefix: prefix, results: results}).run(ctx)
+	}
+	var all endive.Changes
+	var failed error
+	for range prefixes {
+		one := <-results
+		if one.err != nil {
+			failed = one.err
+			continue
+		}
+		if all.Revision == 0 || one.changes.Revision < all.Revision {
+			all.Revision = one.changes.Revision
+		}
+		all.Rows = append(all.Rows, one.changes.Rows...)
+	}
+	if failed != nil {
+		return endive.Changes{}, failed
+	}
+	return all, nil
+}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -47,7 +47,7 @@
 	if !c.Rows.usable() {
 		return c.relaySubmission(ctx, match.Queue, workflow.ID, job)
 	}
-	return c.commitSubmission(ctx, submission(match.Queue.Pool, match.Queue.Name, workflow.ID, job))
+	return c.commitSubmission(ctx, submission(match.Queue.Pool, workflow.ID, job))
 }
 
 // relaySubmission has another entry store a submission.
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -30,6 +30,8 @@
 	// retryAt delays the next write after one that failed.
 	retryAt time.Time
 	wroteAt time.Time
+	// deleteAt delays deletions after some that failed.
+	deleteAt time.Time
 }
 
 // listedEnd is an end that waits to be recorded.
@@ -74,6 +76,10 @@
 		rec.nextAt = due
 		return
 	}
+	if m.deletesNow() {
+		m.writeDeletions()
+		return
+	}
 	m.writeRows()
 }
 
@@ -88,23 +94,26 @@
 		due = endive.Earliest(due, endive.Latest(m.recorder.wroteAt.Add(lazyRecord), m.now))
 	}
 	due = endive.Earliest(due, m.status.due(m))
-	for _, one := range m.ended {
-		due = endive.Earliest(due, one.deleteAt)
-	}
-	return due
+	return endive.Earliest(due, m.deletionsDue())
 }
 
-// writeRows sends one transaction of rows that have changed.
-func (m *Machine) writeRows() {
-	rec := &m.recorder
-	next := rec.fence
+// fencedTransaction returns one that is carried out only while no other holder has
+// written.
+func (m *Machine) fencedTransaction() endive.Transaction {
+	next := m.recorder.fence
 	next.Sequence++
 	fenceKey := FenceKey(m.pool)
-	txn := endive.Transaction{
+	return endive.Transaction{
 		WriteID:    m.writeIDs.Next(),
-		Conditions: []endive.Condition{{Key: fenceKey, Version: rec.fenceVersion}},
+		Conditions: []endive.Condition{{Key: fenceKey, Version: m.recorder.fenceVersion}},
 		Writes:     []endive.Write{{Key: fenceKey, Value: encode(next)}},
 	}
+}
+
+// writeRows sends one transaction of rows that have changed.
+func (m *Machine) writeRows() {
+	rec := &m.recorder
+	txn := m.fencedTransaction()
 	sent := &recording{writeID: txn.WriteID}
 	for _, j := range m.dirtyJobs() {
 		sent.jobs = append(sent.jobs, j)
@@ -121,7 +130,6 @@
 		sent.status = &status
 		txn.Writes = append(txn.Writes, endive.Write{Key: StatusKey(m.pool), Value: encode(status)})
 	}
-	txn.Writes = append(txn.Writes, m.deletions(rowsPerRecord-len(txn.Writes), sent)...)
 	rec.inFlight = sent
 	m.emit(Record{Transaction: txn})
 }
@@ -157,26 +165,6 @@
 	return taken
 }
 
-// rowsPerJob is how many rows a workflow has at the most.
-const rowsPerJob = 3
-
-// deletions returns writes that delete the rows of workflows that ended long ago.
-func (m *Machine) deletions(room int, sent *recording) []endive.Write {
-	var writes []endive.Write
-	for _, one := range m.ended {
-		if one.deleteAt.After(m.now) || len(writes)+rowsPerJob > room {
-			break
-		}
-		sent.deleted++
-		writes = append(writes,
-			endive.Write{Key: StateKey(m.pool, one.id), Delete: true},
-			endive.Write{Key: JobKey(m.pool, one.id), Delete: true},
-			endive.Write{Key: CancelKey(m.pool, one.id), Delete: true},
-		)
-	}
-	return writes
-}
-
 // committed takes in what became of a transaction.
 func (m *Machine) committed(e endive.Committed) {
 	rec := &m.recorder
@@ -194,6 +182,9 @@
 	}
 	m.notRecorded(sent)
 	rec.retryAt = m.now.Add(recordRetry)
+	if sent.deleted > 0 {
+		rec.deleteAt = m.now.Add(deleteRetry)
+	}
 	m.note(Note{Kind: NoteRecord, Outcome: string(e.Status), Reason: number(int64(len(sent.ends))) + " ends wait"})
 	if e.Status == endive.CommitConflict {
 		m.conflict(e.Conflicts)
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -2,14 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/elect"
 )
 
-// Tables of a pool's rows. All rows of a pool are in one part, which its name
-// gives, so that one transaction can cover them.
+// Tables of a pool's rows. What the holder writes is in one part, which the pool's name
+// gives, so that one transaction can cover it. What entries write that accept work is
+// spread over many parts: each carries out one transaction after the other, and may
+// fail alone.
 const (
 	tableWork  = "work."
 	tableState = "state."
@@ -22,11 +25,28 @@
 	kindCancel = "c."
 )
 
-// WorkPrefix returns what to scan and follow for a pool's new work.
-func WorkPrefix(pool endive.PoolName) string {
-	return tableWork + string(pool) + "/" + string(pool) + "/"
+// shards is over how many parts a pool's work is spread.
+const shards = 32
+
+// WorkPrefix returns what to follow for a pool's new work.
+func WorkPrefix(pool endive.PoolName) string { return tableWork + string(pool) + "/" }
+
+// WorkShards returns what to scan, each by itself, for a pool's work.
+func WorkShards(pool endive.PoolName) []string {
+	prefixes := make([]string, 0, shards)
+	for i := range shards {
+		prefixes = append(prefixes, shardPrefix(pool, i))
+	}
+	return prefixes
+}
+
+func shardPrefix(pool endive.PoolName, shard int) string {
+	return fmt.Sprintf("%s%02d/", WorkPrefix(pool), shard)
 }
 
+// shardOf returns the part that a workflow's submission is in.
+func shardOf(id endive.JobID) int { return int(endive.Rendezvous("", string(id)) % shards) }
+
 // StatePrefix returns what to scan for the progress of a pool's workflows.
 func StatePrefix(pool endive.PoolName) string {
 	return tableState + string(pool) + "/" + string(pool) + "/"
@@ -44,12 +64,12 @@
 
 // JobKey returns the row of a submission.
 func JobKey(pool endive.PoolName, id endive.JobID) string {
-	return WorkPrefix(pool) + kindJob + string(id)
+	return shardPrefix(pool, shardOf(id)) + kindJob + string(id)
 }
 
 // CancelKey returns the row that asks for a workflow's cancelling.
 func CancelKey(pool endive.PoolName, id endive.JobID) string {
-	return WorkPrefix(pool) + kindCancel + string(id)
+	return shardPrefix(pool, shardOf(id)) + kindCancel + string(id)
 }
 
 // StateKey returns the row of a workflow's progress.
@@ -88,7 +108,7 @@
 	At endive.PlatformTime `json:"at"`
 }
 
-// Progress is the row of a workflow's progress.
+// Progress is the row of a workflow's progress. A workflow that waits has none.
 type Progress struct {
 	State endive.WorkflowState `json:"state"`
 	// Queue is the workflow's queue, so that what waits can be counted by the rows.
@@ -127,13 +147,20 @@
 
 // workRow says what a row of the table of work is about.
 func workRow(pool endive.PoolName, key string) (kind, name string) {
-	rest, ok := strings.CutPrefix(key, WorkPrefix(pool))
-	if !ok || len(rest) < len(kindJob) {
+	inPool, ok := strings.CutPrefix(key, WorkPrefix(pool))
+	_, rest, inShard := strings.Cut(inPool, "/")
+	if !ok || !inShard || len(rest) < len(kindJob) {
 		return "", ""
 	}
 	return rest[:len(kindJob)], rest[len(kindJob):]
 }
 
+// JobOfRow returns the workflow whose submission is in a row of the table of work.
+func JobOfRow(pool endive.PoolName, key string) (endive.JobID, bool) {
+	kind, name := workRow(pool, key)
+	return endive.JobID(name), kind == kindJob
+}
+
 // encode returns the JSON of a row. The types of rows always have one.
 func encode(value any) []byte {
 	data, err := json.Marshal(value)
