Submissions wait for a slow store, callers come back each second, urgent late work goes before batch work

Callers wait for 3 s in all: told to come back in up to 4 s they gave up. And after the takeover workflows of quick tasks with one task left waited for 21 s behind batch work.

Change: 128 parts; a submission is waited for up to 1.3 s as far as the store is slow, 1.4 s in all; Retry-After is 1 s, also where the fate isn't known; urgent late work goes after urgent work on time, before other queues. The holder logs each second how much of the pool is in use.

--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -24,10 +24,15 @@
 	// outageLength is how long the store has to be silent for workers' entries to
 	// lapse meanwhile.
 	outageLength = 1500 * time.Millisecond
-	// minRetry and maxRetry bound when callers should come back that were turned
-	// away for the store; an outage that has lasted goes on for about as long.
-	minRetry = time.Second
-	maxRetry = 4 * time.Second
+	// storeReturn is when callers should come back that were turned away for the store,
+	// or whose fate isn't known. They wait for a few seconds in all, and a refusal
+	// costs little.
+	storeReturn = endive.Interval(time.Second)
+	// patientFactor times the usual length of a call is how long a submission is
+	// waited for while the store is slow, within patientBound: another one would only
+	// stand in the queue behind it.
+	patientFactor = 6
+	patientBound  = 1300 * time.Millisecond
 )
 
 // Store is the platform's store as this entry finds it: it remembers whether and
@@ -169,16 +174,11 @@
 	return true
 }
 
-// retryAfter returns when a caller should come back that was turned away for the
-// store.
-func (s *Store) retryAfter() endive.Interval {
+// patience returns how long to wait for the answer to a submission.
+func (s *Store) patience(usually time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	away := minRetry
-	if !s.good && !s.badSince.IsZero() {
-		away = s.clock.Now().Sub(s.badSince)
-	}
-	return endive.Interval(min(max(away, minRetry), maxRetry))
+	return max(usually, min(patientFactor*s.usual, patientBound))
 }
 
 // returned returns when the store came back after its last outage.
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -17,6 +17,9 @@
 	// submitTries is how often a submission is written before its caller is told
 	// that its fate isn't known.
 	submitTries = 3
+	// submitBound is how long a submission is tried to be written. Callers wait for
+	// about twice as long in all.
+	submitBound = 1400 * time.Millisecond
 )
 
 // Submit implements endive.Cell.
@@ -35,7 +38,7 @@
 
 func (c *Cell) submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
 	if !c.Platform.Known() {
-		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: c.Rows.retryAfter(), Reason: "the store is away"}
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeReturn, Reason: "the store is away"}
 	}
 	job, err := json.Marshal(endive.Submission{
 		Workflow: workflow, Policy: match.Queue, ConfigVersion: match.ConfigVersion,
@@ -59,18 +62,20 @@
 	case wire.RelayStatus_RELAY_DONE:
 		return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: answer.GetReason()}
 	case wire.RelayStatus_RELAY_UNAVAILABLE:
-		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: c.Rows.retryAfter(), Reason: answer.GetReason()}
+		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeReturn, Reason: answer.GetReason()}
 	default:
-		return endive.SubmitResult{Status: endive.SubmitUnknown, Reason: answer.GetReason()}
+		return endive.SubmitResult{Status: endive.SubmitUnknown, RetryAfter: storeReturn, Reason: answer.GetReason()}
 	}
 }
 
 // commitSubmission writes a submission. Once an answer was lost, nothing but a
 // later answer can tell whether it is stored, and it is never called refused.
 func (c *Cell) commitSubmission(ctx context.Context, txn endive.Transaction) endive.SubmitResult {
+	ctx, cancel := context.WithTimeout(ctx, submitBound)
+	defer cancel()
 	lost := false
 	for try := 1; ; try++ {
-		err := c.commit(ctx, txn)
+		err := c.commitWithin(ctx, txn, c.Rows.patience(time.Duration(c.Settings.Timings.StoreTimeout)))
 		switch {
 		case err == nil:
 			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: reasonStored}
@@ -81,9 +86,9 @@
 		}
 		if lost && !c.Rows.usable() || try == submitTries || ctx.Err() != nil {
 			if lost {
-				return endive.SubmitResult{Status: endive.SubmitUnknown, Reason: err.Error()}
+				return endive.SubmitResult{Status: endive.SubmitUnknown, RetryAfter: storeReturn, Reason: err.Error()}
 			}
-			return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: c.Rows.retryAfter(), Reason: err.Error()}
+			return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeReturn, Reason: err.Error()}
 		}
 		c.pause(storeRetry)
 	}
@@ -91,7 +96,12 @@
 
 // commit writes a transaction within the bound of one call.
 func (c *Cell) commit(ctx context.Context, txn endive.Transaction) error {
-	limited, cancel := context.WithTimeout(ctx, time.Duration(c.Settings.Timings.StoreTimeout))
+	return c.commitWithin(ctx, txn, time.Duration(c.Settings.Timings.StoreTimeout))
+}
+
+// commitWithin writes a transaction within a bound.
+func (c *Cell) commitWithin(ctx context.Context, txn endive.Transaction, bound time.Duration) error {
+	limited, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	_, err := c.Rows.Commit(limited, txn)
 	return err
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -55,6 +55,7 @@
 	NoteTenure NoteKind = "tenure"
 	NoteAdvice NoteKind = "advice"
 	NoteRecord NoteKind = "record"
+	NotePool   NoteKind = "pool"
 )
 
 // IsAction marks Load as an action.
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -5,10 +5,12 @@
 	"time"
 )
 
-// rank orders workflows when there is more work than room. It answers bursts: what
-// can still meet its objective goes before what can only be late, and that before
-// what earns nothing any more. Within these, queues go by their rank, and the
-// workflows of a queue by their objective.
+// rank orders workflows when there is more work than room. It answers bursts, and the
+// backlog after a takeover: what can still meet its objective goes before what can only
+// be late, and that before what earns nothing any more. Urgent work that is late still
+// goes before other queues' work that is not: it is small, its callers wait, and the
+// others have time to spare. Within these, queues go by their rank, and the workflows of
+// a queue by their objective.
 type rank struct {
 	tier      tier
 	queue     int
@@ -24,10 +26,37 @@
 	tierHopeless
 )
 
+// precedence is the place of a rank's tier and queue together; the lowest goes first.
+type precedence int
+
+const (
+	urgentOnTime precedence = iota
+	urgentLate
+	otherOnTime
+	otherLate
+	anyHopeless
+)
+
+func (r rank) precedence() precedence {
+	urgent := r.queue == preemptRank
+	switch {
+	case r.tier == tierHopeless:
+		return anyHopeless
+	case urgent && r.tier == tierOnTime:
+		return urgentOnTime
+	case urgent:
+		return urgentLate
+	case r.tier == tierOnTime:
+		return otherOnTime
+	default:
+		return otherLate
+	}
+}
+
 // less orders ranks.
 func (r rank) less(o rank) bool {
-	if r.tier != o.tier {
-		return r.tier < o.tier
+	if r.precedence() != o.precedence() {
+		return r.precedence() < o.precedence()
 	}
 	if r.queue != o.queue {
 		return r.queue < o.queue
--- /dev/null
+++ b/flow/rank_test.go
@@ -0,0 +1,33 @@
+package flow
+
+import (
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// After a takeover quick workflows are late beside batch work that has time to spare,
+// and beside new ones.
+func TestOrderOfABacklog(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1_800_000_000, 0)
+	const urgent, batch = preemptRank, 2
+	want := []rank{
+		{tier: tierOnTime, queue: urgent, objective: at},
+		{tier: tierOnTime, queue: urgent, objective: at.Add(time.Second)},
+		{tier: tierLate, queue: urgent, objective: at.Add(-time.Second)},
+		{tier: tierOnTime, queue: 1, objective: at.Add(time.Minute)},
+		{tier: tierOnTime, queue: batch, objective: at.Add(time.Second)},
+		{tier: tierLate, queue: batch, objective: at.Add(-time.Second)},
+		{tier: tierHopeless, queue: urgent, objective: at.Add(-time.Hour)},
+		{tier: tierHopeless, queue: batch, objective: at.Add(-time.Minute)},
+	}
+	got := append([]rank(nil), want...)
+	for i, j := 0, len(got)-1; i < j; i, j = i+1, j-1 {
+		got[i], got[j] = got[j], got[i]
+	}
+	sort.Slice(got, func(a, b int) bool { return got[a].less(got[b]) })
+	is.Equal(got, want)
+}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -128,6 +128,7 @@
 	if due := m.status.due(m); !due.IsZero() && !due.After(m.now) {
 		status := m.status.current
 		sent.status = &status
+		m.noteUse()
 		txn.Writes = append(txn.Writes, endive.Write{Key: StatusKey(m.pool), Value: encode(status)})
 	}
 	rec.inFlight = sent
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -25,8 +25,9 @@
 	kindCancel = "c."
 )
 
-// shards is over how many parts a pool's work is spread.
-const shards = 32
+// shards is over how many parts a pool's work is spread. Slow by a factor of 60, a part
+// carries out four transactions a second.
+const shards = 128
 
 // WorkPrefix returns what to follow for a pool's new work.
 func WorkPrefix(pool endive.PoolName) string { return tableWork + string(pool) + "/" }
@@ -41,7 +42,7 @@
 }
 
 func shardPrefix(pool endive.PoolName, shard int) string {
-	return fmt.Sprintf("%s%02d/", WorkPrefix(pool), shard)
+	return fmt.Sprintf("%s%03d/", WorkPrefix(pool), shard)
 }
 
 // shardOf returns the part that a workflow's submission is in.
--- a/flow/status.go
+++ b/flow/status.go
@@ -58,6 +58,28 @@
 	return m.now
 }
 
+// noteUse notes how much of the pool is in use and what waits.
+func (m *Machine) noteUse() {
+	var capacity, used endive.Resources
+	usable := 0
+	for _, w := range m.ordered {
+		if w.usable() {
+			usable++
+			capacity = capacity.Add(w.self.Capacity)
+			used = used.Add(w.used)
+		}
+	}
+	waiting := 0
+	for _, j := range m.jobs {
+		if !j.begun && !j.state.Ended() {
+			waiting++
+		}
+	}
+	m.note(Note{Kind: NotePool, Outcome: "in use", Reason: used.String() + " of " + capacity.String() + " on " +
+		number(int64(usable)) + " of " + number(int64(len(m.ordered))) + " workers; " + number(int64(waiting)) + " of " +
+		number(int64(len(m.jobs))) + " workflows wait"})
+}
+
 // wrote notes that a status was written.
 func (r *statusReport) wrote(status Status, now time.Time) {
 	r.written, r.known = status, true
