Gangs keep few workers draining, claim no room of no use to them; more advice is asked for at once

Room was kept for every gang that was on time, on workers still at work, and free room too small for any gang was claimed by each in turn, so that nothing was asked for smaller tasks.

Change: at most 15% of the workers drain for gangs; a gang without room for all members claims none; 450 ms are asked ahead; long questions go to the quick lane only if that is free 3 s sooner; 16 entries are linked. A step whose answer is lost wakes the holder by itself (the test of lost advice found it).

--- a/entry/cell/lanes.go
+++ b/entry/cell/lanes.go
@@ -21,7 +21,7 @@
 	quickLane = 4
 	// longInQuickLane is how much sooner an entry of the quick lane has to be free
 	// to be asked a long question.
-	longInQuickLane = 800 * time.Millisecond
+	longInQuickLane = 3 * time.Second
 	// quickElsewhere is how much sooner another entry has to be free to be asked a
 	// quick question, for what isn't known of the long ones there.
 	quickElsewhere = 100 * time.Millisecond
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -28,7 +28,7 @@
 	entriesPoll = time.Second
 	// fullMesh is up to how many entries are all linked with each other. Beyond it
 	// each links to so many, and to those that ask it something.
-	fullMesh = 12
+	fullMesh = 16
 )
 
 // peers knows the other entries and holds the sessions with them.
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -42,12 +42,20 @@
 	if s.occ.job.inheritedUnseen(m) || len(m.advice.wanted) >= maxWanted {
 		return true
 	}
+	if s.spec.Gang && m.placesNow(s) < waits {
+		// A part of its room is of no use to a gang, but others can use it.
+		m.advice.short = true
+		return false
+	}
 	places := m.keepPlaces(s, waits)
 	if places == 0 {
 		m.advice.short = true
 		return false
 	}
-	if !s.tickets.onItsWay(m.now) {
+	if s.tickets.onItsWay(m.now) {
+		// If the answer is lost, nothing else may bring the next look.
+		m.passAgain(s.tickets.askedAt.Add(adviceLost))
+	} else {
 		m.advice.wanted = append(m.advice.wanted, s)
 	}
 	m.advice.room = m.advice.room.Sub(need.Times(int64(places)))
@@ -79,6 +87,18 @@
 	return kept
 }
 
+// placesNow returns for how many tasks of a step there is room on workers that may be
+// good for it.
+func (m *Machine) placesNow(s *step) int {
+	count := 0
+	for _, w := range m.ordered {
+		if w.usable() && w.couldRun(s) && !m.now.Before(w.health.avoidUntil) {
+			count += w.places(s)
+		}
+	}
+	return count
+}
+
 // inheritedUnseen reports whether tasks of the job may run unseen, so that tickets
 // for them would be of no use yet.
 func (j *job) inheritedUnseen(m *Machine) bool { return j.inherited && !m.tenure.settled }
@@ -129,8 +149,9 @@
 }
 
 // askAhead is how much of the advice service's time may be asked for at once, for
-// each entry that asks.
-const askAhead = endive.Interval(250 * time.Millisecond)
+// each entry that asks. The longest questions take about a second, and less would leave
+// entries without a question while work waits for its answers.
+const askAhead = endive.Interval(450 * time.Millisecond)
 
 // adviceLost is when a question that has no answer is given up. Each is answered or
 // failed long before, unless its answer is lost.
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -111,20 +111,16 @@
 	return racks
 }
 
-// maxSetAside is for how many gangs room is kept at the same time that can't meet
-// their objective any more.
-const maxSetAside = 3
+// maxDraining is which part of the workers may be kept for gangs while tasks are still
+// at work there. It answers many gangs beside many small tasks: each gang needs several
+// workers that are empty at the same time, and kept for all of them half of the pool
+// would stand idle while small tasks wait.
+const maxDraining = 0.15
 
 // setAside keeps the room of the workers that are free soonest for a gang that
 // has none yet, so that small tasks of lower rank don't hold it up for ever, and
 // don't take the room while the gang's tickets are asked for.
 func (m *Machine) setAside(s *step) {
-	if s.occ.job.rank.tier != tierOnTime {
-		if m.gangsKept >= maxSetAside {
-			return
-		}
-		m.gangsKept++
-	}
 	var able []*worker
 	for _, w := range m.ordered {
 		if w.usable() && w.couldRun(s) && (!m.needsTicket(s) || s.tickets.known(w.id)) && w.setAside == (endive.Resources{}) {
@@ -137,9 +133,39 @@
 	sort.SliceStable(able, func(i, j int) bool {
 		return share(able[i].free(), able[i].self.Capacity) > share(able[j].free(), able[j].self.Capacity)
 	})
+	need := s.spec.Reserved()
+	draining := 0
 	for _, w := range able[:len(s.tasks)] {
-		w.setAside = w.setAside.Add(s.spec.Reserved())
+		if !need.Fits(w.free()) {
+			draining++
+		}
+	}
+	if draining > 0 && m.draining+draining > m.mostDraining {
+		return
+	}
+	m.draining += draining
+	for _, w := range able[:len(s.tasks)] {
+		w.setAside = w.setAside.Add(need)
+	}
+}
+
+// mayDrain returns how many workers may be kept for gangs while tasks are at work there;
+// one gang may always wait for its room.
+func (m *Machine) mayDrain() int {
+	return max(int(maxDraining*float64(len(m.ordered))), m.largestGang())
+}
+
+// largestGang returns the number of members of the largest gang that waits.
+func (m *Machine) largestGang() int {
+	largest := 0
+	for _, j := range m.jobs {
+		for i := range j.spec.Steps {
+			if j.spec.Steps[i].Gang && !j.state.Ended() {
+				largest = max(largest, j.spec.Steps[i].Tasks)
+			}
+		}
 	}
+	return largest
 }
 
 // gangConfirmed is told when a member of a gang has started.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -50,8 +50,11 @@
 	wakeAt      time.Time
 	// starved are the steps of urgent work for which the current look found no room.
 	starved []starving
-	// gangsKept counts the late gangs for which the current look keeps room.
-	gangsKept int
+	// draining counts the workers that the current look keeps for gangs while tasks are
+	// at work there.
+	draining int
+	// mostDraining bounds them.
+	mostDraining int
 	// startsMade makes the run numbers of this epoch rise.
 	startsMade int64
 }
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -21,7 +21,7 @@
 	m.advice.wanted = m.advice.wanted[:0]
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
-	m.gangsKept = 0
+	m.draining, m.mostDraining = 0, m.mayDrain()
 	m.starved = m.starved[:0]
 	for _, w := range m.ordered {
 		if w.usable() {
