Quick steps go to workers near the holder

Cause: half of the workers are 30 ms away; a step's orders and ends take 60 ms more there, of an objective of two seconds.

Change: the holder learns the way to each worker from answers given at once. Steps estimated at up to 2 s prefer near workers, others far ones; questions for advice name such workers first.

--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -121,13 +121,14 @@
 		return false
 	}
 	workers, _ := c.workers.of(queue.Pool)
+	near := c.peers.nearTo(p.heldIn())
 	all := true
 	for i, step := range workflow.Steps {
 		if len(step.After) > 0 {
 			continue
 		}
 		id := endive.StepID(string(workflow.ID) + ".0." + strconv.Itoa(i))
-		named := ableWorkers(workers, step, id)
+		named := ableWorkers(workers, step, id, near)
 		asked := len(named) > 0 &&
 			c.helpers.askWithin(question{step: id, workers: named, pool: p, cost: queue.Advice.Cost(len(named))}, maxBacklog)
 		all = all && asked
@@ -144,19 +145,29 @@
 )
 
 // ableWorkers returns workers that could run a task of the step, were they empty.
-// Where there are more than needed, each step gets others.
-func ableWorkers(workers []endive.FleetWorker, step endive.Step, id endive.StepID) []endive.WorkerID {
-	var able []endive.WorkerID
+// Where there are more than needed, each step gets others; a quick one gets those near
+// the pool's holder first, and a long one the others.
+func ableWorkers(workers []endive.FleetWorker, step endive.Step, id endive.StepID, near func(endive.Zone) bool) []endive.WorkerID {
+	quick := time.Duration(step.Estimate) <= flow.QuickStep
+	var able, rest []endive.WorkerID
 	for _, w := range workers {
-		if w.Draining || !step.Reserved().Fits(w.Capacity) || step.Label != "" && !w.HasLabel(step.Label) {
-			continue
+		switch {
+		case w.Draining || !step.Reserved().Fits(w.Capacity) || step.Label != "" && !w.HasLabel(step.Label):
+		case near(w.Zone) == quick:
+			able = append(able, w.ID)
+		default:
+			rest = append(rest, w.ID)
 		}
-		able = append(able, w.ID)
 	}
-	if len(able) == 0 {
+	able = append(rotated(able, id), rotated(rest, id)...)
+	return able[:min(len(able), flow.MaxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
+}
+
+// rotated returns a list that begins at a place which differs from step to step.
+func rotated(workers []endive.WorkerID, id endive.StepID) []endive.WorkerID {
+	if len(workers) == 0 {
 		return nil
 	}
-	first := int(endive.Rendezvous("", string(id)) % uint64(len(able)))
-	able = append(able[first:], able[:first]...)
-	return able[:min(len(able), flow.MaxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
+	first := int(endive.Rendezvous("", string(id)) % uint64(len(workers)))
+	return append(workers[first:len(workers):len(workers)], workers[:first]...)
 }
--- a/entry/cell/suits.go
+++ b/entry/cell/suits.go
@@ -110,6 +110,20 @@
 	return ids
 }
 
+// nearTo returns whether a zone is in the region of an entry, as far as is known.
+func (p *peers) nearTo(id endive.EntryID) func(endive.Zone) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	region := p.rows[id].Region
+	zones := make(map[endive.Zone]bool)
+	for _, row := range p.rows {
+		if row.Region == region {
+			zones[row.Zone] = true
+		}
+	}
+	return func(zone endive.Zone) bool { return zones[zone] }
+}
+
 // linkedFor returns the linked entries that suit a pool about as well as this one, or
 // all where none does, those that suit it best first.
 func (p *peers) linkedFor(pool endive.PoolName) []endive.EntryID {
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -220,6 +220,9 @@
 	// want the same.
 	first := int(endive.Rendezvous("", string(s.id)) % uint64(len(roomy)))
 	roomy = append(roomy[first:len(roomy):len(roomy)], roomy[:first]...)
+	sort.SliceStable(roomy, func(i, j int) bool {
+		return s.suitsWay(m.workers[roomy[i]]) && !s.suitsWay(m.workers[roomy[j]])
+	})
 	workers := append(roomy, others...)
 	perWorker := max(1, places/len(roomy))
 	wanted := max(minAdviceWorkers, workersPerPlace*(s.waiting/perWorker+1))
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -23,6 +23,8 @@
 	late bool
 	// gone workers have ended: nothing listens at their address.
 	gone bool
+	// far workers are in another region.
+	far bool
 	// hangs has all tasks stand still, slow has them take so many times as long.
 	hangs bool
 	slow  int
@@ -285,7 +287,7 @@
 		w.after(patience, func() { h.step(Held{Worker: id, Result: OrderUnknown}) })
 		return
 	}
-	w.after(3*time.Millisecond, func() {
+	w.after(one.way(), func() {
 		if one.fenced(order.Epoch) {
 			h.step(Held{Worker: id, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalEpoch}})
 			return
@@ -305,7 +307,7 @@
 				return
 			}
 			report := one.report()
-			w.after(3*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderAnswered, Report: report}) })
+			w.after(one.way(), func() { h.step(Held{Worker: id, Result: OrderAnswered, Report: report}) })
 		}
 		if order.Wait == 0 || len(one.ends) > 0 {
 			tell()
@@ -354,3 +356,11 @@
 	f.gone, f.unlisted = true, true
 	f.world.list()
 }
+
+// way returns how long an order takes to reach the worker.
+func (f *fakeWorker) way() time.Duration {
+	if f != nil && f.far {
+		return 30 * time.Millisecond
+	}
+	return 3 * time.Millisecond
+}
--- a/flow/held.go
+++ b/flow/held.go
@@ -32,6 +32,9 @@
 	} else if born.After(w.self.Born) {
 		m.beginLife(w, born)
 	}
+	if w.hold.atOnce {
+		w.tookWay(m.now.Sub(w.hold.sentAt))
+	}
 	w.clock = clockReading{at: e.Report.Clock, received: m.now}
 	m.takeEnds(w, e.Report.Ended)
 	m.takeRunning(w, e.Report.Running)
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -181,6 +181,8 @@
 	scoreAvoid = 100
 	scoreData  = 50
 	scoreSick  = 30
+	// scoreWay prefers near workers for quick steps, and far ones for others.
+	scoreWay = 2
 	// scorePacked prefers the worker that the task fills best.
 	scorePacked = 1
 )
@@ -192,6 +194,9 @@
 		score += scoreData
 	}
 	score -= scoreSick * w.health.doubt(m.now)
+	if s.suitsWay(w) {
+		score += scoreWay
+	}
 	left := w.free().Sub(s.spec.Reserved())
 	score -= scorePacked * share(left, w.self.Capacity)
 	return score
--- a/flow/run.go
+++ b/flow/run.go
@@ -164,6 +164,9 @@
 	r.inFlight = false
 	m.touchWorker(r.worker)
 	r.worker.read(e.Answer.Clock, m.now)
+	if e.Result == OrderAnswered && r.tries == 1 && r.state == runStarting {
+		r.worker.tookWay(m.now.Sub(r.began))
+	}
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
 		m.confirm(r)
 		if r.state == runStopping {
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -26,6 +26,8 @@
 	filling int
 
 	hold hold
+	// way is how long the way to the worker and back takes; zero before it is known.
+	way time.Duration
 	// clock is the newest reading of the worker's clock.
 	clock clockReading
 	// leaseEnd is the latest end of a lease in any order that was sent.
@@ -55,7 +57,10 @@
 // hold is the state of the looks at a worker.
 type hold struct {
 	inFlight bool
-	// sentStep is the machine's step in which the last look was sent.
+	// sentAt is when the last look was sent, atOnce says that it was answered without
+	// a wait, and sentStep is the machine's step in which it was sent.
+	sentAt   time.Time
+	atOnce   bool
 	sentStep uint64
 	// again is when the next look is due.
 	again time.Time
@@ -256,6 +261,7 @@
 	}
 	w.hold.inFlight = true
 	w.hold.sentStep = m.steps
+	w.hold.sentAt, w.hold.atOnce = m.now, wait == 0
 	m.emit(Hold{Order: order})
 }
 
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -332,8 +332,9 @@
 
 // deliver carries out an order at a worker, with the faults of the world.
 func (w *world) deliver(h *holder, id endive.WorkerID, do func(*fakeWorker) endive.OrderAnswer, answer func(OrderResult, endive.OrderAnswer) endive.Event) {
-	const way, patience = 3 * time.Millisecond, 400 * time.Millisecond
+	const patience = 400 * time.Millisecond
 	one := w.workers[id]
+	way := one.way()
 	switch {
 	case one == nil || one.dark || w.chance(w.faults.lostOrder):
 		w.after(patience, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
