--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -175,6 +175,10 @@
 // itself a moment ago counts like one that became free then, so that pools spread
 // over the entries.
 func (p *pool) due(freeSince time.Time) time.Time {
+	if !p.cell.Rows.answers() {
+		// The holder may renew its lease with the first call that the store answers.
+		return electRetry.After(p.cell.Clock.Now())
+	}
 	since := endive.Latest(freeSince, p.cell.Rows.returned().Add(returnWait))
 	if count, newest := p.cell.taken(p); count > 0 {
 		since = endive.Latest(since, newest).Add(time.Duration(count) * heldWait)
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -157,6 +157,13 @@
 	return !s.goodAt.IsZero() && s.clock.Now().Sub(s.goodAt) < storePatience
 }
 
+// answers reports whether the store answered the last call.
+func (s *Store) answers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.good
+}
+
 // usable reports whether a write may be expected to be answered: the last call was,
 // and none is on its way for much longer than usual.
 func (s *Store) usable() bool {
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -23,6 +23,8 @@
 	late bool
 	// gone workers have ended: nothing listens at their address.
 	gone bool
+	// reused says that another worker listens at the address of one that has ended.
+	reused bool
 	// far workers are in another region.
 	far bool
 	// hangs has all tasks stand still, slow has them take so many times as long.
@@ -279,6 +281,12 @@
 	id := order.Worker.ID
 	one := w.workers[id]
 	patience := time.Duration(order.Wait) + 700*time.Millisecond
+	if one != nil && one.reused {
+		w.after(one.way(), func() {
+			h.step(Held{Worker: id, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalIncarnation}})
+		})
+		return
+	}
 	if one != nil && one.gone {
 		w.after(3*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderRefused}) })
 		return
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -198,6 +198,35 @@
 	is.Equal(w.starts, 17)
 }
 
+// Workers have ended, and others listen at their addresses, while the list still has
+// them: what they ran starts elsewhere at once, with the holder that started it and
+// after a takeover.
+func TestAddressesOfWorkersAreReused(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover=%v", takeover), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, faults{})
+			w.addWorkers(3)
+			first := w.hold()
+			w.run(time.Second)
+			id := w.submit("job1", quick, stepOfTasks(12, 2*time.Second))
+			w.run(1500 * time.Millisecond)
+			w.workers["w0"].bear(w.workers["w0"].self.Capacity, nil)
+			w.workers["w0"].reused = true
+			if takeover {
+				first.kill()
+				w.run(2 * time.Second)
+				w.hold()
+			}
+			w.run(5 * time.Second)
+			w.holds()
+			is.Equal(w.starts, 17)
+			w.run(9 * time.Second)
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		})
+	}
+}
+
 // A worker that isn't listed may be cut off and run on: without an answer, what it ran
 // isn't started elsewhere before it has been missing for so long that its leases have
 // run out.
