Nobody reads all rows to count what waits

Without a fresh word of the holder each entry read all submissions and states of a pool once a second for callers that ask how much waits; since submissions are spread over many parts that was some 3 MB, over the 60 Mbit/s between the regions.

Change: while the holder hasn't told, the count isn't known and the answer is 503.

--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -24,8 +24,6 @@
 	alarms [2]*time.Timer
 	// follow reads the rows of the current tenure; nil without one.
 	follow *follow
-	// queued counts what waits while nobody tells.
-	queued queuedCounts
 	// status is what the pool's holder told last.
 	status atomic.Pointer[flow.Status]
 	// holds mirrors whether this entry holds the pool.
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -134,24 +134,25 @@
 		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_PENDING, queue, ""))
 		return int(answer.GetPending()), errorOf(answer)
 	}
-	return c.pendingHere(ctx, queue)
+	return c.pendingHere(queue)
 }
 
 // statusFresh is how old the word of a pool's holder may be for callers to be told
 // by it. A holder renews it every second and a half.
 const statusFresh = 2500 * time.Millisecond
 
-// pendingHere counts by what the pool's holder told last, or by the rows while there
-// is no holder.
-func (c *Cell) pendingHere(ctx context.Context, queue endive.Queue) (int, error) {
+// pendingHere tells what the pool's holder told last. While nobody holds the pool the
+// count isn't known: reading all rows for it, at each entry, would fill the links
+// between the regions just when a new holder needs them.
+func (c *Cell) pendingHere(queue endive.Queue) (int, error) {
 	p := c.poolNamed(queue.Pool)
 	if p == nil {
 		return 0, nil
 	}
 	status := p.status.Load()
 	age := c.Platform.AtLeast(c.Clock.Now()) - status.At
-	if age <= endive.PlatformTime(statusFresh.Milliseconds()) {
-		return status.Pending[queue.Name], nil
+	if age > endive.PlatformTime(statusFresh.Milliseconds()) {
+		return 0, endive.ErrUnavailable.New("the holder of pool %s last told %d ms ago what waits", p.name, int64(age))
 	}
-	return p.queued.count(ctx, c, queue)
+	return status.Pending[queue.Name], nil
 }
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -190,7 +190,7 @@
 	case wire.RelayKind_RELAY_CANCEL:
 		return answerOf(c.cancelHere(ctx, queue, id), "", 0)
 	case wire.RelayKind_RELAY_PENDING:
-		count, err := c.pendingHere(ctx, queue)
+		count, err := c.pendingHere(queue)
 		return answerOf(err, "", int64(count))
 	default:
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "this version doesn't know what is asked"}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -112,8 +112,6 @@
 // Progress is the row of a workflow's progress. A workflow that waits has none.
 type Progress struct {
 	State endive.WorkflowState `json:"state"`
-	// Queue is the workflow's queue, so that what waits can be counted by the rows.
-	Queue endive.QueueName `json:"queue,omitempty"`
 	// Occurrences lists those of which something is recorded.
 	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
 }
@@ -156,12 +154,6 @@
 	return rest[:len(kindJob)], rest[len(kindJob):]
 }
 
-// JobOfRow returns the workflow whose submission is in a row of the table of work.
-func JobOfRow(pool endive.PoolName, key string) (endive.JobID, bool) {
-	kind, name := workRow(pool, key)
-	return endive.JobID(name), kind == kindJob
-}
-
 // encode returns the JSON of a row. The types of rows always have one.
 func encode(value any) []byte {
 	data, err := json.Marshal(value)
--- a/flow/work.go
+++ b/flow/work.go
@@ -158,7 +158,7 @@
 
 // progress returns what is to be recorded of a job.
 func (j *job) progress() Progress {
-	p := Progress{State: j.state, Queue: j.policy.Name}
+	p := Progress{State: j.state}
 	if p.State.Ended() {
 		return p
 	}
