--- /dev/null
+++ b/flow/claim.go
@@ -0,0 +1,95 @@
+package flow
+
+// Steps that wait claim room in their order, so that advice is asked for no more work
+// than there is room for, and that smaller work doesn't take it meanwhile.
+
+// want notes that a step of which tasks wait could use an answer of the advice
+// service. It answers bursts: a ticket is good for seconds only, so questions are
+// asked for no more work than there is room for. Room on workers that are known to
+// be good for the step is kept for it meanwhile, or smaller tasks that come after
+// it would take it while the question is on its way. It reports whether there is any
+// such room.
+func (m *Machine) want(s *step, waits int) bool {
+	need := s.spec.Reserved()
+	if !need.Fits(m.advice.room) || !m.needsTicket(s) {
+		m.advice.short = true
+		return false
+	}
+	if s.occ.job.inheritedUnseen(m) || len(m.advice.wanted) >= maxWanted {
+		return true
+	}
+	if s.spec.Gang && m.placesNow(s) < waits {
+		// A part of its room is of no use to a gang, but others can use it.
+		m.advice.short = true
+		return false
+	}
+	places := m.keepPlaces(s, waits)
+	if places == 0 {
+		m.advice.short = true
+		return false
+	}
+	if s.tickets.onItsWay(m.now) {
+		// If the answer is lost, nothing else may bring the next look.
+		m.passAgain(s.tickets.askedAt.Add(adviceLost))
+	} else {
+		m.advice.wanted = append(m.advice.wanted, s)
+	}
+	m.advice.room = m.advice.room.Sub(need.Times(int64(places)))
+	return true
+}
+
+// maxWanted bounds the steps that one look considers for questions.
+const maxWanted = 64
+
+// keepPlaces sets room aside for tasks of a step on workers that may be good for it,
+// and returns for how many there is room.
+func (m *Machine) keepPlaces(s *step, tasks int) int {
+	need := s.spec.Reserved()
+	asked := len(s.tickets.bad) > 0 || len(s.tickets.good) > 0
+	kept := 0
+	for _, w := range m.ordered {
+		if kept == tasks {
+			break
+		}
+		if !w.usable() || !w.couldRun(s) || m.now.Before(w.health.avoidUntil) {
+			continue
+		}
+		places := min(w.places(s), tasks-kept)
+		kept += places
+		if asked && places > 0 {
+			w.setAside = w.setAside.Add(need.Times(int64(places)))
+		}
+	}
+	return kept
+}
+
+// placesNow returns for how many tasks of a step there is room on workers that may be
+// good for it.
+func (m *Machine) placesNow(s *step) int {
+	count := 0
+	for _, w := range m.ordered {
+		if w.usable() && w.couldRun(s) && !m.now.Before(w.health.avoidUntil) {
+			count += w.places(s)
+		}
+	}
+	return count
+}
+
+// places returns how many tasks of a step there is room for on a worker.
+func (w *worker) places(s *step) int {
+	need, free := s.spec.Reserved(), w.free().Add(w.soon)
+	count := s.waiting
+	if s.spec.MaxPerWorker > 0 {
+		count = min(count, s.spec.MaxPerWorker-s.perWorker[w.id])
+	}
+	for _, one := range [][2]int64{
+		{int64(need.Processors), int64(free.Processors)},
+		{int64(need.Memory), int64(free.Memory)},
+		{int64(need.Accelerators), int64(free.Accelerators)},
+	} {
+		if one[0] > 0 {
+			count = min(count, int(one[1]/one[0]))
+		}
+	}
+	return max(0, count)
+}
