--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -7,15 +7,14 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
-
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/system"
 )
 
 // Cell runs one entry. It implements endive.Cell and is safe for concurrent use.
 type Cell struct {
 	Deps
-	system *actor.ActorSystem
+	system *system.System
 	// ctx ends when the entry does.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -37,7 +36,7 @@
 func New(deps Deps) *Cell {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Cell{
-		Deps: deps, system: newActorSystem(), ctx: ctx, cancel: cancel,
+		Deps: deps, system: system.New(deps.Log), ctx: ctx, cancel: cancel,
 		pools: make(map[endive.PoolName]*pool),
 	}
 	c.config = &configLoop{cell: c}
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -63,8 +63,7 @@
 		MaxGrant:  c.Settings.Bounds.MaxGrant,
 		Retention: c.Settings.Bounds.Retention,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)))
-	props := actor.PropsFromProducer(func() actor.Actor { return p }, actor.WithSupervisor(panicEnds{log: c.Log}))
-	p.pid = c.system.Root.Spawn(props)
+	p.pid = c.system.Spawn(p)
 	return p
 }
 
@@ -122,7 +121,7 @@
 
 // send queues an event for a machine. It never blocks.
 func (p *pool) send(to machineKind, event endive.Event) {
-	p.cell.system.Root.Send(p.pid, message{to: to, event: event})
+	p.cell.system.Send(p.pid, message{to: to, event: event})
 }
 
 // tell queues an event for the machine that decides on the workers.
--- a/entry/shell/role.go
+++ b/entry/shell/role.go
@@ -39,8 +39,7 @@
 		steps:   scope.Counter("steps"),
 		spent:   scope.Counter("stepMicroseconds"),
 	}
-	props := actor.PropsFromProducer(func() actor.Actor { return r }, actor.WithSupervisor(s.supervisor))
-	r.pid = s.system.Root.Spawn(props)
+	r.pid = s.system.Spawn(r)
 	return r
 }
 
@@ -69,10 +68,10 @@
 }
 
 // tell queues an event for the machine. It never blocks.
-func (r *role) tell(event endive.Event) { r.shell.system.Root.Send(r.pid, event) }
+func (r *role) tell(event endive.Event) { r.shell.system.Send(r.pid, event) }
 
 // ask queues a look at the machine.
-func (r *role) ask(look func()) { r.shell.system.Root.Send(r.pid, inspect{look: look}) }
+func (r *role) ask(look func()) { r.shell.system.Send(r.pid, inspect{look: look}) }
 
 // wakeAt replaces the wake-up of the machine. It is called in the actor only.
 func (r *role) wakeAt(at time.Time) {
--- a/entry/shell/shell.go
+++ b/entry/shell/shell.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/system"
 	"endiveroute.example/endive/intake"
 	"endiveroute.example/endive/keep"
 	"endiveroute.example/endive/lease"
@@ -40,11 +38,10 @@
 	workers     endive.Workers
 	executors   endive.Executors
 
-	system     *actor.ActorSystem
-	supervisor actor.SupervisorStrategy
-	mesh       *peer.Mesh
-	waiters    *waiters
-	storeWork  work
+	system    *system.System
+	mesh      *peer.Mesh
+	waiters   *waiters
+	storeWork work
 
 	member *role
 	ticket *role
@@ -97,26 +94,11 @@
 	s.members.Store(&endive.MembersChanged{Self: s.self})
 	s.readyUntil.Store(&time.Time{})
 	s.mesh = peer.New(s.self, s, &peerMeter{self: s.self, scope: deps.Scope}, deps.Log)
-	s.system = actor.NewActorSystem(actor.WithLoggerFactory(newSystemLogger))
-	s.supervisor = actor.NewOneForOneStrategy(0, 0, s.onPanic)
+	s.system = system.New(s.log)
 	s.spawnRoles()
 	return s
 }
 
-// newSystemLogger keeps the actor library's own messages out of the log.
-func newSystemLogger(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-
-// onPanic ends the process. A machine whose step failed half-way can't be
-// trusted with leases and slots; a new process starts from the platform's state.
-func (s *Shell) onPanic(reason any) actor.Directive {
-	s.log.Error("a machine panicked; the process ends", "reason", reason)
-	os.Exit(exitPanic)
-	return actor.StopDirective
-}
-
-// exitPanic is the exit status after a panic in a machine.
-const exitPanic = 70
-
 func (s *Shell) spawnRoles() {
 	id, incarnation := s.self.ID, s.incarnation
 	s.member = s.spawn("member", member.New(s.self, s.seeds(), member.Settings{
