--- a/entry/cell/suits_test.go
+++ b/entry/cell/suits_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/setup"
@@ -76,3 +78,22 @@
 func (fixedClock) Known() bool                            { return true }
 func (fixedClock) AtLeast(time.Time) endive.PlatformTime  { return 1000 }
 func (fixedClock) Earliest(endive.PlatformTime) time.Time { return time.Time{} }
+
+// While the store is away nobody tries to take a pool, however long it has been free: the
+// holder may renew its lease with the first call that is answered.
+func TestNoPoolIsTakenWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	log, clock := hclog.NewNullLogger(), endive.SystemClock{}
+	c := New(Deps{
+		Settings: setup.Cell{Name: "entry-0"}, Clock: clock, Platform: fixedClock{}, Log: log,
+		Counters: NewCounters(tally.NoopScope), Rows: NewStore(nil, clock, log),
+	})
+	defer c.Close()
+	c.peers.known = true
+	p := newPool(c, "svc")
+	longAgo := clock.Now().Add(-time.Hour)
+	c.Rows.saw(nil)
+	is.True(p.due(longAgo).Before(clock.Now()))
+	c.Rows.saw(endive.ErrUnavailable.New("turned away"))
+	is.True(p.due(longAgo).After(clock.Now()))
+}
