An order to start that is too old isn't sent

Change: each order to start has a time by which it must be sent, a second after the decision or the end of the pool's lease; after it the order counts as not sent.

--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -28,11 +28,21 @@
 type startCall struct {
 	pool  *pool
 	order endive.StartOrder
+	// sendBy is when the order must have been sent.
+	sendBy time.Time
 }
 
-func (c *startCall) run() {
+func (c *startCall) run() { c.pool.tell(c.send()) }
+
+// send sends the order, unless the process stood still since it was decided on.
+func (c *startCall) send() flow.Started {
+	started := flow.Started{Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Result: flow.OrderNotSent}
+	if c.pool.cell.Clock.Now().After(c.sendBy) {
+		return started
+	}
 	answer, err := c.pool.cell.Fleet.Start(c.pool.cell.ctx, c.order)
-	c.pool.tell(flow.Started{Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Result: resultOf(err), Answer: answer})
+	started.Result, started.Answer = resultOf(err), answer
+	return started
 }
 
 // stopCall sends an order to stop.
--- a/entry/cell/perform.go
+++ b/entry/cell/perform.go
@@ -37,7 +37,7 @@
 	case flow.Hold:
 		go (&holdCall{pool: p, order: a.Order}).run()
 	case flow.Start:
-		go (&startCall{pool: p, order: a.Order}).run()
+		go (&startCall{pool: p, order: a.Order, sendBy: a.SendBy}).run()
 	case flow.Stop:
 		go (&stopCall{pool: p, order: a.Order}).run()
 	case flow.Ask:
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -1,6 +1,10 @@
 package flow
 
-import "endiveroute.example/endive"
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
 
 // Load asks for the pool's rows, and to follow the table of work from then on. It
 // is answered by Loaded.
@@ -10,7 +14,12 @@
 type Hold struct{ Order endive.HoldOrder }
 
 // Start sends an order to start a task. It is answered by Started.
-type Start struct{ Order endive.StartOrder }
+type Start struct {
+	Order endive.StartOrder
+	// SendBy is when the order must have been sent. A process that stood still between
+	// the decision and the sending would act on what isn't so any more.
+	SendBy time.Time
+}
 
 // Stop sends an order to stop a run. It is answered by Stopped.
 type Stop struct{ Order endive.StopOrder }
--- a/flow/run.go
+++ b/flow/run.go
@@ -152,9 +152,12 @@
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
 		LeaseEnd: m.leaseEnd(w), Epoch: m.tenure.epoch, Resume: t.checkpoint,
 		Ticket: t.step.tickets.of(w.id),
-	}})
+	}, SendBy: endive.Earliest(m.tenure.until, m.now.Add(sendTime))})
 }
 
+// sendTime is how long an order to start may take to be sent.
+const sendTime = time.Second
+
 // started takes in the answer to an order to start.
 func (m *Machine) started(e Started) {
 	r := m.runOf(e.Worker, e.Task, e.Run)
