One copy each of what stood twice; long files in parts

Read again as a whole. Behaviour is as before:

- flow: one predicate for the workers that a step could use now, one pairing of resources by dimension, one reckoning of the longest chain of steps, one of the largest question's cost; the turning of lists by step serves the holder and the accepting entries.
- entry/cell: one turning of a row into a peer, of ids into names and back; the workers that may come back are told from those that went by the list itself, not by a second set; the store's lengths of time are intervals; a constant with one use is gone.
- soak: job bodies and states are named in platform/stand.

--- a/entry/cell/adviser.go
+++ b/entry/cell/adviser.go
@@ -178,12 +178,9 @@
 // askFor queues a question of another entry's holder.
 func (a *adviser) askFor(from endive.EntryID, m *wire.AdviceAsk) {
 	q := question{
-		step: endive.StepID(m.GetStep()), from: from, tag: m.GetTag(),
+		step: endive.StepID(m.GetStep()), workers: workersIn(m.GetWorkers()), from: from, tag: m.GetTag(),
 		cost: endive.Interval(time.Duration(m.GetCostMillis()) * time.Millisecond),
 	}
-	for _, id := range m.GetWorkers() {
-		q.workers = append(q.workers, endive.WorkerID(id))
-	}
 	a.ask(q)
 }
 
--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -113,9 +113,8 @@
 	h.waiting[asked.tag] = asked
 	asked.timer = time.AfterFunc(one.busyUntil.Sub(now)+helperMargin, asked.expire)
 	h.mu.Unlock()
-	message := &wire.AdviceAsk{Tag: asked.tag, Step: string(q.step), CostMillis: time.Duration(q.cost).Milliseconds()}
-	for _, id := range q.workers {
-		message.Workers = append(message.Workers, string(id))
+	message := &wire.AdviceAsk{
+		Tag: asked.tag, Step: string(q.step), Workers: namesOf(q.workers), CostMillis: time.Duration(q.cost).Milliseconds(),
 	}
 	if !h.cell.peers.mesh.Send(to, message) {
 		asked.expire()
--- a/entry/cell/noted.go
+++ b/entry/cell/noted.go
@@ -17,12 +17,9 @@
 		return
 	}
 	note := &wire.AdviceNote{
-		Pool: string(p.name), Step: string(q.step), Good: grantsOf(advice.Good),
+		Pool: string(p.name), Step: string(q.step), Good: grantsOf(advice.Good), Bad: namesOf(bad),
 		ValidityMillis: time.Duration(advice.Validity).Milliseconds(),
 	}
-	for _, id := range bad {
-		note.Bad = append(note.Bad, string(id))
-	}
 	if holder := p.heldIn(); !p.cell.peers.mesh.Send(holder, note) {
 		p.cell.Log.Info("advice isn't delivered", "pool", string(p.name), "step", string(q.step), "holder", string(holder))
 	}
@@ -36,11 +33,9 @@
 		return
 	}
 	validity := endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)
-	noted := flow.AdviceNoted{Step: endive.StepID(m.GetStep()), Good: grantsIn(m.GetGood()), Expiry: validity.After(c.Clock.Now())}
-	for _, id := range m.GetBad() {
-		noted.Bad = append(noted.Bad, endive.WorkerID(id))
-	}
-	p.tell(noted)
+	p.tell(flow.AdviceNoted{
+		Step: endive.StepID(m.GetStep()), Good: grantsIn(m.GetGood()), Bad: workersIn(m.GetBad()), Expiry: validity.After(c.Clock.Now()),
+	})
 }
 
 // forwardAdvice passes a note on to the entry that holds the pool now, as far as it is
@@ -72,3 +67,21 @@
 	}
 	return grants
 }
+
+// namesOf returns workers as other entries are told of them.
+func namesOf(workers []endive.WorkerID) []string {
+	names := make([]string, 0, len(workers))
+	for _, id := range workers {
+		names = append(names, string(id))
+	}
+	return names
+}
+
+// workersIn returns workers that another entry told of.
+func workersIn(names []string) []endive.WorkerID {
+	workers := make([]endive.WorkerID, 0, len(names))
+	for _, name := range names {
+		workers = append(workers, endive.WorkerID(name))
+	}
+	return workers
+}
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -95,7 +95,7 @@
 	var others endive.Peers
 	for id, row := range p.rows {
 		if id != p.cell.Settings.Name && row.living(p.cell.Platform.AtLeast(now)) {
-			others = append(others, endive.Peer{ID: id, Incarnation: row.Incarnation, Address: row.Address, Region: row.Region, Zone: row.Zone})
+			others = append(others, row.peer(id))
 		}
 	}
 	p.cell.helpers.lanes.assign(append(others, p.own()))
@@ -109,13 +109,7 @@
 }
 
 // own returns this entry as a peer of the others.
-func (p *peers) own() endive.Peer {
-	settings := p.cell.Settings
-	return endive.Peer{
-		ID: settings.Name, Incarnation: p.cell.Incarnation, Address: settings.Listen.Peers,
-		Region: settings.Region, Zone: settings.Zone,
-	}
-}
+func (p *peers) own() endive.Peer { return p.ownRow().peer(p.cell.Settings.Name) }
 
 // nearest leaves of many entries a part that spreads the links, those that hold a
 // pool or may soon, and all that asked something lately.
--- a/entry/cell/registry.go
+++ b/entry/cell/registry.go
@@ -21,6 +21,11 @@
 	WayMillis int64   `json:"wayMillis"`
 }
 
+// peer returns the entry of a row as a peer.
+func (r entryRow) peer(id endive.EntryID) endive.Peer {
+	return endive.Peer{ID: id, Incarnation: r.Incarnation, Address: r.Address, Region: r.Region, Zone: r.Zone}
+}
+
 // register writes this entry's row, and deletes those of entries that are gone.
 func (p *peers) register() bool {
 	own := p.ownRow()
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -53,8 +53,8 @@
 	open map[uint64]time.Time
 	last uint64
 	// usual is how long a short call takes, way the shortest that one took.
-	usual time.Duration
-	way   time.Duration
+	usual endive.Interval
+	way   endive.Interval
 }
 
 // NewStore returns a store that hasn't been asked yet.
@@ -111,10 +111,10 @@
 // end takes in the result of a short call.
 func (s *Store) end(call uint64, err error) {
 	s.mu.Lock()
-	took := s.clock.Now().Sub(s.open[call])
+	took := endive.Interval(s.clock.Now().Sub(s.open[call]))
 	delete(s.open, call)
 	if answered(err) {
-		s.usual += time.Duration(usualWeight * float64(took-s.usual))
+		s.usual += endive.Interval(usualWeight * float64(took-s.usual))
 		if s.way == 0 || took < s.way {
 			s.way = took
 		}
@@ -172,7 +172,7 @@
 	if !s.good {
 		return false
 	}
-	now, patience := s.clock.Now(), max(storeDoubt, slowFactor*s.usual)
+	now, patience := s.clock.Now(), max(storeDoubt, time.Duration(slowFactor*s.usual))
 	for _, began := range s.open {
 		if now.Sub(began) > patience {
 			return false
@@ -185,7 +185,7 @@
 func (s *Store) patience(usually time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(usually, min(patientFactor*s.usual, patientBound))
+	return max(usually, min(time.Duration(patientFactor*s.usual), patientBound))
 }
 
 // returned returns when the store came back after its last outage.
@@ -196,7 +196,7 @@
 }
 
 // distance returns the shortest time that the store took to answer.
-func (s *Store) distance() time.Duration {
+func (s *Store) distance() endive.Interval {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.way
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -33,9 +33,6 @@
 	return result
 }
 
-// reasonStored says that this submission was the one that stored the workflow.
-const reasonStored = "stored"
-
 func (c *Cell) submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
 	if !c.Platform.Known() {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: storeReturn, Reason: "the store is away"}
@@ -78,7 +75,7 @@
 		err := c.commitWithin(ctx, txn, c.Rows.patience(time.Duration(c.Settings.Timings.StoreTimeout)))
 		switch {
 		case err == nil:
-			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: reasonStored}
+			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "stored"}
 		case endive.ErrConflict.Has(err):
 			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "is stored already"}
 		case endive.ErrUnknown.Has(err):
@@ -159,15 +156,6 @@
 			rest = append(rest, w.ID)
 		}
 	}
-	able = append(rotated(able, id), rotated(rest, id)...)
+	able = append(flow.Rotated(able, id), flow.Rotated(rest, id)...)
 	return able[:min(len(able), flow.MaxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
 }
-
-// rotated returns a list that begins at a place which differs from step to step.
-func rotated(workers []endive.WorkerID, id endive.StepID) []endive.WorkerID {
-	if len(workers) == 0 {
-		return nil
-	}
-	first := int(endive.Rendezvous("", string(id)) % uint64(len(workers)))
-	return append(workers[first:len(workers):len(workers)], workers[:first]...)
-}
--- a/entry/cell/suits.go
+++ b/entry/cell/suits.go
@@ -44,7 +44,7 @@
 	settings := p.cell.Settings
 	return entryRow{
 		Address: settings.Listen.Peers, Incarnation: p.cell.Incarnation, Region: settings.Region, Zone: settings.Zone,
-		At: p.cell.Platform.AtLeast(p.cell.Clock.Now()), Cores: settings.Limits.Cores, WayMillis: p.cell.Rows.distance().Milliseconds(),
+		At: p.cell.Platform.AtLeast(p.cell.Clock.Now()), Cores: settings.Limits.Cores, WayMillis: time.Duration(p.cell.Rows.distance()).Milliseconds(),
 	}
 }
 
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -22,13 +22,12 @@
 
 	mu      sync.Mutex
 	workers map[endive.WorkerID]endive.FleetWorker
-	// missing are workers whose entries are gone since the store was away.
-	missing map[endive.WorkerID]bool
 	changed bool
 	ready   bool
 	// knownSince is since when all looks at the list have been answered.
 	knownSince time.Time
-	// goneAt is when workers disappeared from the list lately.
+	// goneAt is when workers disappeared from the list lately. Those that are still
+	// among the workers may come back, since the store was away.
 	goneAt map[endive.WorkerID]time.Time
 }
 
@@ -37,8 +36,7 @@
 
 func newWorkersLoop(c *Cell) *workersLoop {
 	return &workersLoop{
-		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), missing: make(map[endive.WorkerID]bool),
-		goneAt: make(map[endive.WorkerID]time.Time),
+		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), goneAt: make(map[endive.WorkerID]time.Time),
 	}
 }
 
@@ -96,7 +94,6 @@
 	seen := make(map[endive.WorkerID]bool, len(news.Workers))
 	for _, w := range news.Workers {
 		seen[w.ID] = true
-		delete(l.missing, w.ID)
 		delete(l.goneAt, w.ID)
 		if old, ok := l.workers[w.ID]; !ok || !reflect.DeepEqual(old, w) {
 			l.workers[w.ID] = w
@@ -113,7 +110,6 @@
 	}
 	for _, id := range gone {
 		if _, ok := l.workers[id]; ok {
-			l.missing[id] = true
 			l.goneAt[id] = now
 		}
 	}
@@ -129,7 +125,7 @@
 // forgetGone forgets workers that disappeared long ago. The caller holds the lock.
 func (l *workersLoop) forgetGone(now time.Time) {
 	for id, at := range l.goneAt {
-		if now.Sub(at) > goneKept {
+		if _, ok := l.workers[id]; !ok && now.Sub(at) > goneKept {
 			delete(l.goneAt, id)
 		}
 	}
@@ -149,10 +145,11 @@
 	if l.cell.Clock.Now().Before(l.cell.Rows.returned().Add(lapseGrace)) {
 		return
 	}
-	for id := range l.missing {
-		delete(l.workers, id)
-		delete(l.missing, id)
-		l.changed = true
+	for id := range l.goneAt {
+		if _, ok := l.workers[id]; ok {
+			delete(l.workers, id)
+			l.changed = true
+		}
 	}
 }
 
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -31,13 +31,18 @@
 // for them would be of no use yet.
 func (j *job) inheritedUnseen(m *Machine) bool { return j.inherited && !m.tenure.settled }
 
+// adviceCost returns how long the largest question about a job's steps takes.
+func (m *Machine) adviceCost(j *job) time.Duration {
+	return time.Duration(j.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
+}
+
 // foresee asks early for a step whose predecessors are about to end, since an
 // answer takes as long as a part of a task.
 func (m *Machine) foresee(s *step) {
 	if !m.needsTicket(s) || s.tickets.onItsWay(m.now) || s.tickets.asks > 0 {
 		return
 	}
-	cost := time.Duration(s.occ.job.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
+	cost := m.adviceCost(s.occ.job)
 	for _, before := range s.spec.After {
 		b := s.occ.steps[before]
 		if b.unended == 0 {
@@ -144,10 +149,7 @@
 	if len(roomy) == 0 || places < m.placesWorth(s) {
 		return nil
 	}
-	// Which workers come first differs from step to step, so that steps don't all
-	// want the same.
-	first := int(endive.Rendezvous("", string(s.id)) % uint64(len(roomy)))
-	roomy = append(roomy[first:len(roomy):len(roomy)], roomy[:first]...)
+	roomy = Rotated(roomy, s.id)
 	sort.SliceStable(roomy, func(i, j int) bool {
 		return s.suitsWay(m.workers[roomy[i]]) && !s.suitsWay(m.workers[roomy[j]])
 	})
@@ -157,6 +159,16 @@
 	return workers[:min(len(workers), MaxAdviceWorkers, wanted)]
 }
 
+// Rotated returns a list that begins at a place which differs from step to step, so that
+// steps don't all want the same workers.
+func Rotated(workers []endive.WorkerID, id endive.StepID) []endive.WorkerID {
+	if len(workers) == 0 {
+		return nil
+	}
+	first := int(endive.Rendezvous("", string(id)) % uint64(len(workers)))
+	return append(workers[first:len(workers):len(workers)], workers[:first]...)
+}
+
 const (
 	// minAdviceWorkers is how many workers a question names at least, as far as
 	// there are so many.
--- a/flow/claim.go
+++ b/flow/claim.go
@@ -1,5 +1,7 @@
 package flow
 
+import "endiveroute.example/endive"
+
 // Steps that wait claim room in their order, so that advice is asked for no more work
 // than there is room for, and that smaller work doesn't take it meanwhile.
 
@@ -51,7 +53,7 @@
 		if kept == tasks {
 			break
 		}
-		if !w.usable() || !w.couldRun(s) || m.now.Before(w.health.avoidUntil) {
+		if !m.mayHost(s, w) {
 			continue
 		}
 		places := min(w.places(s), tasks-kept)
@@ -63,12 +65,17 @@
 	return kept
 }
 
+// mayHost reports whether a worker could be good for a step and may be used now.
+func (m *Machine) mayHost(s *step, w *worker) bool {
+	return w.usable() && w.couldRun(s) && !m.now.Before(w.health.avoidUntil)
+}
+
 // placesNow returns for how many tasks of a step there is room on workers that may be
 // good for it.
 func (m *Machine) placesNow(s *step) int {
 	count := 0
 	for _, w := range m.ordered {
-		if w.usable() && w.couldRun(s) && !m.now.Before(w.health.avoidUntil) {
+		if m.mayHost(s, w) {
 			count += w.places(s)
 		}
 	}
@@ -82,14 +89,19 @@
 	if s.spec.MaxPerWorker > 0 {
 		count = min(count, s.spec.MaxPerWorker-s.perWorker[w.id])
 	}
-	for _, one := range [][2]int64{
-		{int64(need.Processors), int64(free.Processors)},
-		{int64(need.Memory), int64(free.Memory)},
-		{int64(need.Accelerators), int64(free.Accelerators)},
-	} {
+	for _, one := range inDimensions(need, free) {
 		if one[0] > 0 {
 			count = min(count, int(one[1]/one[0]))
 		}
 	}
 	return max(0, count)
 }
+
+// inDimensions pairs what two amounts are in each dimension.
+func inDimensions(a, b endive.Resources) [3][2]int64 {
+	return [3][2]int64{
+		{int64(a.Processors), int64(b.Processors)},
+		{int64(a.Memory), int64(b.Memory)},
+		{int64(a.Accelerators), int64(b.Accelerators)},
+	}
+}
--- a/flow/job.go
+++ b/flow/job.go
@@ -124,13 +124,20 @@
 
 // chain returns the longest chain of estimated work of one occurrence.
 func (j *job) chain() time.Duration {
+	return j.longest(func(int) bool { return true })
+}
+
+// longest returns the longest chain of estimated work of those steps that count.
+func (j *job) longest(counts func(step int) bool) time.Duration {
 	ends := make([]time.Duration, len(j.spec.Steps))
 	var longest time.Duration
 	for i, step := range j.spec.Steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += time.Duration(step.Estimate)
+		if counts(i) {
+			ends[i] += time.Duration(step.Estimate)
+		}
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/flow/noted.go
+++ b/flow/noted.go
@@ -54,7 +54,7 @@
 // awaitAdvice leaves the first questions about a new job to the entry that accepted
 // it.
 func (m *Machine) awaitAdvice(j *job) {
-	cost := time.Duration(j.policy.Advice.Cost(min(len(m.ordered), MaxAdviceWorkers)))
+	cost := m.adviceCost(j)
 	for _, occ := range j.occs {
 		for _, s := range occ.steps {
 			if len(s.spec.After) == 0 && len(s.tickets.good) == 0 {
--- a/flow/noted_test.go
+++ b/flow/noted_test.go
@@ -16,10 +16,7 @@
 	for _, late := range []time.Duration{0, 100 * time.Millisecond} {
 		t.Run(fmt.Sprint(late), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(t, 1, faults{lostAdvice: 1})
-			w.addWorkers(3)
-			h := w.hold()
-			w.run(time.Second)
+			w, h := heldWorld(t, faults{lostAdvice: 1}, 3)
 			noted := AdviceNoted{
 				Step: "job1.0.0", Good: []endive.AdviceGrant{{Worker: "w1", Ticket: "ticket"}}, Bad: []endive.WorkerID{"w0", "w2"},
 				Expiry: w.now.Add(1500 * time.Millisecond),
@@ -43,10 +40,7 @@
 // The accepting entry's answer never comes: the holder asks for itself in time.
 func TestAdviceOfTheAcceptingEntryIsLost(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1, faults{})
-	w.addWorkers(3)
-	w.hold()
-	w.run(time.Second)
+	w, _ := heldWorld(t, faults{}, 3)
 	w.accepts = true
 	id := w.submit("job1", advised, stepOfTasks(2, 500*time.Millisecond))
 	w.run(1300 * time.Millisecond)
@@ -61,10 +55,7 @@
 // Answers about workflows that are never heard of don't pile up.
 func TestEarlyAdviceIsBounded(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1, faults{})
-	w.addWorkers(1)
-	h := w.hold()
-	w.run(time.Second)
+	w, h := heldWorld(t, faults{}, 1)
 	for i := range 3 * maxEarly {
 		h.step(AdviceNoted{Step: endive.StepID(fmt.Sprintf("job%d.0.0", i)), Expiry: w.now.Add(time.Second)})
 	}
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -205,11 +205,7 @@
 // share returns which part of a capacity is left, averaged over its dimensions.
 func share(left, capacity endive.Resources) float64 {
 	sum, dimensions := 0.0, 0.0
-	for _, one := range [][2]int64{
-		{int64(left.Processors), int64(capacity.Processors)},
-		{int64(left.Memory), int64(capacity.Memory)},
-		{int64(left.Accelerators), int64(capacity.Accelerators)},
-	} {
+	for _, one := range inDimensions(left, capacity) {
 		if one[1] > 0 {
 			sum += float64(one[0]) / float64(one[1])
 			dimensions++
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -86,16 +86,7 @@
 func (j *job) remaining() time.Duration {
 	var longest time.Duration
 	for _, occ := range j.occs {
-		ends := make([]time.Duration, len(occ.steps))
-		for i, s := range occ.steps {
-			for _, before := range s.spec.After {
-				ends[i] = max(ends[i], ends[before])
-			}
-			if s.unended > 0 {
-				ends[i] += time.Duration(s.spec.Estimate)
-			}
-			longest = max(longest, ends[i])
-		}
+		longest = max(longest, j.longest(func(i int) bool { return occ.steps[i].unended > 0 }))
 	}
 	return longest
 }
--- /dev/null
+++ b/flow/takeover_test.go
@@ -0,0 +1,123 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// A new holder adopts what runs, and starts none of it again.
+func TestTakeoverAdoptsRuns(t *testing.T) {
+	is := is.New(t)
+	w, first := heldWorld(t, faults{}, 3)
+	id := w.submit("job1", quick, stepOfTasks(9, 3*time.Second), stepOfTasks(2, time.Second, 0))
+	w.run(2 * time.Second)
+	first.kill()
+	w.run(4 * time.Second)
+	w.hold()
+	w.run(9 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 11)
+}
+
+// A holder that stood still while another took the pool over starts nothing when it
+// goes on.
+func TestFrozenHolderIsFenced(t *testing.T) {
+	is := is.New(t)
+	w, first := heldWorld(t, faults{}, 3)
+	w.submit("job1", quick, stepOfTasks(9, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	first.freeze(3 * time.Second)
+	w.run(3 * time.Second)
+	w.hold()
+	w.submit("job2", quick, stepOfTasks(9, 2*time.Second))
+	w.run(12 * time.Second)
+	w.holds()
+	is.Equal(w.state("job1"), endive.WorkflowSucceeded)
+	is.Equal(w.state("job2"), endive.WorkflowSucceeded)
+	is.True(!first.machine.tenure.active)
+}
+
+// Workers end while there is no holder. The new one finds them in the roster only, sees
+// that nothing listens there, and starts what they ran at once.
+func TestTakeoverAfterWorkersHaveEnded(t *testing.T) {
+	is := is.New(t)
+	w, first := heldWorld(t, faults{}, 3)
+	id := w.submit("job1", quick, stepOfTasks(12, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	first.kill()
+	w.workers["w0"].leave()
+	w.run(2 * time.Second)
+	second := w.hold()
+	w.run(2100 * time.Millisecond)
+	is.True(second.machine.tenure.settled)
+	w.run(6 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 17)
+}
+
+// Workers have ended, and others listen at their addresses, while the list still has
+// them: what they ran starts elsewhere at once, with the holder that started it and
+// after a takeover.
+func TestAddressesOfWorkersAreReused(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover=%v", takeover), func(t *testing.T) {
+			is := is.New(t)
+			w, first := heldWorld(t, faults{}, 3)
+			id := w.submit("job1", quick, stepOfTasks(12, 2*time.Second))
+			w.run(1500 * time.Millisecond)
+			w.workers["w0"].bear(w.workers["w0"].self.Capacity, nil)
+			w.workers["w0"].reused = true
+			if takeover {
+				first.kill()
+				w.run(2 * time.Second)
+				w.hold()
+			}
+			w.run(5 * time.Second)
+			w.holds()
+			is.Equal(w.starts, 17)
+			w.run(9 * time.Second)
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		})
+	}
+}
+
+// A worker that isn't listed may be cut off and run on: without an answer, what it ran
+// isn't started elsewhere before it has been missing for so long that its leases have
+// run out.
+func TestTakeoverWithAWorkerCutOff(t *testing.T) {
+	is := is.New(t)
+	w, first := heldWorld(t, faults{}, 3)
+	id := w.submit("job1", quick, stepOfTasks(12, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	first.kill()
+	w.workers["w0"].dark = true
+	w.run(4500 * time.Millisecond)
+	w.workers["w0"].unlisted = true
+	w.list()
+	w.run(5 * time.Second)
+	second := w.hold()
+	w.run(7400 * time.Millisecond)
+	is.True(!second.machine.tenure.settled)
+	w.run(8600 * time.Millisecond)
+	is.True(second.machine.tenure.settled)
+	w.run(12 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
+// A holder is replaced before its lease is over. On a worker that the new one can't
+// reach, it may go on renewing until then.
+func TestEarlyTakeoverWaitsForTheOldLease(t *testing.T) {
+	is := is.New(t)
+	w, h := heldWorld(t, faults{}, 2)
+	last := w.now.Add(2 * time.Second)
+	h.step(TenureBegan{Epoch: 2, Until: w.now.Add(time.Hour), LastUntil: last})
+	is.True(!h.machine.tenure.unheardUntil.Before(last.Add(testGrant)))
+}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand"
 	"sort"
-	"strings"
 	"testing"
 	"time"
 
@@ -135,6 +134,15 @@
 	}
 }
 
+// heldWorld returns a world with some workers, of which a holder has heard.
+func heldWorld(t *testing.T, f faults, workers int) (*world, *holder) {
+	w := newWorld(t, 1, f)
+	w.addWorkers(workers)
+	h := w.hold()
+	w.run(time.Second)
+	return w, h
+}
+
 func (w *world) chance(p float64) bool { return w.random.Float64() < p }
 
 func (w *world) breaks(format string, args ...any) {
@@ -258,189 +266,3 @@
 	h.tell(TenureBegan{Epoch: w.epoch, FenceVersion: w.version, Until: w.now.Add(time.Hour)})
 	return h
 }
-
-// kill ends a holder's process.
-func (h *holder) kill() { h.dead = true }
-
-// tell gives an event to the machine, after a moment.
-func (h *holder) tell(event endive.Event) { h.world.after(time.Millisecond, func() { h.step(event) }) }
-
-func (h *holder) step(event endive.Event) {
-	if h.dead {
-		return
-	}
-	if h.frozen {
-		h.later = append(h.later, event)
-		return
-	}
-	begin := time.Now()
-	actions := h.machine.Step(h.world.now, event)
-	h.spent += time.Since(begin)
-	for _, action := range actions {
-		h.perform(action)
-	}
-}
-
-// freeze stops the process for a while, in which its lease runs out.
-func (h *holder) freeze(d time.Duration) {
-	h.frozen = true
-	h.machine.tenure.until = h.world.now
-	h.world.after(d, func() {
-		h.frozen = false
-		for _, event := range h.later {
-			h.step(event)
-		}
-		h.later = nil
-	})
-}
-
-func (h *holder) perform(action endive.Action) {
-	w := h.world
-	switch a := action.(type) {
-	case Note:
-		if w.trace != "" && (strings.HasPrefix(string(a.Task), w.trace) || a.Kind == NoteTenure || a.Kind == NoteWorker) {
-			w.t.Logf("%.3f epoch %d %s %s %d on %s: %s (%s)", w.now.Sub(w.start).Seconds(), h.epoch, a.Kind, a.Task, a.Run, a.Worker, a.Outcome, a.Reason)
-		}
-	case endive.SetWake:
-		at := a.At
-		h.wakeAt = at
-		w.after(max(0, at.Sub(w.now)), func() {
-			if h.wakeAt.Equal(at) {
-				h.step(endive.Wake{})
-			}
-		})
-	case Load:
-		w.after(10*time.Millisecond, func() { h.load(a.Epoch) })
-	case Record:
-		h.record(a.Transaction)
-	case Ask:
-		w.after(time.Duration(a.Cost), func() { h.advise(a) })
-	case Start:
-		w.deliver(h, a.Order.Worker.ID, func(one *fakeWorker) endive.OrderAnswer { return one.start(a.Order) },
-			func(r OrderResult, answer endive.OrderAnswer) endive.Event {
-				return Started{Worker: a.Order.Worker.ID, Task: a.Order.Task, Run: a.Order.Run, Result: r, Answer: answer}
-			})
-	case Stop:
-		w.deliver(h, a.Order.Worker.ID, func(one *fakeWorker) endive.OrderAnswer { return one.stop(a.Order) },
-			func(r OrderResult, answer endive.OrderAnswer) endive.Event {
-				return Stopped{Worker: a.Order.Worker.ID, Task: a.Order.Task, Run: a.Order.Run, Result: r, Answer: answer}
-			})
-	case Hold:
-		w.look(h, a.Order)
-	}
-}
-
-// deliver carries out an order at a worker, with the faults of the world.
-func (w *world) deliver(h *holder, id endive.WorkerID, do func(*fakeWorker) endive.OrderAnswer, answer func(OrderResult, endive.OrderAnswer) endive.Event) {
-	const patience = 400 * time.Millisecond
-	one := w.workers[id]
-	way := one.way()
-	switch {
-	case one == nil || one.dark || w.chance(w.faults.lostOrder):
-		w.after(patience, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-	case w.chance(w.faults.lateOrder):
-		w.after(patience, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-		// What a worker carries out late, it doesn't carry out in another life.
-		life := one.life
-		w.after(2*time.Second+time.Duration(w.random.Int63n(int64(8*time.Second))), func() {
-			if one.life == life {
-				one.late = true
-				do(one)
-				one.late = false
-			}
-		})
-	case w.chance(w.faults.lostAnswer):
-		w.after(way, func() { do(one) })
-		w.after(patience, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-	default:
-		w.after(way, func() {
-			got := do(one)
-			w.after(way, func() { h.step(answer(OrderAnswered, got)) })
-		})
-	}
-}
-
-// load reads the rows for a new tenure.
-func (h *holder) load(epoch endive.Epoch) {
-	loaded := Loaded{Epoch: epoch}
-	keys := make([]string, 0, len(h.world.rows))
-	for key := range h.world.rows {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	for _, key := range keys {
-		row := h.world.rows[key]
-		switch {
-		case strings.HasPrefix(key, WorkPrefix(testPool)):
-			loaded.Work = append(loaded.Work, row)
-		case strings.HasPrefix(key, StatePrefix(testPool)):
-			loaded.States = append(loaded.States, row)
-		case key == RosterKey(testPool):
-			var roster Roster
-			if err := decode(row.Value, &roster); err != nil {
-				h.world.t.Fatal(err)
-			}
-			loaded.Roster = roster.Workers
-		}
-	}
-	h.step(loaded)
-}
-
-// record carries a transaction out, with the faults of the world.
-func (h *holder) record(txn endive.Transaction) {
-	const way, patience = 4 * time.Millisecond, 300 * time.Millisecond
-	w := h.world
-	switch {
-	case w.chance(w.faults.lostWrite):
-		w.after(patience, func() { h.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown}) })
-	case w.chance(w.faults.lateWrite):
-		w.after(time.Second+time.Duration(w.random.Int63n(int64(3*time.Second))), func() { w.apply(txn) })
-		w.after(patience, func() { h.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown}) })
-	case w.chance(w.faults.lostWriteAnswer):
-		w.after(way, func() { w.apply(txn) })
-		w.after(patience, func() { h.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown}) })
-	default:
-		w.after(way, func() {
-			event := w.apply(txn)
-			w.after(way, func() { h.step(event) })
-		})
-	}
-}
-
-// apply writes a transaction if its conditions hold.
-func (w *world) apply(txn endive.Transaction) endive.Committed {
-	event := endive.Committed{WriteID: txn.WriteID, Status: endive.CommitConflict}
-	for _, one := range txn.Conditions {
-		if row := w.rows[one.Key]; row.Version != one.Version {
-			event.Conflicts = append(event.Conflicts, row)
-		}
-	}
-	if len(event.Conflicts) > 0 {
-		return event
-	}
-	w.version++
-	event.Status = endive.CommitApplied
-	for _, one := range txn.Writes {
-		event.Result.Versions = append(event.Result.Versions, w.version)
-		if one.Delete {
-			delete(w.rows, one.Key)
-			continue
-		}
-		w.rows[one.Key] = endive.Row{Key: one.Key, Version: w.version, Value: one.Value}
-	}
-	return event
-}
-
-// advise answers a question: two workers of three are good for a step.
-func (h *holder) advise(a Ask) {
-	if h.world.chance(h.world.faults.lostAdvice) {
-		return
-	}
-	event := Advised{Step: a.Step, Asked: a.Workers, Cost: a.Cost, OK: true, Expiry: h.world.now.Add(2 * time.Second)}
-	for _, id := range a.Workers {
-		if (len(a.Step)+int(id[len(id)-1]))%3 != 0 {
-			event.Good = append(event.Good, endive.AdviceGrant{Worker: id, Ticket: "ticket"})
-		}
-	}
-	h.step(event)
-}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"endiveroute.example/endive/platform/stand"
 )
 
 const (
@@ -53,7 +55,13 @@
 
 // submit hands one job in, with a few tries at any entry.
 func (c *clients) submit(id string) {
-	body := fmt.Sprintf(`{"task_spec":"s","steps":[{"count":%d,"cpu":1000,"estimate_ms":300},{"count":2,"cpu":500,"estimate_ms":300,"after":[0]}]}`, 1+c.rand.Intn(5))
+	body, err := stand.Job{Payload: "s", Steps: []stand.Step{
+		{Tasks: 1 + c.rand.Intn(5), Processors: 1000, EstimateMillis: 300},
+		{Tasks: 2, Processors: 500, EstimateMillis: 300, After: []int{0}},
+	}}.Body()
+	if err != nil {
+		panic("soak: a job can't be encoded: " + err.Error())
+	}
 	path := []string{"/quick/", "/slow/"}[c.rand.Intn(2)] + id
 	refused := true
 	c.mu.Lock()
@@ -133,11 +141,9 @@
 	c.mu.Unlock()
 	var left []string
 	for _, id := range ids {
-		var answer struct {
-			State string `json:"state"`
-		}
+		var answer stand.State
 		// The queue's prefix doesn't matter for finding a job within its pool.
-		if c.call(http.MethodGet, "/quick/"+id, "", &answer) == http.StatusOK && answer.State == "completed" {
+		if c.call(http.MethodGet, "/quick/"+id, "", &answer) == http.StatusOK && answer.Completed() {
 			c.mu.Lock()
 			delete(c.open, id)
 			c.mu.Unlock()
