A run is slow only if like tasks are faster elsewhere

Cause: a run was stopped when its progress showed three times its estimate. Change: what a step's other tasks take on other workers is the measure; an estimate alone counts only for a task without such others, by a factor of six and once. Ruled out: a larger factor alone, which would leave slow workers alone (TestSlowAndHangingWorkers). Tests: TestWrongEstimateMovesNothing failed in all four rows before.

--- a/flow/held.go
+++ b/flow/held.go
@@ -236,6 +236,9 @@
 		r.percent, r.percentAt = report.Percent, m.now
 	}
 	r.tail = report.Tail
+	if r.task != nil && r.state == runRunning {
+		m.watchPace(r)
+	}
 	if r.task != nil && report.Checkpoint != "" {
 		r.task.checkpoint = report.Checkpoint
 	}
--- a/flow/job.go
+++ b/flow/job.go
@@ -69,6 +69,9 @@
 	// perWorker counts the runs on each worker.
 	perWorker map[endive.WorkerID]int
 
+	// paces is how long the step's tasks take, by worker.
+	paces map[endive.WorkerID]time.Duration
+
 	tickets tickets
 	gang    gang
 }
@@ -90,6 +93,8 @@
 	notBefore time.Time
 	// avoid is where the task ended badly last.
 	avoid endive.WorkerID
+	// moved says that a run of the task was stopped for being slow.
+	moved bool
 	// inherited tasks may run on a worker that hasn't answered in this tenure.
 	inherited bool
 	// lastRun is the highest run number known of the task.
--- /dev/null
+++ b/flow/pace.go
@@ -0,0 +1,65 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Estimates are rough, and some are off by far. How fast a step's tasks really go shows
+// in the progress of those that run; a worker is slow only if they go faster elsewhere.
+// It answers loads in which many steps take several times their estimates: judged by
+// these alone, sound runs would be stopped on one worker after the other.
+
+// minPaceProgress is how far, in percent, a run must have come for its pace to be known:
+// progress is told in whole percents.
+const minPaceProgress = 10
+
+// whole returns how long a run takes in all, by its progress so far. It errs to the short
+// side, since progress is cut to whole percents.
+func (r *run) whole(now time.Time) time.Duration {
+	return now.Sub(r.began) * fullPercent / time.Duration(r.percent-r.firstPercent+1)
+}
+
+// watchPace notes how fast a run goes.
+func (m *Machine) watchPace(r *run) {
+	if r.percent-r.firstPercent >= minPaceProgress {
+		r.task.step.notePace(r.worker.id, r.whole(m.now))
+	}
+}
+
+// notePace notes how long a task of the step takes on a worker.
+func (s *step) notePace(id endive.WorkerID, whole time.Duration) {
+	if s.paces == nil {
+		s.paces = make(map[endive.WorkerID]time.Duration)
+	}
+	s.paces[id] = whole
+}
+
+// paceElsewhere returns how long a task of the step takes on the other workers, if any
+// has shown it.
+func (s *step) paceElsewhere(id endive.WorkerID) (time.Duration, bool) {
+	var paces []time.Duration
+	for worker, pace := range s.paces {
+		if worker != id {
+			paces = append(paces, pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0, false
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2], true
+}
+
+// runsElsewhere reports whether another worker runs a task of the step, whose pace will
+// show.
+func (s *step) runsElsewhere(w *worker) bool {
+	for id := range s.perWorker {
+		if id != w.id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/flow/pace_test.go
@@ -0,0 +1,56 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// The load: sound workers, and a step whose tasks take several times its estimate. No
+// task is stopped because of it where others of its step go no faster, and one that
+// stands alone at most once.
+func TestWrongEstimateMovesNothing(t *testing.T) {
+	tests := []struct {
+		name       string
+		tasks      int
+		stretch    int
+		mostStarts int
+	}{
+		{"many tasks, four times the estimate", 13, 4, 13},
+		{"many tasks, ten times the estimate", 13, 10, 13},
+		{"one task, four times the estimate", 1, 4, 1},
+		{"one task, ten times the estimate", 1, 10, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w, _ := heldWorld(t, faults{}, 8)
+			spec := stepOfTasks(tt.tasks, time.Second)
+			spec.Checkpoints = true
+			id := w.submit("job1", quick, spec)
+			w.jobs[id].stretch = tt.stretch
+			w.run(30 * time.Second)
+			w.holds()
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+			is.True(w.starts <= tt.mostStarts)
+		})
+	}
+}
+
+// The load: one worker is slow, and steps of one task each come to all of them. What the
+// slow one got of steps that run elsewhere too tells on it, and the others move on.
+func TestSlowWorkerIsKnownByLikeTasks(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, faults{})
+	w.addWorkers(4)
+	w.workers["w0"].slow = 5
+	w.hold()
+	w.run(time.Second)
+	wide := w.submit("wide", quick, stepOfTasks(16, 2*time.Second))
+	w.run(9 * time.Second)
+	w.holds()
+	is.Equal(w.state(wide), endive.WorkflowSucceeded)
+}
--- a/flow/stall.go
+++ b/flow/stall.go
@@ -13,9 +13,14 @@
 	// stallShare of its estimate is how long a long run may stand still, since its
 	// progress is told in whole percents.
 	stallShare = 20
-	// slowFactor is how many times its estimate a run may take by its progress.
-	// Estimates are off by a factor of two.
+	// slowFactor is how many times as long as like tasks elsewhere a run may take by its
+	// progress.
 	slowFactor = 3
+	// blindFactor is how many times its estimate a run may take of which there are no
+	// like tasks elsewhere. Many estimates are off by more than a slow worker is slow.
+	blindFactor = 6
+	// moveCost is what it takes to start elsewhere: a stop, a new ticket, a restore.
+	moveCost = 700 * time.Millisecond
 	// slowAge is how long a run is watched before its speed is judged.
 	slowAge = 400 * time.Millisecond
 	// wasteBound is how far, in percent, a run that can't save its progress may have
@@ -54,26 +59,50 @@
 
 // tooSlow reports whether a run would be over sooner if it started elsewhere.
 func (m *Machine) tooSlow(r *run) bool {
-	estimate := time.Duration(r.task.step.spec.Estimate)
-	elapsed := m.now.Sub(r.began)
-	progress := r.percent - r.firstPercent
-	if estimate == 0 || elapsed < slowAge || progress <= 0 {
+	if m.now.Sub(r.began) < slowAge || r.percent <= r.firstPercent {
 		return false
 	}
-	whole := elapsed * fullPercent / time.Duration(progress)
+	expected, factor, ok := m.expectedOf(r)
+	if !ok {
+		return false
+	}
+	whole := r.whole(m.now)
 	left := whole * time.Duration(fullPercent-r.percent) / fullPercent
-	if whole < slowFactor*estimate || left < estimate {
+	if whole < time.Duration(factor)*expected || left < max(expected, moveCost) {
 		return false
 	}
 	return r.task.step.spec.Checkpoints || r.percent < wasteBound
 }
 
-// moveOn stops a run and uses its worker last for a while.
+// expectedOf returns how long a run should take, and how many times as long it may: by
+// what the step's other tasks show on other workers, or else by its estimate, which is
+// asked only once about a task.
+func (m *Machine) expectedOf(r *run) (time.Duration, int, bool) {
+	s := r.task.step
+	if pace, ok := s.paceElsewhere(r.worker.id); ok {
+		return pace, slowFactor, true
+	}
+	if s.spec.Estimate == 0 || r.task.moved || s.runsElsewhere(r.worker) {
+		return 0, 0, false
+	}
+	if m.now.Before(r.worker.health.slowUntil) {
+		return time.Duration(s.spec.Estimate), slowFactor, true
+	}
+	return time.Duration(s.spec.Estimate), blindFactor, true
+}
+
+// moveOn stops a run, and uses its worker last for a while if like tasks are faster
+// elsewhere.
 func (m *Machine) moveOn(r *run, reason string) {
 	if m.slowShare() >= maxSlow {
 		return
 	}
-	r.worker.health.slowUntil = m.now.Add(slowTime)
+	s := r.task.step
+	if _, ok := s.paceElsewhere(r.worker.id); ok || m.standsStill(r) {
+		r.worker.health.slowUntil = m.now.Add(slowTime)
+	}
+	s.notePace(r.worker.id, r.whole(m.now))
+	r.task.moved = true
 	r.task.avoid = r.worker.id
 	m.stopRun(r, reason)
 }
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -61,6 +61,8 @@
 	workflow    endive.Workflow
 	policy      endive.Queue
 	cancelledAt time.Time
+	// stretch is how many times their estimate the tasks take; 0 counts as 1.
+	stretch int
 }
 
 // appointment is something that happens at a time.
