Gangs learn their good workers first, then reserve exact room for one short question

Each gang that waited claimed all the room that it might use, on workers of which three in ten would do, for as long as its questions of about a second were on their way; tasks of the queue after it got no question and no room (0 to 30 starts in 4 s, then 1,095 when the gangs had gone). Change: the first question about a gang names many workers whatever their room and claims none (flow/reserve.go; the accepting entry asks it also of a crowded pool). Then a gang reserves just the room of good workers that its members need, and asks for tickets about those. Nothing claims room whose question can't be asked at once. Draining takes the workers that are free soonest by their runs, and at most 5% of the pool.

--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -112,11 +112,12 @@
 		return false
 	}
 	p := c.poolNamed(queue.Pool)
-	// In a crowded pool the tickets would run out before there is room, but for work
-	// that goes first.
-	if p == nil || p.heldIn() == "" || p.status.Load().Crowded && queue.Rank > 0 {
+	if p == nil || p.heldIn() == "" {
 		return false
 	}
+	// In a crowded pool the tickets would run out before there is room, but for work
+	// that goes first. Gangs are asked about for which workers are good, which stays.
+	crowded := p.status.Load().Crowded && queue.Rank > 0
 	workers, _ := c.workers.of(queue.Pool)
 	near := c.peers.nearTo(p.heldIn())
 	all := true
@@ -124,6 +125,10 @@
 		if len(step.After) > 0 {
 			continue
 		}
+		if crowded && !step.Gang {
+			all = false
+			continue
+		}
 		id := endive.StepID(string(workflow.ID) + ".0." + strconv.Itoa(i))
 		named := ableWorkers(workers, step, id, near)
 		asked := len(named) > 0 &&
@@ -157,5 +162,9 @@
 		}
 	}
 	able = append(flow.Rotated(able, id), flow.Rotated(rest, id)...)
-	return able[:min(len(able), flow.MaxAdviceWorkers, max(minAdviceWorkers, workersPerTask*step.Tasks))]
+	named := max(minAdviceWorkers, workersPerTask*step.Tasks)
+	if step.Gang {
+		named = flow.GangSurvey(step.Tasks)
+	}
+	return able[:min(len(able), flow.MaxAdviceWorkers, named)]
 }
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -14,6 +14,8 @@
 	asking endive.Interval
 	// askedAt is when the newest of them was asked.
 	askedAt time.Time
+	// planned is the cost of those that the current look wants to ask.
+	planned endive.Interval
 	// wanted lists the steps that could use an answer, in the order of the pass.
 	wanted []*step
 	// nextAt is when the next question may be asked; zero for never.
@@ -74,13 +76,18 @@
 	if m.now.Sub(m.advice.askedAt) > adviceLost {
 		m.advice.asking = 0
 	}
-	for m.advice.asking < askAhead*endive.Interval(max(1, m.helpers)) {
+	for m.advice.asking < m.mayAsk() {
 		if !m.askOne() {
 			return
 		}
 	}
 }
 
+// mayAsk returns how much of the advice service's time may be asked for at once.
+func (m *Machine) mayAsk() endive.Interval {
+	return askAhead * endive.Interval(max(1, m.helpers))
+}
+
 // askAhead is how much of the advice service's time may be asked for at once, for
 // each entry that asks. The longest questions take about a second, and less would leave
 // entries without a question while work waits for its answers.
@@ -128,15 +135,16 @@
 // others of which nothing is known yet if no question was asked before. Which
 // workers are good never changes for a step, so bad ones aren't named again.
 func (m *Machine) askAbout(s *step) []endive.WorkerID {
+	if s.spec.Gang {
+		return m.askAboutGang(s)
+	}
 	var roomy, others []endive.WorkerID
 	places := 0
 	for _, w := range m.ordered {
 		if !w.usable() || !w.couldRun(s) {
 			continue
 		}
-		// The members of a gang need their tickets at the same time, so those that
-		// are still valid are renewed.
-		if !s.spec.Gang && s.tickets.valid(w.id, m.now) {
+		if s.tickets.valid(w.id, m.now) {
 			continue
 		}
 		if here := w.places(s); here > 0 {
@@ -181,9 +189,6 @@
 // placesWorth returns for how many tasks there has to be room for a question about
 // a step to be worth its time, since large steps start part by part.
 func (m *Machine) placesWorth(s *step) int {
-	if s.spec.Gang {
-		return len(s.tasks)
-	}
 	if s.tickets.asks == 0 || m.now.Sub(s.tickets.askedAt) > adviceRest {
 		return 1
 	}
--- a/flow/claim.go
+++ b/flow/claim.go
@@ -17,14 +17,9 @@
 		m.advice.short = true
 		return false
 	}
-	if s.occ.job.inheritedUnseen(m) || len(m.advice.wanted) >= maxWanted {
+	if s.occ.job.inheritedUnseen(m) {
 		return true
 	}
-	if s.spec.Gang && m.placesNow(s) < waits {
-		// A part of its room is of no use to a gang, but others can use it.
-		m.advice.short = true
-		return false
-	}
 	places := m.keepPlaces(s, waits)
 	if places == 0 {
 		m.advice.short = true
@@ -33,15 +28,28 @@
 	if s.tickets.onItsWay(m.now) {
 		// If the answer is lost, nothing else may bring the next look.
 		m.passAgain(s.tickets.askedAt.Add(adviceLost))
-	} else {
-		m.advice.wanted = append(m.advice.wanted, s)
+	} else if !m.plan(s, min(MaxAdviceWorkers, workersPerPlace*places)) {
+		return true
 	}
 	m.advice.room = m.advice.room.Sub(need.Times(int64(places)))
 	return true
 }
 
-// maxWanted bounds the steps that one look considers for questions.
-const maxWanted = 64
+// plan has a question about a step asked that names so many workers, unless those that
+// are on their way or planned in this look already take as long as may be asked for at
+// once. It reports whether it is.
+func (m *Machine) plan(s *step, workers int) bool {
+	if m.now.Before(s.tickets.askAt) {
+		m.passAgain(s.tickets.askAt)
+		return false
+	}
+	if m.advice.asking+m.advice.planned >= m.mayAsk() {
+		return false
+	}
+	m.advice.planned += s.occ.job.policy.Advice.Cost(workers)
+	m.advice.wanted = append(m.advice.wanted, s)
+	return true
+}
 
 // keepPlaces sets room aside for tasks of a step on workers that may be good for it,
 // and returns for how many there is room.
@@ -70,26 +78,18 @@
 	return w.usable() && w.couldRun(s) && !m.now.Before(w.health.avoidUntil)
 }
 
-// placesNow returns for how many tasks of a step there is room on workers that may be
-// good for it.
-func (m *Machine) placesNow(s *step) int {
-	count := 0
-	for _, w := range m.ordered {
-		if m.mayHost(s, w) {
-			count += w.places(s)
-		}
-	}
-	return count
-}
-
 // places returns how many tasks of a step there is room for on a worker.
 func (w *worker) places(s *step) int {
-	need, free := s.spec.Reserved(), w.free().Add(w.soon)
+	return w.placesIn(s, s.spec.Reserved(), w.free().Add(w.soon))
+}
+
+// placesIn returns how many tasks of a step fit into a part of a worker's room.
+func (w *worker) placesIn(s *step, need, room endive.Resources) int {
 	count := s.waiting
 	if s.spec.MaxPerWorker > 0 {
 		count = min(count, s.spec.MaxPerWorker-s.perWorker[w.id])
 	}
-	for _, one := range inDimensions(need, free) {
+	for _, one := range inDimensions(need, room) {
 		if one[0] > 0 {
 			count = min(count, int(one[1]/one[0]))
 		}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -168,7 +168,10 @@
 	if w.chance(w.faults.failedTask) {
 		kind, took = endive.EndFailed, took/2
 	}
-	took *= time.Duration(max(1, f.slow) * max(1, job.stretch))
+	if job.stretch > 0 {
+		took = time.Duration(float64(took) * job.stretch)
+	}
+	took *= time.Duration(max(1, f.slow))
 	run.began, run.takes = w.now, took
 	if f.hangs {
 		run.takes = 0
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -1,7 +1,9 @@
 package flow
 
 import (
+	"math"
 	"sort"
+	"time"
 
 	"endiveroute.example/endive"
 )
@@ -12,6 +14,9 @@
 	run endive.RunNumber
 	// failed are the runs that failed.
 	failed []endive.RunNumber
+	// reserved are the workers that are kept for the members while fresh tickets are
+	// asked for, one for each member.
+	reserved []*worker
 }
 
 // placeGang starts all tasks of a gang at once, or sets room aside for them.
@@ -26,10 +31,10 @@
 		chosen = m.chooseGang(s)
 	}
 	if chosen == nil {
-		m.want(s, len(s.tasks))
-		m.setAside(s)
+		m.awaitGang(s)
 		return
 	}
+	s.gang.reserved = nil
 	n := m.nextRun(s.tasks...)
 	s.gang.run = n
 	for i, t := range s.tasks {
@@ -40,22 +45,28 @@
 // chooseGang returns a worker for each member, or nil. Members that are slow apart
 // go to one rack where one has room.
 func (m *Machine) chooseGang(s *step) []*worker {
+	return m.chooseFor(s, func(w *worker) bool { return m.fits(s, w) })
+}
+
+// chooseFor does so among the workers that will do.
+func (m *Machine) chooseFor(s *step, able func(*worker) bool) []*worker {
 	if s.spec.SameRack {
 		for _, rack := range m.racks() {
-			if chosen := m.chooseMembers(s, rack); chosen != nil {
+			onRack := func(w *worker) bool { return w.self.HasLabel(rack) && able(w) }
+			if chosen := m.chooseMembers(s, onRack); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return m.chooseMembers(s, "")
+	return m.chooseMembers(s, able)
 }
 
-// chooseMembers returns a worker for each member, on a rack unless it is empty.
-func (m *Machine) chooseMembers(s *step, rack endive.Label) []*worker {
+// chooseMembers returns a worker for each member among those that will do, or nil.
+func (m *Machine) chooseMembers(s *step, able func(*worker) bool) []*worker {
 	var chosen []*worker
 	before := make(map[*worker]endive.Resources)
 	for range s.tasks {
-		w := m.chooseOn(s, rack)
+		w := m.chooseOn(s, able)
 		if w == nil {
 			break
 		}
@@ -81,11 +92,11 @@
 	return chosen
 }
 
-func (m *Machine) chooseOn(s *step, rack endive.Label) *worker {
+func (m *Machine) chooseOn(s *step, able func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range m.ordered {
-		if rack != "" && !w.self.HasLabel(rack) || !m.fits(s, w) {
+		if !able(w) {
 			continue
 		}
 		if score := m.score(s, w); best == nil || score > bestScore {
@@ -115,28 +126,21 @@
 // at work there. It answers many gangs beside many small tasks: each gang needs several
 // workers that are empty at the same time, and kept for all of them half of the pool
 // would stand idle while small tasks wait.
-const maxDraining = 0.15
+const maxDraining = 0.05
 
 // setAside keeps the room of the workers that are free soonest for a gang that
 // has none yet, so that small tasks of lower rank don't hold it up for ever, and
 // don't take the room while the gang's tickets are asked for.
 func (m *Machine) setAside(s *step) {
-	var able []*worker
-	for _, w := range m.ordered {
-		if w.usable() && w.couldRun(s) && (!m.needsTicket(s) || s.tickets.known(w.id)) && w.setAside == (endive.Resources{}) {
-			able = append(able, w)
-		}
-	}
+	able := m.drainable(s)
 	if len(able) < len(s.tasks) {
 		return
 	}
-	sort.SliceStable(able, func(i, j int) bool {
-		return share(able[i].free(), able[i].self.Capacity) > share(able[j].free(), able[j].self.Capacity)
-	})
-	need := s.spec.Reserved()
+	sort.SliceStable(able, func(i, j int) bool { return able[i].freeIn < able[j].freeIn })
+	able = able[:len(s.tasks)]
 	draining := 0
-	for _, w := range able[:len(s.tasks)] {
-		if !need.Fits(w.free()) {
+	for _, one := range able {
+		if one.freeIn > 0 {
 			draining++
 		}
 	}
@@ -144,11 +148,58 @@
 		return
 	}
 	m.draining += draining
-	for _, w := range able[:len(s.tasks)] {
-		w.setAside = w.setAside.Add(need)
+	need := s.spec.Reserved()
+	for _, one := range able {
+		one.worker.setAside = one.worker.setAside.Add(need)
 	}
 }
 
+// drainedWorker is a worker that could be kept for a gang, and when it probably has room
+// for a member.
+type drainedWorker struct {
+	worker *worker
+	freeIn time.Duration
+}
+
+// drainable returns the workers that could be kept for a gang.
+func (m *Machine) drainable(s *step) []drainedWorker {
+	var able []drainedWorker
+	for _, w := range m.ordered {
+		if m.couldStart(s, w) && w.couldRun(s) && (!m.needsTicket(s) || s.tickets.known(w.id)) && w.setAside == (endive.Resources{}) {
+			able = append(able, drainedWorker{worker: w, freeIn: m.freeIn(w, s.spec.Reserved())})
+		}
+	}
+	return able
+}
+
+// freeIn returns when a worker probably has some room if nothing new starts there.
+func (m *Machine) freeIn(w *worker, need endive.Resources) time.Duration {
+	free := w.free()
+	if need.Fits(free) {
+		return 0
+	}
+	runs := w.sortedRuns()
+	sort.SliceStable(runs, func(i, j int) bool { return m.endsIn(runs[i]) < m.endsIn(runs[j]) })
+	for _, r := range runs {
+		free = free.Add(r.need)
+		if need.Fits(free) {
+			return m.endsIn(r)
+		}
+	}
+	return forever
+}
+
+// endsIn returns when a run is probably over.
+func (m *Machine) endsIn(r *run) time.Duration {
+	if r.task == nil || r.task.step.spec.LongRunning {
+		return forever
+	}
+	return r.left(m.now)
+}
+
+// forever stands for a time that doesn't come.
+const forever = time.Duration(math.MaxInt64)
+
 // mayDrain returns how many workers may be kept for gangs while tasks are at work there;
 // one gang may always wait for its room.
 func (m *Machine) mayDrain() int {
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -63,7 +63,7 @@
 	case Record:
 		h.record(a.Transaction)
 	case Ask:
-		w.after(time.Duration(a.Cost), func() { h.advise(a) })
+		w.after(w.adviceTakes(a.Cost), func() { h.advise(a) })
 	case Start:
 		w.deliver(h, a.Order.Worker.ID, func(one *fakeWorker) endive.OrderAnswer { return one.start(a.Order) },
 			func(r OrderResult, answer endive.OrderAnswer) endive.Event {
@@ -187,7 +187,7 @@
 	}
 	event := Advised{Step: a.Step, Asked: a.Workers, Cost: a.Cost, OK: true, Expiry: h.world.now.Add(2 * time.Second)}
 	for _, id := range a.Workers {
-		if (len(a.Step)+int(id[len(id)-1]))%3 != 0 {
+		if h.world.isGood(a.Step, id) {
 			event.Good = append(event.Good, endive.AdviceGrant{Worker: id, Ticket: "ticket"})
 		}
 	}
--- a/flow/pace_test.go
+++ b/flow/pace_test.go
@@ -16,7 +16,7 @@
 	tests := []struct {
 		name       string
 		tasks      int
-		stretch    int
+		stretch    float64
 		mostStarts int
 	}{
 		{"many tasks, four times the estimate", 13, 4, 13},
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -18,14 +18,14 @@
 	m.passDue = false
 	m.passAgainAt = time.Time{}
 	m.passAt = m.now.Add(passPause + time.Duration(len(m.jobs))*passPausePerJob)
-	m.advice.wanted = m.advice.wanted[:0]
+	m.advice.wanted, m.advice.planned = m.advice.wanted[:0], 0
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
 	m.draining, m.mostDraining = 0, m.mayDrain()
 	m.starved = m.starved[:0]
 	for _, w := range m.ordered {
 		if w.usable() {
-			w.soon = m.endsSoon(w)
+			w.soon = m.endsWithin(w, askAheadOf)
 			m.advice.room = m.advice.room.Add(w.free()).Add(w.soon)
 		}
 	}
@@ -43,13 +43,13 @@
 	}
 }
 
-// endsSoon returns what runs will probably give back while a question is on its way.
+// endsWithin returns what runs will probably give back while a question is on its way.
 // Tickets for it are asked for ahead, or the room would stay empty until the answer
 // comes.
-func (m *Machine) endsSoon(w *worker) endive.Resources {
+func (m *Machine) endsWithin(w *worker, ahead time.Duration) endive.Resources {
 	var soon endive.Resources
 	for _, r := range w.runs {
-		if r.task != nil && r.state == runRunning && !r.task.step.spec.LongRunning && r.left(m.now) < askAheadOf {
+		if r.task != nil && r.state == runRunning && !r.task.step.spec.LongRunning && r.left(m.now) < ahead {
 			soon = soon.Add(r.need)
 		}
 	}
@@ -158,22 +158,22 @@
 
 // fits reports whether a task of a step may start on a worker now.
 func (m *Machine) fits(s *step, w *worker) bool {
+	return s.spec.Reserved().Fits(w.free()) && m.couldStart(s, w) && (!m.needsTicket(s) || s.tickets.valid(w.id, m.now))
+}
+
+// couldStart reports whether a task of a step may start on a worker as soon as there are
+// room and a ticket.
+func (m *Machine) couldStart(s *step, w *worker) bool {
 	if !w.usable() || !m.recorder.roster[w.id] || m.now.Before(w.health.avoidUntil) {
 		return false
 	}
-	if !s.spec.Reserved().Fits(w.free()) {
-		return false
-	}
 	if s.spec.Label != "" && !w.self.HasLabel(s.spec.Label) {
 		return false
 	}
 	if s.spec.MaxPerWorker > 0 && s.perWorker[w.id] >= s.spec.MaxPerWorker {
 		return false
 	}
-	if s.spec.Opportunistic && w.serving > 0 || s.spec.Serves() && w.filling > 0 {
-		return false
-	}
-	return !m.needsTicket(s) || s.tickets.valid(w.id, m.now)
+	return !(s.spec.Opportunistic && w.serving > 0 || s.spec.Serves() && w.filling > 0)
 }
 
 // Weights of a worker's score. The larger ones decide first.
--- /dev/null
+++ b/flow/reserve.go
@@ -0,0 +1,154 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// A gang starts when all its members find room with valid tickets at the same moment. It
+// answers many gangs that wait beside small tasks, where few workers are good for each
+// gang and questions take longer than tickets last. What is good never changes, so it is
+// asked first, of many workers and whatever their room. From then on the gang waits until
+// enough of the good ones have room, reserves just that, and asks for fresh tickets about
+// these alone. Room is kept idle for the time of one short question, and on workers that
+// will do.
+
+const (
+	// surveyPerMember is how many workers the first question names for each member.
+	surveyPerMember = 15
+	// sparesPerMember is how many other good workers with room a later question names
+	// for each member, in case that some of the reserved ones are lost meanwhile.
+	sparesPerMember = 1
+	// reserveAhead is how much longer than its question room may still be in use that
+	// is reserved.
+	reserveAhead = 100 * time.Millisecond
+)
+
+// GangSurvey returns how many workers the first question about a gang names.
+func GangSurvey(members int) int { return min(MaxAdviceWorkers, surveyPerMember*members) }
+
+// awaitGang has a gang wait that can't start now.
+func (m *Machine) awaitGang(s *step) {
+	switch {
+	case !m.needsTicket(s):
+		m.setAside(s)
+	case s.occ.job.inheritedUnseen(m):
+	case s.tickets.onItsWay(m.now):
+		m.passAgain(s.tickets.askedAt.Add(adviceLost))
+		m.keepReserved(s)
+	case !s.tickets.surveyed():
+		m.plan(s, GangSurvey(len(s.tasks)))
+	default:
+		m.reserveGang(s)
+	}
+}
+
+// reserveGang reserves room for all members where good workers have it, and wants fresh
+// tickets for it.
+func (m *Machine) reserveGang(s *step) {
+	s.gang.reserved = m.chooseFor(s, func(w *worker) bool { return m.foreseen(s, w) })
+	if s.gang.reserved == nil {
+		m.advice.short = true
+		m.setAside(s)
+		if m.fewGood(s) {
+			m.plan(s, GangSurvey(len(s.tasks)))
+		}
+		return
+	}
+	if s.ticketsFor(s.gang.reserved, m.now) || m.plan(s, len(s.gang.reserved)*(1+sparesPerMember)) {
+		m.keepReserved(s)
+		return
+	}
+	s.gang.reserved = nil
+}
+
+// keepReserved keeps the reserved room from the work that comes later in the look.
+func (m *Machine) keepReserved(s *step) {
+	need := s.spec.Reserved()
+	for _, w := range s.gang.reserved {
+		w.setAside = w.setAside.Add(need)
+	}
+	m.advice.room = m.advice.room.Sub(need.Times(int64(len(s.gang.reserved))))
+}
+
+// foreseen reports whether a member can probably start on a worker once there is a fresh
+// ticket.
+func (m *Machine) foreseen(s *step, w *worker) bool {
+	if !s.tickets.known(w.id) || !m.couldStart(s, w) {
+		return false
+	}
+	need, free := s.spec.Reserved(), w.free()
+	if need.Fits(free) {
+		return true
+	}
+	return need.Fits(free.Add(m.endsWithin(w, time.Duration(s.occ.job.policy.Advice.Base)+reserveAhead)))
+}
+
+// fewGood reports whether too few good workers are known for a gang, and others could be
+// asked about.
+func (m *Machine) fewGood(s *step) bool {
+	places, unknown := 0, 0
+	need := s.spec.Reserved()
+	for _, w := range m.ordered {
+		switch {
+		case !w.usable() || !w.couldRun(s):
+		case s.tickets.known(w.id):
+			places += w.placesIn(s, need, w.self.Capacity)
+		default:
+			unknown++
+		}
+	}
+	return places < 2*len(s.tasks) && unknown > 0
+}
+
+// ticketsFor reports whether there are valid tickets for workers.
+func (s *step) ticketsFor(workers []*worker, now time.Time) bool {
+	for _, w := range workers {
+		if !s.tickets.valid(w.id, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// askAboutGang returns the workers to name: those that are reserved and some like them,
+// or as many as possible of which nothing is known.
+func (m *Machine) askAboutGang(s *step) []endive.WorkerID {
+	if s.gang.reserved == nil {
+		return m.survey(s)
+	}
+	var workers []endive.WorkerID
+	named := make(map[*worker]bool)
+	for _, w := range s.gang.reserved {
+		if !named[w] {
+			workers = append(workers, w.id)
+			named[w] = true
+		}
+	}
+	spares := sparesPerMember * len(s.gang.reserved)
+	for _, w := range m.ordered {
+		if spares > 0 && !named[w] && s.tickets.known(w.id) && m.couldStart(s, w) && w.places(s) > 0 {
+			workers = append(workers, w.id)
+			spares--
+		}
+	}
+	return workers[:min(len(workers), MaxAdviceWorkers)]
+}
+
+// survey returns workers that could run a member and of which nothing is known, those
+// with room first.
+func (m *Machine) survey(s *step) []endive.WorkerID {
+	var roomy, others []endive.WorkerID
+	for _, w := range m.ordered {
+		switch {
+		case !w.usable() || !w.couldRun(s) || s.tickets.known(w.id):
+		case w.places(s) > 0:
+			roomy = append(roomy, w.id)
+		default:
+			others = append(others, w.id)
+		}
+	}
+	workers := append(Rotated(roomy, s.id), Rotated(others, s.id)...)
+	return workers[:min(len(workers), GangSurvey(len(s.tasks)))]
+}
--- a/flow/tickets.go
+++ b/flow/tickets.go
@@ -38,6 +38,9 @@
 	return ok
 }
 
+// surveyed reports whether anything is known of the workers.
+func (t *tickets) surveyed() bool { return len(t.good)+len(t.bad) > 0 }
+
 // of returns the ticket for a worker; empty if there is none.
 func (t *tickets) of(id endive.WorkerID) endive.AdviceTicket { return t.good[id].ticket }
 
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -44,6 +44,12 @@
 	// atOnce counts what happened at the present moment.
 	atOnce int
 	starts int
+	// goodShare is which part of the workers is good for a step of a queue; where it
+	// isn't set, two thirds are.
+	goodShare map[endive.QueueName]float64
+	// advisers are until when each entry that asks the advice service is busy; empty
+	// for as many entries as are needed.
+	advisers []time.Time
 	// accepts says that entries ask for advice about what they accept.
 	accepts bool
 }
@@ -62,7 +68,7 @@
 	policy      endive.Queue
 	cancelledAt time.Time
 	// stretch is how many times their estimate the tasks take; 0 counts as 1.
-	stretch int
+	stretch float64
 }
 
 // appointment is something that happens at a time.
