Gangs drain a fifth of the workers while other work has time to spare; the log tells what is kept idle

Change: a fifth of the workers may drain for gangs as long as no small task that waits has less than 3 s to spare, 5% otherwise. The pool's line in the log tells what is reserved, kept and claimed, and how many questions wait.

--- a/flow/claim.go
+++ b/flow/claim.go
@@ -5,6 +5,21 @@
 // Steps that wait claim room in their order, so that advice is asked for no more work
 // than there is room for, and that smaller work doesn't take it meanwhile.
 
+// claims counts what the last look kept idle, for the log.
+type claims struct {
+	// reserved is the room of gangs that wait for tickets, drained that of workers which
+	// gangs wait for, and asked that of other steps whose questions are on their way.
+	reserved, drained, asked endive.Resources
+	// unplanned are the steps whose questions had to wait for others.
+	unplanned int
+}
+
+// String tells the claims in a line of the log.
+func (c claims) String() string {
+	return c.reserved.String() + " reserved for gangs, " + c.drained.String() + " kept for them, " + c.asked.String() +
+		" kept for questions, " + number(int64(c.unplanned)) + " questions not asked yet"
+}
+
 // want notes that a step of which tasks wait could use an answer of the advice
 // service. It answers bursts: a ticket is good for seconds only, so questions are
 // asked for no more work than there is room for. Room on workers that are known to
@@ -44,6 +59,7 @@
 		return false
 	}
 	if m.advice.asking+m.advice.planned >= m.mayAsk() {
+		m.claims.unplanned++
 		return false
 	}
 	m.advice.planned += s.occ.job.policy.Advice.Cost(workers)
@@ -68,6 +84,7 @@
 		kept += places
 		if asked && places > 0 {
 			w.setAside = w.setAside.Add(need.Times(int64(places)))
+			m.claims.asked = m.claims.asked.Add(need.Times(int64(places)))
 		}
 	}
 	return kept
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -123,10 +123,16 @@
 }
 
 // maxDraining is which part of the workers may be kept for gangs while tasks are still
-// at work there. It answers many gangs beside many small tasks: each gang needs several
-// workers that are empty at the same time, and kept for all of them half of the pool
-// would stand idle while small tasks wait.
-const maxDraining = 0.05
+// at work there, and pressedDraining the part while other work that could be on time is
+// short of it. It answers many gangs beside many small tasks: each gang needs several
+// workers that are empty at the same time, which small tasks with time to spare can give;
+// in a backlog half of the pool would stand idle for gangs while small tasks grow late.
+const (
+	maxDraining     = 0.2
+	pressedDraining = 0.05
+	// pressedSpare is how little time to spare work has that is pressed.
+	pressedSpare = 3 * time.Second
+)
 
 // setAside keeps the room of the workers that are free soonest for a gang that
 // has none yet, so that small tasks of lower rank don't hold it up for ever, and
@@ -151,6 +157,7 @@
 	need := s.spec.Reserved()
 	for _, one := range able {
 		one.worker.setAside = one.worker.setAside.Add(need)
+		m.claims.drained = m.claims.drained.Add(need)
 	}
 }
 
@@ -203,7 +210,18 @@
 // mayDrain returns how many workers may be kept for gangs while tasks are at work there;
 // one gang may always wait for its room.
 func (m *Machine) mayDrain() int {
-	return max(int(maxDraining*float64(len(m.ordered))), m.largestGang())
+	part := maxDraining
+	if m.pressed {
+		part = pressedDraining
+	}
+	return max(int(part*float64(len(m.ordered))), m.largestGang())
+}
+
+// press notes that tasks wait for room which gangs leave, or don't.
+func (m *Machine) press(j *job) {
+	if j.rank.tier == tierOnTime && !j.lasts() && j.objective.Sub(m.now)-j.remaining() < pressedSpare {
+		m.pressing = true
+	}
 }
 
 // largestGang returns the number of members of the largest gang that waits.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -55,6 +55,11 @@
 	draining int
 	// mostDraining bounds them.
 	mostDraining int
+	// pressed says that in the last look tasks waited that hardly can any longer, pressing
+	// that they do in the current one.
+	pressed, pressing bool
+	// claims are those of the last look.
+	claims claims
 	// startsMade makes the run numbers of this epoch rise.
 	startsMade int64
 }
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -21,8 +21,10 @@
 	m.advice.wanted, m.advice.planned = m.advice.wanted[:0], 0
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
+	m.pressed, m.pressing = m.pressing, false
 	m.draining, m.mostDraining = 0, m.mayDrain()
 	m.starved = m.starved[:0]
+	m.claims = claims{}
 	for _, w := range m.ordered {
 		if w.usable() {
 			w.soon = m.endsWithin(w, askAheadOf)
@@ -99,6 +101,7 @@
 		m.advice.room = m.advice.room.Sub(s.spec.Reserved())
 	}
 	if waits > 0 {
+		m.press(s.occ.job)
 		if !m.want(s, waits) {
 			m.starve(s, waits)
 		}
--- a/flow/reserve.go
+++ b/flow/reserve.go
@@ -68,6 +68,7 @@
 	need := s.spec.Reserved()
 	for _, w := range s.gang.reserved {
 		w.setAside = w.setAside.Add(need)
+		m.claims.reserved = m.claims.reserved.Add(need)
 	}
 	m.advice.room = m.advice.room.Sub(need.Times(int64(len(s.gang.reserved))))
 }
--- a/flow/status.go
+++ b/flow/status.go
@@ -77,7 +77,8 @@
 	}
 	m.note(Note{Kind: NotePool, Outcome: "in use", Reason: used.String() + " of " + capacity.String() + " on " +
 		number(int64(usable)) + " of " + number(int64(len(m.ordered))) + " workers; " + number(int64(waiting)) + " of " +
-		number(int64(len(m.jobs))) + " workflows wait"})
+		number(int64(len(m.jobs))) + " workflows wait; " + m.claims.String() + ", questions of " +
+		m.advice.asking.String() + " on their way"})
 }
 
 // wrote notes that a status was written.
