A gang looks among its good workers only, and asks about others; askers spread over the entries

Changes: gangs go through their good workers, every 50 ms; ties between entries are broken differently by each asker, holders are left to their own questions; a gang that finds no room asks about more workers while questions leave the time.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -148,6 +148,16 @@
 	return holders
 }
 
+// isHolder reports whether another entry holds a pool.
+func (c *Cell) isHolder(id endive.EntryID) bool {
+	for _, p := range c.allPools() {
+		if p.heldIn() == id {
+			return true
+		}
+	}
+	return false
+}
+
 // taken counts the other pools that this entry holds or is about to hold, and tells
 // when it took the newest.
 func (c *Cell) taken(except *pool) (int, time.Time) {
--- a/entry/cell/helpers_test.go
+++ b/entry/cell/helpers_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,3 +26,32 @@
 	is.True(newHelpers(c).last > h.last)
 	is.True(newRelays(c).last > h.last)
 }
+
+// The load: entries that accept work all ask at once, and know of no others' questions.
+// They don't all ask the same entry, nor the one that holds the pool.
+func TestAskersSpread(t *testing.T) {
+	is := is.New(t)
+	const entries, most = 24, 5
+	const cost = endive.Interval(500 * time.Millisecond)
+	chosen := make(map[endive.EntryID]int)
+	for asker := range entries {
+		c := &Cell{Deps: Deps{Clock: endive.SystemClock{}}, pools: make(map[endive.PoolName]*pool)}
+		c.Settings.Name = endive.EntryID(fmt.Sprintf("entry-%d", asker))
+		held := &pool{name: "svc"}
+		held.holder.Store(endive.EntryID("entry-0"))
+		c.pools[held.name] = held
+		h := newHelpers(c)
+		for other := range entries {
+			if other != asker {
+				h.known[endive.EntryID(fmt.Sprintf("entry-%d", other))] = &helper{}
+			}
+		}
+		now := c.Clock.Now()
+		h.known[self].busyUntil = now.Add(time.Second)
+		chosen[h.soonest(now, cost)]++
+	}
+	is.Equal(chosen["entry-0"], 0)
+	for _, count := range chosen {
+		is.True(count <= most)
+	}
+}
--- a/flow/crowd_test.go
+++ b/flow/crowd_test.go
@@ -44,7 +44,7 @@
 	// spreadOf is one of how many wide steps may have few tasks on a worker only.
 	spreadOf              = 8
 	acceleratorsPerWorker = 8
-	gangMembers           = 4
+	meanGangMembers       = 4
 	gangTakes             = 3600 * time.Millisecond
 	wideTasks             = 16
 	wideTakes             = 3 * time.Second
@@ -64,7 +64,7 @@
 	const tick = 50 * time.Millisecond
 	w, until := c.world, c.world.now.Add(lasts)
 	total := float64(c.workers * acceleratorsPerWorker)
-	gangWork := gangMembers * meanGangSize * gangTakes.Seconds()
+	gangWork := meanGangMembers * meanGangSize * gangTakes.Seconds()
 	wideWork := wideTasks * wideTakes.Seconds()
 	for w.now.Before(until) {
 		c.owed[gangs.Name] += total * gangLoad / gangWork * tick.Seconds()
@@ -81,15 +81,19 @@
 	}
 }
 
-// gangSizes are the accelerators of a gang's member, in turn.
-var gangSizes = []endive.Accelerators{2, 4, 8, 8}
+// gangSizes are the accelerators of a gang's member, and gangMembers the numbers of its
+// members, in turn.
+var (
+	gangSizes   = []endive.Accelerators{2, 4, 8, 8}
+	gangMembers = []int{2, 3, 4, 2, 9}
+)
 
 const meanGangSize = 5.5
 
 func (c *crowd) submitGang() {
 	n := len(c.begun)
 	id := c.world.submit(fmt.Sprintf("gang%d", n), gangs, endive.Step{
-		Tasks: gangMembers, Gang: true, Checkpoints: true, Estimate: endive.Interval(gangTakes),
+		Tasks: gangMembers[n%len(gangMembers)], Gang: true, Checkpoints: true, Estimate: endive.Interval(gangTakes),
 		Need: endive.Resources{Processors: 31000, Memory: 121 * endive.GiB, Accelerators: gangSizes[n%len(gangSizes)]},
 	})
 	// Estimates of gangs are off by far.
@@ -149,6 +153,18 @@
 	return sum / float64(len(c.use))
 }
 
+// crowdedWorld returns a pool with accelerators, and a load on it that is still to come.
+func crowdedWorld(t *testing.T) (*world, *crowd) {
+	const workers = 100
+	w := newWorld(t, 1, faults{})
+	w.goodShare = map[endive.QueueName]float64{gangs.Name: 0.3, wides.Name: 0.45}
+	w.addLargeWorkers(workers)
+	h := w.hold()
+	w.addAdvisers(h, 20)
+	w.run(time.Second)
+	return w, newCrowd(w, workers)
+}
+
 // The load: a pool with accelerators whose questions are long, of whose workers few are
 // good, and whose tickets last for two seconds, at and above what it can do. Most work is
 // on time while it can be, and neither queue starves beyond that.
@@ -166,14 +182,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			const workers = 100
-			w := newWorld(t, 1, faults{})
-			w.goodShare = map[endive.QueueName]float64{gangs.Name: 0.3, wides.Name: 0.45}
-			w.addLargeWorkers(workers)
-			h := w.hold()
-			w.addAdvisers(h, 20)
-			w.run(time.Second)
-			c := newCrowd(w, workers)
+			w, c := crowdedWorld(t)
 			c.play(tt.gangLoad, tt.wideLoad, 40*time.Second)
 			w.holds()
 			gang, wide := c.onTime(gangs, gangTakes), c.onTime(wides, wideTakes)
@@ -183,3 +192,32 @@
 		})
 	}
 }
+
+// The load: a gang comes while all workers are busy. Those that become free aren't the
+// ones that it asked about; it asks about others and starts.
+func TestGangAsksAboutOtherWorkers(t *testing.T) {
+	is := is.New(t)
+	const workers, free = 120, 12
+	w := newWorld(t, 1, faults{})
+	w.goodShare = map[endive.QueueName]float64{gangs.Name: 0.5}
+	w.addLargeWorkers(workers)
+	h := w.hold()
+	w.addAdvisers(h, 20)
+	w.run(time.Second)
+	for i := range workers {
+		takes := time.Minute
+		if i < free {
+			takes = 5 * time.Second
+		}
+		busy := stepOfTasks(1, takes)
+		busy.Need.Processors = 40000
+		w.submit(fmt.Sprintf("busy%d", i), quick, busy)
+	}
+	w.run(2 * time.Second)
+	id := w.submit("gang", gangs, endive.Step{
+		Tasks: 2, Gang: true, Need: endive.Resources{Processors: 31000, Accelerators: 8}, Estimate: endive.Interval(time.Second),
+	})
+	w.run(12 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -15,8 +15,13 @@
 	// failed are the runs that failed.
 	failed []endive.RunNumber
 	// reserved are the workers that are kept for the members while fresh tickets are
-	// asked for, one for each member.
+	// asked for, one for each member; drained are those that are kept until they have
+	// room, of which so many are still at work.
 	reserved []*worker
+	drained  []*worker
+	draining int
+	// lookAt is when to look again for other workers.
+	lookAt time.Time
 }
 
 // placeGang starts all tasks of a gang at once, or sets room aside for them.
@@ -34,7 +39,7 @@
 		m.awaitGang(s)
 		return
 	}
-	s.gang.reserved = nil
+	s.gang.reserved, s.gang.drained = nil, nil
 	n := m.nextRun(s.tasks...)
 	s.gang.run = n
 	for i, t := range s.tasks {
@@ -48,25 +53,40 @@
 	return m.chooseFor(s, func(w *worker) bool { return m.fits(s, w) })
 }
 
+// candidates returns the workers on which members may start, as far as advice has told.
+func (m *Machine) candidates(s *step) []*worker {
+	if !m.needsTicket(s) {
+		return m.ordered
+	}
+	workers := make([]*worker, 0, len(s.tickets.goodIDs))
+	for _, id := range s.tickets.goodIDs {
+		if w := m.workers[id]; w != nil {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
 // chooseFor does so among the workers that will do.
 func (m *Machine) chooseFor(s *step, able func(*worker) bool) []*worker {
+	candidates := m.candidates(s)
 	if s.spec.SameRack {
 		for _, rack := range m.racks() {
 			onRack := func(w *worker) bool { return w.self.HasLabel(rack) && able(w) }
-			if chosen := m.chooseMembers(s, onRack); chosen != nil {
+			if chosen := m.chooseMembers(s, candidates, onRack); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return m.chooseMembers(s, able)
+	return m.chooseMembers(s, candidates, able)
 }
 
 // chooseMembers returns a worker for each member among those that will do, or nil.
-func (m *Machine) chooseMembers(s *step, able func(*worker) bool) []*worker {
+func (m *Machine) chooseMembers(s *step, candidates []*worker, able func(*worker) bool) []*worker {
 	var chosen []*worker
 	before := make(map[*worker]endive.Resources)
 	for range s.tasks {
-		w := m.chooseOn(s, able)
+		w := m.chooseOn(s, candidates, able)
 		if w == nil {
 			break
 		}
@@ -92,10 +112,10 @@
 	return chosen
 }
 
-func (m *Machine) chooseOn(s *step, able func(*worker) bool) *worker {
+func (m *Machine) chooseOn(s *step, candidates []*worker, able func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range m.ordered {
+	for _, w := range candidates {
 		if !able(w) {
 			continue
 		}
@@ -138,6 +158,10 @@
 // has none yet, so that small tasks of lower rank don't hold it up for ever, and
 // don't take the room while the gang's tickets are asked for.
 func (m *Machine) setAside(s *step) {
+	s.gang.drained = nil
+	if m.draining >= m.mostDraining {
+		return
+	}
 	able := m.drainable(s)
 	if len(able) < len(s.tasks) {
 		return
@@ -153,10 +177,23 @@
 	if draining > 0 && m.draining+draining > m.mostDraining {
 		return
 	}
-	m.draining += draining
-	need := s.spec.Reserved()
 	for _, one := range able {
-		one.worker.setAside = one.worker.setAside.Add(need)
+		s.gang.drained = append(s.gang.drained, one.worker)
+	}
+	s.gang.draining = draining
+	m.keepDrained(s)
+}
+
+// keepDrained keeps the workers that a gang waits for from the work that comes later in
+// the look.
+func (m *Machine) keepDrained(s *step) {
+	if len(s.gang.drained) == 0 {
+		return
+	}
+	m.draining += s.gang.draining
+	need := s.spec.Reserved()
+	for _, w := range s.gang.drained {
+		w.setAside = w.setAside.Add(need)
 		m.claims.drained = m.claims.drained.Add(need)
 	}
 }
@@ -171,8 +208,8 @@
 // drainable returns the workers that could be kept for a gang.
 func (m *Machine) drainable(s *step) []drainedWorker {
 	var able []drainedWorker
-	for _, w := range m.ordered {
-		if m.couldStart(s, w) && w.couldRun(s) && (!m.needsTicket(s) || s.tickets.known(w.id)) && w.setAside == (endive.Resources{}) {
+	for _, w := range m.candidates(s) {
+		if m.couldStart(s, w) && w.couldRun(s) && w.setAside == (endive.Resources{}) {
 			able = append(able, drainedWorker{worker: w, freeIn: m.freeIn(w, s.spec.Reserved())})
 		}
 	}
--- a/flow/reserve.go
+++ b/flow/reserve.go
@@ -23,6 +23,8 @@
 	// reserveAhead is how much longer than its question room may still be in use that
 	// is reserved.
 	reserveAhead = 100 * time.Millisecond
+	// gangPause lies between two looks for workers for a gang.
+	gangPause = 50 * time.Millisecond
 )
 
 // GangSurvey returns how many workers the first question about a gang names.
@@ -31,7 +33,12 @@
 // awaitGang has a gang wait that can't start now.
 func (m *Machine) awaitGang(s *step) {
 	switch {
+	case m.now.Before(s.gang.lookAt):
+		m.keepReserved(s)
+		m.keepDrained(s)
+		m.passAgain(s.gang.lookAt)
 	case !m.needsTicket(s):
+		m.lookLater(s)
 		m.setAside(s)
 	case s.occ.job.inheritedUnseen(m):
 	case s.tickets.onItsWay(m.now):
@@ -44,14 +51,20 @@
 	}
 }
 
+// lookLater puts the next look for other workers off: many gangs wait in a backlog, and
+// each look goes through their workers' runs.
+func (m *Machine) lookLater(s *step) { s.gang.lookAt = m.now.Add(gangPause) }
+
 // reserveGang reserves room for all members where good workers have it, and wants fresh
 // tickets for it.
 func (m *Machine) reserveGang(s *step) {
+	m.lookLater(s)
+	s.gang.drained = nil
 	s.gang.reserved = m.chooseFor(s, func(w *worker) bool { return m.foreseen(s, w) })
 	if s.gang.reserved == nil {
 		m.advice.short = true
 		m.setAside(s)
-		if m.fewGood(s) {
+		if m.fewGood(s) || m.mayResurvey(s) {
 			m.plan(s, GangSurvey(len(s.tasks)))
 		}
 		return
@@ -76,7 +89,7 @@
 // foreseen reports whether a member can probably start on a worker once there is a fresh
 // ticket.
 func (m *Machine) foreseen(s *step, w *worker) bool {
-	if !s.tickets.known(w.id) || !m.couldStart(s, w) {
+	if !m.couldStart(s, w) {
 		return false
 	}
 	need, free := s.spec.Reserved(), w.free()
@@ -89,18 +102,21 @@
 // fewGood reports whether too few good workers are known for a gang, and others could be
 // asked about.
 func (m *Machine) fewGood(s *step) bool {
-	places, unknown := 0, 0
+	places := 0
 	need := s.spec.Reserved()
-	for _, w := range m.ordered {
-		switch {
-		case !w.usable() || !w.couldRun(s):
-		case s.tickets.known(w.id):
+	for _, w := range m.candidates(s) {
+		if w.usable() {
 			places += w.placesIn(s, need, w.self.Capacity)
-		default:
-			unknown++
 		}
 	}
-	return places < 2*len(s.tasks) && unknown > 0
+	return places < 2*len(s.tasks) && len(s.tickets.good)+len(s.tickets.bad) < len(m.ordered)
+}
+
+// mayResurvey reports whether a gang that found no room may ask about more workers: while
+// questions of others leave the time, and not at once after the last.
+func (m *Machine) mayResurvey(s *step) bool {
+	unknown := len(s.tickets.good)+len(s.tickets.bad) < len(m.ordered)
+	return unknown && m.now.Sub(s.tickets.askedAt) > adviceRest && m.advice.asking+m.advice.planned < m.mayAsk()/2
 }
 
 // ticketsFor reports whether there are valid tickets for workers.
@@ -128,8 +144,8 @@
 		}
 	}
 	spares := sparesPerMember * len(s.gang.reserved)
-	for _, w := range m.ordered {
-		if spares > 0 && !named[w] && s.tickets.known(w.id) && m.couldStart(s, w) && w.places(s) > 0 {
+	for _, w := range m.candidates(s) {
+		if spares > 0 && !named[w] && m.couldStart(s, w) && w.places(s) > 0 {
 			workers = append(workers, w.id)
 			spares--
 		}
--- a/flow/tickets.go
+++ b/flow/tickets.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"endiveroute.example/endive"
@@ -9,6 +10,8 @@
 // tickets are what is known of the workers that may run a step.
 type tickets struct {
 	good map[endive.WorkerID]ticket
+	// goodIDs are the good workers in the order of their ids.
+	goodIDs []endive.WorkerID
 	// bad workers never may.
 	bad map[endive.WorkerID]bool
 	// newest is when the last of the tickets ends.
@@ -58,6 +61,9 @@
 		t.bad = make(map[endive.WorkerID]bool)
 	}
 	for _, one := range good {
+		if at, known := slices.BinarySearch(t.goodIDs, one.Worker); !known {
+			t.goodIDs = slices.Insert(t.goodIDs, at, one.Worker)
+		}
 		t.good[one.Worker] = ticket{ticket: one.Ticket, until: until}
 	}
 	if len(good) > 0 {
