Three faults from the field: a reachable worker given up, ends acknowledged unseen, a row that ends the holder

(1) A worker that had lost its way to the store only, and that the last holder still reached, was taken for gone by a new holder that didn't reach it, once it had been missing from the list for 3 s; its tasks started elsewhere while they ran under leases renewed up to the takeover. Nothing but a refused connection or another worker at the address ends a life now; what isn't heard of waits for the leases. (2) A worker that started anew numbers its ends from the beginning. The next look acknowledged the newest end of the life before, and an end of the new one with a lower number was forgotten unseen: its task ran again after it had succeeded. Looks acknowledge nothing now unless the worker answered within 2 s and the last look didn't fail. (3) A row of a submission with steps after ones that aren't there, or with two thousand million tasks, ended the process of whoever held the pool, and of each that took it over. It is skipped. Tests, each failed before: TestTakeoverOfAWorkerThatOnlyTheLastHolderReached (twice: job1.0.0.0 runs on w9 and w0), TestEndsOfANewLifeAreNotAcknowledgedUnseen (job2.0.0.0 starts again after it succeeded), TestMalformedRowsAreSkipped (killed at 20 GiB). TestMalformedReportsAreSurvived passed before. TestTakeoverWithAWorkerCutOff had the bound of the rule that is gone (settled 3 s after the worker was missing, which let tasks run twice); its new one is that nothing settles before all leases are over, and it does within a second from then.

--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"reflect"
 	"sort"
 	"sync"
@@ -24,19 +23,14 @@
 	workers map[endive.WorkerID]endive.FleetWorker
 	changed bool
 	ready   bool
-	// knownSince is since when all looks at the list have been answered.
-	knownSince time.Time
-	// goneAt is when workers disappeared from the list lately. Those that are still
-	// among the workers may come back, since the store was away.
-	goneAt map[endive.WorkerID]time.Time
+	// missing are workers that disappeared from the list and may come back, since the
+	// store was away.
+	missing map[endive.WorkerID]bool
 }
 
-// goneKept is how long it is known when a worker disappeared.
-const goneKept = time.Minute
-
 func newWorkersLoop(c *Cell) *workersLoop {
 	return &workersLoop{
-		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), goneAt: make(map[endive.WorkerID]time.Time),
+		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), missing: make(map[endive.WorkerID]bool),
 	}
 }
 
@@ -51,8 +45,6 @@
 		case err == nil:
 			l.take(news, after == 0)
 			after = news.Revision
-		default:
-			l.unknown()
 		}
 		l.cell.pause(l.period())
 	}
@@ -76,25 +68,13 @@
 	return l.cell.Directory.Workers(ctx, after)
 }
 
-// unknown notes that a look at the list wasn't answered.
-func (l *workersLoop) unknown() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.knownSince = time.Time{}
-}
-
 // take takes in what is new, and tells the pools if anything changed that matters.
 func (l *workersLoop) take(news endive.WorkersNews, all bool) {
 	l.mu.Lock()
-	now := l.cell.Clock.Now()
-	if l.knownSince.IsZero() {
-		l.knownSince = now
-	}
-	l.forgetGone(now)
 	seen := make(map[endive.WorkerID]bool, len(news.Workers))
 	for _, w := range news.Workers {
 		seen[w.ID] = true
-		delete(l.goneAt, w.ID)
+		delete(l.missing, w.ID)
 		if old, ok := l.workers[w.ID]; !ok || !reflect.DeepEqual(old, w) {
 			l.workers[w.ID] = w
 			l.changed = true
@@ -110,7 +90,7 @@
 	}
 	for _, id := range gone {
 		if _, ok := l.workers[id]; ok {
-			l.goneAt[id] = now
+			l.missing[id] = true
 		}
 	}
 	l.dropMissing()
@@ -122,34 +102,16 @@
 	}
 }
 
-// forgetGone forgets workers that disappeared long ago. The caller holds the lock.
-func (l *workersLoop) forgetGone(now time.Time) {
-	for id, at := range l.goneAt {
-		if _, ok := l.workers[id]; !ok && now.Sub(at) > goneKept {
-			delete(l.goneAt, id)
-		}
-	}
-}
-
-// missingSince returns since when workers that aren't listed are missing: each of the
-// map since its time, any other since the time that is returned too.
-func (l *workersLoop) missingSince() (map[endive.WorkerID]time.Time, time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return maps.Clone(l.goneAt), l.knownSince
-}
-
 // dropMissing forgets the workers whose entries are gone. After an outage of the
 // store they get the time to register again.
 func (l *workersLoop) dropMissing() {
 	if l.cell.Clock.Now().Before(l.cell.Rows.returned().Add(lapseGrace)) {
 		return
 	}
-	for id := range l.goneAt {
-		if _, ok := l.workers[id]; ok {
-			delete(l.workers, id)
-			l.changed = true
-		}
+	for id := range l.missing {
+		delete(l.workers, id)
+		delete(l.missing, id)
+		l.changed = true
 	}
 }
 
@@ -180,6 +142,5 @@
 // seenOf returns what a pool's holder is told of the list.
 func (l *workersLoop) seenOf(pool endive.PoolName) (flow.WorkersSeen, bool) {
 	workers, ok := l.of(pool)
-	missing, known := l.missingSince()
-	return flow.WorkersSeen{Workers: workers, Missing: missing, KnownSince: known}, ok
+	return flow.WorkersSeen{Workers: workers}, ok
 }
--- a/flow/events.go
+++ b/flow/events.go
@@ -36,22 +36,7 @@
 type WorkChanged struct{ Rows []endive.Row }
 
 // WorkersSeen gives all workers of the pool that are listed.
-type WorkersSeen struct {
-	Workers []endive.FleetWorker
-	// Missing is when workers disappeared from the list, and KnownSince since when it
-	// has been known without a gap; zero for not yet.
-	Missing    map[endive.WorkerID]time.Time
-	KnownSince time.Time
-}
-
-// missingSince returns since when a worker is surely missing from the list; zero for
-// never.
-func (s WorkersSeen) missingSince(id endive.WorkerID) time.Time {
-	if at, ok := s.Missing[id]; ok {
-		return at
-	}
-	return s.KnownSince
-}
+type WorkersSeen struct{ Workers []endive.FleetWorker }
 
 // OrderResult says what became of an order.
 type OrderResult string
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -17,6 +17,8 @@
 	life     int
 	dark     bool
 	unlisted bool
+	// deafFrom is the epoch from which on holders don't reach the worker; 0 for all do.
+	deafFrom endive.Epoch
 	// late says that the worker carries out an order long after it came.
 	late bool
 	// gone workers have ended: nothing listens at their address.
@@ -195,6 +197,7 @@
 	case endive.EndSucceeded:
 		f.world.succeeded[run.task] = true
 		f.world.done[run.task] = true
+		f.world.finished[run.task]++
 	case endive.EndFailed:
 		f.world.failures[run.task]++
 	}
@@ -240,7 +243,7 @@
 		w.after(3*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderRefused}) })
 		return
 	}
-	if one == nil || one.dark || w.chance(w.faults.lostOrder) {
+	if one == nil || one.dark || one.deaf(h) || w.chance(w.faults.lostOrder) {
 		w.after(patience, func() { h.step(Held{Worker: id, Result: OrderUnknown}) })
 		return
 	}
@@ -321,3 +324,6 @@
 	}
 	return 3 * time.Millisecond
 }
+
+// deaf reports whether a holder doesn't reach the worker.
+func (f *fakeWorker) deaf(h *holder) bool { return f.deafFrom > 0 && h.epoch >= f.deafFrom }
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -61,6 +62,7 @@
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
 	}
+	f.lostWays = seed%3 == 0 && !slices.Contains(failedSeeds, seed)
 	if seed%2 == 0 {
 		// On these days many tasks fail, so that attempts run out.
 		f.failedTask = 0.3
@@ -80,7 +82,7 @@
 	}
 	w.faults = faults{}
 	for _, one := range w.workers {
-		one.dark, one.unlisted = false, false
+		one.dark, one.unlisted, one.deafFrom = false, false, 0
 	}
 	w.list()
 	w.run(60 * time.Second)
@@ -133,9 +135,24 @@
 		w.after(2500*time.Millisecond, func() { *last = w.hold() })
 	case 4:
 		w.cutOff(one)
+	case 5:
+		if w.faults.lostWays {
+			w.loseWay(one, (*last).epoch)
+		}
 	}
 }
 
+// loseWay cuts a worker off from the store and from the next holders, while the present
+// one reaches it.
+func (w *world) loseWay(one *fakeWorker, epoch endive.Epoch) {
+	one.unlisted, one.deafFrom = true, epoch+1
+	w.list()
+	w.after(8*time.Second, func() {
+		one.unlisted, one.deafFrom = false, 0
+		w.list()
+	})
+}
+
 // cutOff cuts a worker off, which runs on. Its entry disappears meanwhile.
 func (w *world) cutOff(one *fakeWorker) {
 	one.dark = true
--- a/flow/gone.go
+++ b/flow/gone.go
@@ -1,33 +1,16 @@
 package flow
 
-import (
-	"time"
-
-	"endiveroute.example/endive"
-)
-
-// goneAfter is how long a worker has to be missing from the list for it to be gone if
-// it doesn't answer a new holder. Its entry disappears two heartbeats after the last
-// one at the earliest, and leases that an earlier holder renewed meanwhile run out
-// before this is over.
-const goneAfter = 3 * time.Second
+import "endiveroute.example/endive"
 
 // isGone reports whether a look has shown that a worker's life is over: somebody else
-// answers at its address, or the platform doesn't list it any more, and nothing answers
-// there, or it never answered this holder and has been missing for long. Missing from
-// the list alone is not enough, since a worker that is cut off runs on.
+// answers at its address, or the platform doesn't list it any more, and nothing listens
+// there. Missing from the list, with or without an answer, is not enough: a worker that is
+// cut off runs on, and the last holder may have reached it and renewed its leases.
 func (m *Machine) isGone(w *worker, e Held) bool {
 	if e.Answer.Refused == endive.RefusalIncarnation {
 		return true
 	}
-	if w.listed {
-		return false
-	}
-	if e.Result == OrderRefused {
-		return true
-	}
-	missing := m.listed.missingSince(w.id)
-	return !w.adopted && !missing.IsZero() && m.now.Sub(missing) > goneAfter
+	return !w.listed && e.Result == OrderRefused
 }
 
 // forgetGone gives up what a worker ran whose life is over.
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -85,7 +85,7 @@
 	one := w.workers[id]
 	way := one.way()
 	switch {
-	case one == nil || one.dark || w.chance(w.faults.lostOrder):
+	case one == nil || one.dark || one.deaf(h) || w.chance(w.faults.lostOrder):
 		w.after(patience, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
 		w.after(patience, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
--- a/flow/look.go
+++ b/flow/look.go
@@ -66,7 +66,7 @@
 	case w.inDoubt():
 		wait = doubtWait
 	}
-	order := endive.HoldOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.recorded(), Wait: wait}
+	order := endive.HoldOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.acknowledged(m.now), Wait: wait}
 	if w.extends() {
 		order.LeaseEnd = m.leaseEnd(w)
 	}
@@ -103,6 +103,19 @@
 	return end
 }
 
+// ackFresh is how old a worker's last answer may be for its ends to be acknowledged.
+const ackFresh = 2 * time.Second
+
+// acknowledged returns the newest end that the worker may forget. A worker that hasn't
+// answered may have started anew since, and number its ends from the beginning: none of
+// them is acknowledged before it has been seen.
+func (w *worker) acknowledged(now time.Time) endive.EndNumber {
+	if !w.adopted || w.failures > 0 || now.Sub(w.clock.received) > ackFresh {
+		return 0
+	}
+	return w.recorded()
+}
+
 // recorded returns the newest end that, with all before it, needn't be told again.
 func (w *worker) recorded() endive.EndNumber {
 	recorded := w.newestEnd
--- /dev/null
+++ b/flow/malformed_test.go
@@ -0,0 +1,59 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// Rows that no entry of this version writes don't end the process that holds the pool, nor
+// keep the others from running.
+func TestMalformedRowsAreSkipped(t *testing.T) {
+	tests := []struct{ name, row string }{
+		{"not JSON", `{`},
+		{"another type", `[]`},
+		{"no steps", `{"workflow":{}}`},
+		{"no tasks", `{"workflow":{"steps":[{"tasks":0}]}}`},
+		{"negative tasks", `{"workflow":{"steps":[{"tasks":-4}]}}`},
+		{"too many tasks", `{"workflow":{"steps":[{"tasks":2000000000}]}}`},
+		{"a step after itself", `{"workflow":{"steps":[{"tasks":1,"after":[0]}]}}`},
+		{"a step after one that isn't there", `{"workflow":{"steps":[{"tasks":1,"after":[7]}]}}`},
+		{"a step after a negative one", `{"workflow":{"steps":[{"tasks":1,"after":[-1]}]}}`},
+		{"too many occurrences", `{"workflow":{"steps":[{"tasks":1}],"schedule":{"occurrences":2000000000}}}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w, h := heldWorld(t, faults{}, 2)
+			key := JobKey(testPool, "bad")
+			h.tell(WorkChanged{Rows: []endive.Row{{Key: key, Version: 7, Value: []byte(tt.row)}}})
+			id := w.submit("good", quick, stepOfTasks(2, 300*time.Millisecond))
+			w.run(4 * time.Second)
+			w.holds()
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		})
+	}
+}
+
+// What a worker says of its runs doesn't have to make sense.
+func TestMalformedReportsAreSurvived(t *testing.T) {
+	is := is.New(t)
+	w, h := heldWorld(t, faults{}, 2)
+	id := w.submit("job1", quick, stepOfTasks(6, 2*time.Second))
+	w.run(1500 * time.Millisecond)
+	one := w.workers["w0"]
+	h.machine.workers["w0"].hold.inFlight = true
+	h.step(Held{Worker: "w0", Result: OrderAnswered, Report: endive.HoldReport{
+		Clock: -5, Born: one.born,
+		Running: []endive.RunReport{
+			{Task: "job1.0.0.0", Run: -3, Percent: -900}, {Task: "job1.0.0.1", Run: 1 << 60, Percent: 1 << 40}, {Task: "", Run: 0}, {Task: "..."},
+		},
+		Ended: []endive.EndReport{{Number: -1, Task: "job1.0.0.0", Run: 9}, {Number: 0}, {Number: 0}},
+	}})
+	w.run(12 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -89,8 +89,8 @@
 }
 
 // A worker that isn't listed may be cut off and run on: without an answer, what it ran
-// isn't started elsewhere before it has been missing for so long that its leases have
-// run out.
+// isn't started elsewhere before all leases have run out that the last holder may have
+// renewed up to the takeover.
 func TestTakeoverWithAWorkerCutOff(t *testing.T) {
 	is := is.New(t)
 	w, first := heldWorld(t, faults{}, 3)
@@ -103,11 +103,12 @@
 	w.list()
 	w.run(5 * time.Second)
 	second := w.hold()
-	w.run(7400 * time.Millisecond)
+	leasesOver := 5*time.Second + slowest(testGrant)
+	w.run(leasesOver)
 	is.True(!second.machine.tenure.settled)
-	w.run(8600 * time.Millisecond)
+	w.run(leasesOver + time.Second)
 	is.True(second.machine.tenure.settled)
-	w.run(12 * time.Second)
+	w.run(14 * time.Second)
 	w.holds()
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 }
@@ -121,3 +122,49 @@
 	h.step(TenureBegan{Epoch: 2, Until: w.now.Add(time.Hour), LastUntil: last})
 	is.True(!h.machine.tenure.unheardUntil.Before(last.Add(testGrant)))
 }
+
+// A worker loses its way to the store: its entry disappears, while its holder reaches it
+// and keeps its leases. A new holder that doesn't reach it starts nothing of it elsewhere
+// before these have run out, however long it has been missing from the list.
+func TestTakeoverOfAWorkerThatOnlyTheLastHolderReached(t *testing.T) {
+	is := is.New(t)
+	w, first := heldWorld(t, faults{}, 3)
+	large := stepOfTasks(3, 20*time.Second)
+	large.Need.Processors = 12000
+	id := w.submit("job1", quick, large)
+	w.run(2 * time.Second)
+	one := w.workers["w0"]
+	one.unlisted = true
+	w.list()
+	w.run(8 * time.Second)
+	is.Equal(w.running(id), 3)
+	first.kill()
+	one.deafFrom = first.epoch + 1
+	w.addWorker("w9", one.self.Capacity)
+	w.hold()
+	w.run(40 * time.Second)
+	w.holds()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+}
+
+// A worker starts anew while its holder waits for the answer of the one before. An end of
+// the new life has the number of one that is recorded already: it isn't taken for that.
+func TestEndsOfANewLifeAreNotAcknowledgedUnseen(t *testing.T) {
+	is := is.New(t)
+	w, _ := heldWorld(t, faults{}, 1)
+	first := w.submit("job1", quick, stepOfTasks(5, 300*time.Millisecond))
+	w.run(2200 * time.Millisecond)
+	is.Equal(w.state(first), endive.WorkflowSucceeded)
+	watch := stepOfTasks(1, time.Second)
+	watch.LongRunning = true
+	w.submit("watch", quick, watch)
+	w.run(2500 * time.Millisecond)
+	// Its old connection is silent: the look on its way gets no answer.
+	one := w.workers["w0"]
+	one.bear(one.self.Capacity, one.self.Labels)
+	second := w.submit("job2", quick, stepOfTasks(1, 200*time.Millisecond))
+	w.run(10 * time.Second)
+	w.holds()
+	is.Equal(w.state(second), endive.WorkflowSucceeded)
+	is.Equal(w.finished["job2.0.0.0"], 1)
+}
--- a/flow/work.go
+++ b/flow/work.go
@@ -67,6 +67,12 @@
 		return
 	}
 	s.Workflow.ID = id
+	var findings endive.Findings
+	s.Workflow.Validate(&findings)
+	if err := findings.Err(); err != nil {
+		m.note(Note{Kind: NoteJob, Job: id, Outcome: "skipped", Reason: "its row makes no sense: " + err.Error()})
+		return
+	}
 	j := m.newJob(s)
 	j.inherited = inherited
 	m.jobs[id] = j
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand"
 	"sort"
 	"testing"
@@ -27,8 +26,6 @@
 	version endive.Version
 	workers map[endive.WorkerID]*fakeWorker
 	listed  []endive.FleetWorker
-	// goneAt is when workers disappeared from the list.
-	goneAt  map[endive.WorkerID]time.Time
 	holders []*holder
 	epoch   endive.Epoch
 
@@ -38,7 +35,9 @@
 	succeeded map[endive.TaskID]bool
 	done      map[endive.TaskID]bool
 	failures  map[endive.TaskID]int
-	broken    []string
+	// finished counts the runs that succeeded.
+	finished map[endive.TaskID]int
+	broken   []string
 	// trace has the decisions about tasks logged whose ids begin so.
 	trace string
 	// atOnce counts what happened at the present moment.
@@ -60,6 +59,8 @@
 	lostOrder, lostAnswer, lateOrder      float64
 	lostWrite, lostWriteAnswer, lateWrite float64
 	failedTask, lostAdvice                float64
+	// lostWays has workers lose their way to the store and to the next holders.
+	lostWays bool
 }
 
 // fakeJob is what the world knows of a submission.
@@ -137,8 +138,8 @@
 	return &world{
 		t: t, random: rand.New(rand.NewSource(seed)), faults: f, start: start, now: start,
 		rows: make(map[string]endive.Row), workers: make(map[endive.WorkerID]*fakeWorker),
-		goneAt: make(map[endive.WorkerID]time.Time),
-		jobs:   make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), done: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int),
+		jobs: make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), done: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int),
+		finished: make(map[endive.TaskID]int),
 	}
 }
 
@@ -200,9 +201,6 @@
 	for _, one := range w.workers {
 		if !one.unlisted {
 			w.listed = append(w.listed, one.self)
-			delete(w.goneAt, one.id)
-		} else if _, ok := w.goneAt[one.id]; !ok {
-			w.goneAt[one.id] = w.now
 		}
 	}
 	sort.Slice(w.listed, func(i, j int) bool { return w.listed[i].ID < w.listed[j].ID })
@@ -213,7 +211,7 @@
 
 // seen returns what holders are told of the list.
 func (w *world) seen() WorkersSeen {
-	return WorkersSeen{Workers: append([]endive.FleetWorker(nil), w.listed...), Missing: maps.Clone(w.goneAt), KnownSince: w.start}
+	return WorkersSeen{Workers: append([]endive.FleetWorker(nil), w.listed...)}
 }
 
 // put writes a row as another process would.
