Small tasks with time to spare leave empty workers to gangs; gangs survey more workers

Changes: while gangs find no room, a task with 3 s to spare doesn't start on an empty worker. The first question names 25 workers a member, up to 100; one that found no room asks about 100 more.

--- a/flow/gang.go
+++ b/flow/gang.go
@@ -256,11 +256,14 @@
 
 // press notes that tasks wait for room which gangs leave, or don't.
 func (m *Machine) press(j *job) {
-	if j.rank.tier == tierOnTime && !j.lasts() && j.objective.Sub(m.now)-j.remaining() < pressedSpare {
+	if j.rank.tier == tierOnTime && !j.lasts() && m.isPressed(j) {
 		m.pressing = true
 	}
 }
 
+// isPressed reports whether a job has little time to spare.
+func (m *Machine) isPressed(j *job) bool { return j.objective.Sub(m.now)-j.remaining() < pressedSpare }
+
 // largestGang returns the number of members of the largest gang that waits.
 func (m *Machine) largestGang() int {
 	largest := 0
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -58,6 +58,9 @@
 	// pressed says that in the last look tasks waited that hardly can any longer, pressing
 	// that they do in the current one.
 	pressed, pressing bool
+	// gangsWait says that in the last look gangs found no room, gangsWaiting that they don't
+	// in the current one.
+	gangsWait, gangsWaiting bool
 	// claims are those of the last look.
 	claims claims
 	// startsMade makes the run numbers of this epoch rise.
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -22,6 +22,7 @@
 	m.advice.room = endive.Resources{}
 	m.advice.short = false
 	m.pressed, m.pressing = m.pressing, false
+	m.gangsWait, m.gangsWaiting = m.gangsWaiting, false
 	m.draining, m.mostDraining = 0, m.mayDrain()
 	m.starved = m.starved[:0]
 	m.claims = claims{}
@@ -145,7 +146,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range able {
-		if !m.fits(s, w) {
+		if !m.fits(s, w) || m.leavesEmpty(s, w) {
 			continue
 		}
 		score := m.score(s, w)
--- a/flow/reserve.go
+++ b/flow/reserve.go
@@ -16,7 +16,7 @@
 
 const (
 	// surveyPerMember is how many workers the first question names for each member.
-	surveyPerMember = 15
+	surveyPerMember = 25
 	// sparesPerMember is how many other good workers with room a later question names
 	// for each member, in case that some of the reserved ones are lost meanwhile.
 	sparesPerMember = 1
@@ -30,10 +30,20 @@
 // GangSurvey returns how many workers the first question about a gang names.
 func GangSurvey(members int) int { return min(MaxAdviceWorkers, surveyPerMember*members) }
 
+// surveySize returns how many workers the next question about a gang names: as many as
+// possible if none of those that are known had room.
+func (m *Machine) surveySize(s *step) int {
+	if s.tickets.surveyed() {
+		return MaxAdviceWorkers
+	}
+	return GangSurvey(len(s.tasks))
+}
+
 // awaitGang has a gang wait that can't start now.
 func (m *Machine) awaitGang(s *step) {
 	switch {
 	case m.now.Before(s.gang.lookAt):
+		m.gangsWaiting = m.gangsWaiting || s.gang.reserved == nil
 		m.keepReserved(s)
 		m.keepDrained(s)
 		m.passAgain(s.gang.lookAt)
@@ -45,7 +55,7 @@
 		m.passAgain(s.tickets.askedAt.Add(adviceLost))
 		m.keepReserved(s)
 	case !s.tickets.surveyed():
-		m.plan(s, GangSurvey(len(s.tasks)))
+		m.plan(s, m.surveySize(s))
 	default:
 		m.reserveGang(s)
 	}
@@ -62,10 +72,11 @@
 	s.gang.drained = nil
 	s.gang.reserved = m.chooseFor(s, func(w *worker) bool { return m.foreseen(s, w) })
 	if s.gang.reserved == nil {
+		m.gangsWaiting = true
 		m.advice.short = true
 		m.setAside(s)
 		if m.fewGood(s) || m.mayResurvey(s) {
-			m.plan(s, GangSurvey(len(s.tasks)))
+			m.plan(s, m.surveySize(s))
 		}
 		return
 	}
@@ -167,5 +178,12 @@
 		}
 	}
 	workers := append(Rotated(roomy, s.id), Rotated(others, s.id)...)
-	return workers[:min(len(workers), GangSurvey(len(s.tasks)))]
+	return workers[:min(len(workers), m.surveySize(s))]
+}
+
+// leavesEmpty reports whether a task leaves an empty worker to gangs that wait for some,
+// since it has time to spare.
+func (m *Machine) leavesEmpty(s *step, w *worker) bool {
+	j := s.occ.job
+	return m.gangsWait && len(w.runs) == 0 && j.policy.Rank > preemptRank && !j.lasts() && !m.isPressed(j)
 }
