endive log report tells where the time of workflows went

By the collected logs, for each queue and span: until stored, until the holder had it, for advice, for room, at work.

--- a/endive/cmds/logs.go
+++ b/endive/cmds/logs.go
@@ -32,6 +32,10 @@
 	command := p.add(group, "follow", "Follow a job through the logs of all entries.", logFollowHelp, follow)
 	command.Arg("id", "The id of a job or a task.").Required().StringVar(&follow.id)
 	command.Arg("file", "Log files.").Required().StringsVar(&follow.files)
+	spent := &logReport{}
+	command = p.add(group, "report", "Tell where the time of workflows went.", logReportHelp, spent)
+	command.Flag("every", "Also tell it for each span of this length.").DurationVar(&spent.every)
+	command.Arg("file", "Log files.").Required().StringsVar(&spent.files)
 }
 
 // logFollow follows a job through logs.
@@ -53,6 +57,7 @@
 	Run     int64     `json:"run,omitempty"`
 	Worker  string    `json:"worker,omitempty"`
 	Outcome string    `json:"outcome"`
+	Millis  int64     `json:"millis,omitempty"`
 	Reason  string    `json:"reason,omitempty"`
 }
 
@@ -77,17 +82,10 @@
 
 // run implements command.
 func (c *logFollow) run(_ context.Context, s *session) error {
-	found := []logLine{}
-	unread := 0
-	for _, name := range c.files {
-		lines, bad, err := readLog(name, c.id)
-		if err != nil {
-			return err
-		}
-		found = append(found, lines...)
-		unread += bad
+	found, unread, err := readLogs(c.files, c.id, func(l logLine) bool { return l.about(c.id) })
+	if err != nil {
+		return err
 	}
-	sort.SliceStable(found, func(i, j int) bool { return found[i].Time.Before(found[j].Time) })
 	rows := make([]string, 0, len(found))
 	for _, line := range found {
 		rows = append(rows, line.row(found[0].Time))
@@ -98,9 +96,26 @@
 	return s.show(found, "TIME\tSINCE\tENTRY\tKIND\tSUBJECT\tRUN\tWORKER\tOUTCOME\tREASON", rows)
 }
 
-// readLog returns the lines of a file about an id, and how many lines can't be
-// read.
-func readLog(name, id string) ([]logLine, int, error) {
+// readLogs returns the lines of files that hold a text and are wanted, in the order of
+// time, and how many lines with the text can't be read.
+func readLogs(names []string, text string, wanted func(logLine) bool) ([]logLine, int, error) {
+	found := []logLine{}
+	unread := 0
+	for _, name := range names {
+		lines, bad, err := readLog(name, text, wanted)
+		if err != nil {
+			return nil, 0, err
+		}
+		found = append(found, lines...)
+		unread += bad
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].Time.Before(found[j].Time) })
+	return found, unread, nil
+}
+
+// readLog returns the lines of a file that hold a text and are wanted, and how many
+// lines with the text can't be read.
+func readLog(name, text string, wanted func(logLine) bool) ([]logLine, int, error) {
 	file, err := os.Open(name)
 	if err != nil {
 		return nil, 0, err
@@ -111,7 +126,7 @@
 	scanner := bufio.NewScanner(file)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
-		if !strings.Contains(scanner.Text(), id) {
+		if !strings.Contains(scanner.Text(), text) {
 			continue
 		}
 		var line logLine
@@ -119,7 +134,7 @@
 			unread++
 			continue
 		}
-		if line.about(id) {
+		if wanted(line) {
 			found = append(found, line)
 		}
 	}
