--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -152,10 +152,7 @@
 	is := is.New(t)
 	r := newRig(t, 2, 2)
 	r.ready()
-	cut := r.cells[0]
-	if cut == r.holder() {
-		cut = r.cells[1]
-	}
+	cut := r.otherThan(r.holder())
 	r.until("the entries are linked", func() bool { return len(cut.peers.ids()) == 1 })
 	cut.Rows.saw(endive.ErrUnavailable.New("turned away"))
 	before := len(r.log.lines(`"kind":"relay"`, "RELAY_DONE"))
@@ -179,10 +176,7 @@
 	r := newRig(t, 0, 2)
 	r.ready()
 	first := r.holder()
-	other := r.cells[0]
-	if other == first {
-		other = r.cells[1]
-	}
+	other := r.otherThan(first)
 	queue := other.Match("a.example", "/quick/").Queue
 	for i := range 3 {
 		r.accept(other, "/quick/", fmt.Sprintf("%016x", i), 1, false)
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -172,6 +172,9 @@
 		case wire.RelayKind_RELAY_TAKEN:
 			p.taken(from, endive.PoolName(m.GetPool()), endive.Epoch(m.GetEpoch()))
 			return
+		case wire.RelayKind_RELAY_STORED:
+			p.cell.stored(endive.PoolName(m.GetPool()), endive.JobID(m.GetJob()), m.GetSubmission())
+			return
 		}
 		p.asked(from)
 		go (&relayed{cell: p.cell, from: from, ask: m}).run()
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -198,7 +198,7 @@
 }
 
 func (r *relayed) submit(ctx context.Context, queue endive.Queue, id endive.JobID) *wire.RelayAnswer {
-	result := r.cell.commitSubmission(ctx, submission(queue.Pool, id, r.ask.GetSubmission()))
+	result := r.cell.storeSubmission(ctx, queue.Pool, id, r.ask.GetSubmission())
 	answer := &wire.RelayAnswer{Reason: result.Reason}
 	switch result.Status {
 	case endive.SubmitAccepted:
--- a/entry/cell/rig_test.go
+++ b/entry/cell/rig_test.go
@@ -216,6 +216,14 @@
 	r.until("the pool is held", func() bool { return r.holder() != nil })
 }
 
+// otherThan returns the first entry that isn't another.
+func (r *rig) otherThan(one *Cell) *Cell {
+	if r.cells[0] == one {
+		return r.cells[1]
+	}
+	return r.cells[0]
+}
+
 // holder returns the entry that holds the pool, or nil.
 func (r *rig) holder() *Cell {
 	for _, c := range r.cells {
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -28,6 +28,8 @@
 	// or whose fate isn't known. They wait for a few seconds in all, and a refusal
 	// costs little.
 	storeReturn = endive.Interval(time.Second)
+	// slowCall is how much longer than the shortest a call usually takes in a slow store.
+	slowCall = 60 * time.Millisecond
 	// patientFactor times the usual length of a call is how long a submission is
 	// waited for while the store is slow, within patientBound: another one would only
 	// stand in the queue behind it.
@@ -188,6 +190,13 @@
 	return max(usually, min(time.Duration(patientFactor*s.usual), patientBound))
 }
 
+// slow reports whether a call usually takes so long that its way doesn't count.
+func (s *Store) slow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.usual-s.way) > slowCall
+}
+
 // returned returns when the store came back after its last outage.
 func (s *Store) returned() time.Time {
 	s.mu.Lock()
--- /dev/null
+++ b/entry/cell/stored_test.go
@@ -0,0 +1,58 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// The store is slow, and its feed tells of new work late: the holder hears of a workflow
+// from the entry that stored it.
+func TestHolderHearsOfWorkFromTheEntryThatStoredIt(t *testing.T) {
+	for _, accepting := range []string{"holder", "other entry"} {
+		t.Run(accepting, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, 2, 2)
+			r.ready()
+			by := r.holder()
+			r.until("the holder has read all rows", func() bool { return len(r.log.lines(`"loaded"`)) == 1 })
+			if accepting != "holder" {
+				by = r.otherThan(by)
+				r.until("the entries are linked", func() bool { return len(by.peers.ids()) == 1 })
+			}
+			r.store.MuteFeed("work.svc")
+			by.Rows.mu.Lock()
+			by.Rows.usual = by.Rows.way + 100*endive.Interval(time.Second)
+			by.Rows.mu.Unlock()
+			r.accept(by, "/quick/", "00000000000000aa", 2, false)
+			r.until("it has succeeded", func() bool { return r.state(by, "/quick/", "00000000000000aa") == endive.WorkflowSucceeded })
+			// Another holder would have read it in the store.
+			is.Equal(len(r.log.lines(`"kind":"tenure"`, `"began"`)), 1)
+			r.holds()
+		})
+	}
+}
+
+// A store is slow by its usual answers, not by its distance.
+func TestStoreIsSlow(t *testing.T) {
+	tests := []struct {
+		name       string
+		usual, way time.Duration
+		want       bool
+	}{
+		{"near", 5 * time.Millisecond, 4 * time.Millisecond, false},
+		{"far", 70 * time.Millisecond, 64 * time.Millisecond, false},
+		{"near and slow", 280 * time.Millisecond, 4 * time.Millisecond, true},
+		{"far and slow", 340 * time.Millisecond, 64 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &Store{usual: endive.Interval(tt.usual), way: endive.Interval(tt.way)}
+			is.Equal(s.slow(), tt.want)
+		})
+	}
+}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -47,7 +47,16 @@
 	if !c.Rows.usable() {
 		return c.relaySubmission(ctx, match.Queue, workflow.ID, job)
 	}
-	return c.commitSubmission(ctx, submission(match.Queue.Pool, workflow.ID, job))
+	return c.storeSubmission(ctx, match.Queue.Pool, workflow.ID, job)
+}
+
+// storeSubmission writes a submission, and tells the pool's holder of it.
+func (c *Cell) storeSubmission(ctx context.Context, pool endive.PoolName, id endive.JobID, job []byte) endive.SubmitResult {
+	result := c.commitSubmission(ctx, submission(pool, id, job))
+	if result.Status == endive.SubmitAccepted {
+		c.tellStored(pool, id, job)
+	}
+	return result
 }
 
 // relaySubmission has another entry store a submission.
