--- a/flow/job.go
+++ b/flow/job.go
@@ -70,7 +70,7 @@
 	perWorker map[endive.WorkerID]int
 
 	// paces is how long the step's tasks take, by worker.
-	paces map[endive.WorkerID]time.Duration
+	paces map[endive.WorkerID]endive.Interval
 
 	tickets tickets
 	gang    gang
--- a/flow/pace.go
+++ b/flow/pace.go
@@ -32,15 +32,15 @@
 // notePace notes how long a task of the step takes on a worker.
 func (s *step) notePace(id endive.WorkerID, whole time.Duration) {
 	if s.paces == nil {
-		s.paces = make(map[endive.WorkerID]time.Duration)
+		s.paces = make(map[endive.WorkerID]endive.Interval)
 	}
-	s.paces[id] = whole
+	s.paces[id] = endive.Interval(whole)
 }
 
 // paceElsewhere returns how long a task of the step takes on the other workers, if any
 // has shown it.
 func (s *step) paceElsewhere(id endive.WorkerID) (time.Duration, bool) {
-	var paces []time.Duration
+	var paces []endive.Interval
 	for worker, pace := range s.paces {
 		if worker != id {
 			paces = append(paces, pace)
@@ -50,7 +50,7 @@
 		return 0, false
 	}
 	slices.Sort(paces)
-	return paces[len(paces)/2], true
+	return time.Duration(paces[len(paces)/2]), true
 }
 
 // runsElsewhere reports whether another worker runs a task of the step, whose pace will
