A new holder reads the list of workers anew; the feed is read on while its answers are full

Change: Changes tells that there may be more, and whoever follows reads on. Entries that hold no pool read the list anew in place of each heartbeat's news. A new holder reads it before it starts anything. What is read of an older revision than the list doesn't change it.

--- a/directory.go
+++ b/directory.go
@@ -16,6 +16,8 @@
 	// Gone are those whose entry is gone, or can't be read any more.
 	Gone     []WorkerID
 	Revision Revision
+	// More says that there may be more news after Revision already.
+	More bool
 }
 
 // Directory tells what the platform's operators and workers say. All errors are of
--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return flow.Loaded{}, err
 	}
+	if err := f.pool.cell.workers.refresh(); err != nil {
+		return flow.Loaded{}, err
+	}
 	f.after = work.Revision
 	loaded := flow.Loaded{Epoch: f.epoch, Work: work.Rows, States: states.Rows}
 	for _, row := range roster {
--- a/entry/cell/registry.go
+++ b/entry/cell/registry.go
@@ -59,23 +59,34 @@
 func (p *peers) follow(after endive.Revision) endive.Revision {
 	ctx, cancel := context.WithTimeout(p.cell.ctx, time.Duration(p.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
-	changes, err := p.cell.Rows.Scan(ctx, prefixEntries, after)
-	if endive.ErrHistoryLost.Has(err) {
-		return 0
-	}
-	if err != nil {
-		return after
+	for {
+		changes, err := p.cell.Rows.Scan(ctx, prefixEntries, after)
+		if endive.ErrHistoryLost.Has(err) {
+			return 0
+		}
+		if err != nil {
+			return after
+		}
+		p.takeChanges(changes, after == 0)
+		after = changes.Revision
+		if !changes.More {
+			return after
+		}
 	}
+}
+
+// takeChanges takes in rows of other entries, which are all that there are or those that
+// changed.
+func (p *peers) takeChanges(changes endive.Changes, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after == 0 {
+	if all {
 		clear(p.rows)
 	}
 	for _, row := range changes.Rows {
 		p.takeRow(row)
 	}
 	p.noteKnown()
-	return changes.Revision
 }
 
 func (p *peers) takeRow(row endive.Row) {
--- a/entry/cell/rig_test.go
+++ b/entry/cell/rig_test.go
@@ -44,6 +44,9 @@
 	fails string
 	// cores is the processor time of the entries that are added next.
 	cores float64
+	// poll is how often entries that are added next look at the leases and the workers;
+	// zero for the default.
+	poll endive.Interval
 }
 
 // logBuffer keeps what is logged.
@@ -141,6 +144,9 @@
 	}
 	settings.Defaults()
 	settings.Limits.Cores = r.cores
+	if r.poll > 0 {
+		settings.Timings.Poll = r.poll
+	}
 	clock := endive.NewBootClock()
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Output: r.log, JSONFormat: true, Level: hclog.Info})
 	counters := NewCounters(tally.NoopScope)
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -19,7 +19,9 @@
 type workersLoop struct {
 	cell *Cell
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// after is the revision up to which the list is known.
+	after   endive.Revision
 	workers map[endive.WorkerID]endive.FleetWorker
 	changed bool
 	ready   bool
@@ -35,21 +37,49 @@
 }
 
 func (l *workersLoop) run() {
-	var after endive.Revision
 	for l.cell.ctx.Err() == nil {
-		news, err := l.next(after)
-		switch {
-		case endive.ErrHistoryLost.Has(err):
-			after = 0
-			continue
-		case err == nil:
-			l.take(news, after == 0)
-			after = news.Revision
+		if !l.look(l.from()) {
+			l.cell.pause(l.period())
 		}
-		l.cell.pause(l.period())
 	}
 }
 
+// from returns the revision to read on from. An entry that holds no pool reads the list
+// anew, but rarely: of many workers the news of each heartbeat would be more.
+func (l *workersLoop) from() endive.Revision {
+	if l.cell.HoldsNone() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.after
+}
+
+// look takes in what is new after a revision, and reports whether there may be more.
+func (l *workersLoop) look(after endive.Revision) bool {
+	news, err := l.next(after)
+	if endive.ErrHistoryLost.Has(err) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.after = 0
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	l.take(news, after == 0)
+	return news.More
+}
+
+// refresh reads the list anew for an entry that begins to hold a pool, whose own is old.
+func (l *workersLoop) refresh() error {
+	news, err := l.next(0)
+	if err == nil {
+		l.take(news, true)
+	}
+	return err
+}
+
 // idlePolls is how many times rarer an entry that holds no pool looks at the list.
 const idlePolls = 3
 
@@ -71,6 +101,12 @@
 // take takes in what is new, and tells the pools if anything changed that matters.
 func (l *workersLoop) take(news endive.WorkersNews, all bool) {
 	l.mu.Lock()
+	if news.Revision < l.after {
+		// What was read meanwhile is newer.
+		l.mu.Unlock()
+		return
+	}
+	l.after = news.Revision
 	seen := make(map[endive.WorkerID]bool, len(news.Workers))
 	for _, w := range news.Workers {
 		seen[w.ID] = true
--- /dev/null
+++ b/entry/cell/workersloop_test.go
@@ -0,0 +1,75 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// An entry that holds no pool reads the list of workers rarely. When it takes a pool, it
+// starts nothing on workers that said meanwhile that they leave.
+func TestNewHolderReadsTheListAnew(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	r.ready()
+	first := r.holder()
+	r.poll = endive.Interval(time.Minute)
+	second := r.addEntry("entry-1")
+	r.until("the second entry knows the workers", func() bool {
+		workers, ok := second.workers.of("svc")
+		return ok && len(workers) == 3
+	})
+	is.NoErr(r.workers[0].Register(r.store, 2, true))
+	first.Leave()
+	r.until("the pool is handed over", func() bool { return second.poolNamed("svc").holds.Load() })
+	r.until("all workers have answered", func() bool { return len(r.log.lines(`"settled"`)) == 2 })
+	r.accept(second, "/quick/", "00000000000000aa", 6, false)
+	r.until("it has succeeded", func() bool { return r.state(second, "/quick/", "00000000000000aa") == endive.WorkflowSucceeded })
+	is.Equal(len(r.log.lines("00000000000000aa", `"ordered"`)), 6)
+	is.Equal(len(r.log.lines("00000000000000aa", `"ordered"`, `"i-0"`)), 0)
+	r.holds()
+}
+
+// The load: many workers renew their entries faster than one answer of the feed can tell.
+// The holder keeps up with them all the same.
+func TestHolderKeepsUpWithManyWorkers(t *testing.T) {
+	is := is.New(t)
+	const workers, beats = 700, 4
+	r := newRig(t, 1, 1)
+	r.ready()
+	c := r.holder()
+	for beat := range beats {
+		for i := range workers {
+			r.put("servers", fmt.Sprintf("i-many-%03d", i), map[string]any{
+				"service": "svc", "address": "127.0.0.1:1", "zone": "zone-1", "state": "ready", "seq": beat, "born": 1,
+				"capacity": map[string]any{"cpu": 0, "mem_mb": 0},
+			})
+		}
+	}
+	is.NoErr(r.workers[0].Register(r.store, 2, true))
+	news, err := c.Directory.Workers(t.Context(), c.workers.from())
+	is.NoErr(err)
+	is.True(news.More)
+	looks := 0
+	for c.workers.look(c.workers.from()) {
+		looks++
+		is.True(looks < workers*beats/100) // the looks come to an end
+	}
+	r.until("the holder knows that the first worker leaves", func() bool {
+		for _, w := range workersOf(c) {
+			if w.ID == "i-0" {
+				return w.Draining
+			}
+		}
+		return false
+	})
+}
+
+func workersOf(c *Cell) []endive.FleetWorker {
+	workers, _ := c.workers.of("svc")
+	return workers
+}
--- a/table.go
+++ b/table.go
@@ -57,6 +57,8 @@
 	Revision Revision `json:"revision"`
 	// Now is the platform's time of the answer; 0 where the table tells none.
 	Now PlatformTime `json:"-"`
+	// More says that there may be more changes after Revision already.
+	More bool `json:"-"`
 }
 
 // Table is the platform's transactional table service.
