The roster is spread over 16 rows, of which those that differ are written

At 389 workers each change of the list wrote 21 KB. And a write of a roster without an answer left it open which workers it had: one that left and came back could count as recorded and not be. Change: 16 parts by the workers' ids, only differing ones are written; after such a write only workers of both rosters count as recorded.

--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return flow.Loaded{}, err
 	}
-	roster, err := rows.Read(ctx, flow.RosterKey(name))
+	roster, err := rows.Scan(ctx, flow.RosterPrefix(name), 0)
 	if err != nil {
 		return flow.Loaded{}, err
 	}
@@ -66,13 +66,13 @@
 	}
 	f.after = work.Revision
 	loaded := flow.Loaded{Epoch: f.epoch, Work: work.Rows, States: states.Rows}
-	for _, row := range roster {
+	for _, row := range roster.Rows {
 		var read flow.Roster
 		if err := json.Unmarshal(row.Value, &read); err != nil {
 			f.pool.cell.Log.Error("the roster can't be read", "pool", string(name), "error", err.Error())
 			continue
 		}
-		loaded.Roster = read.Workers
+		loaded.Roster = append(loaded.Roster, read.Workers...)
 	}
 	return loaded, nil
 }
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -124,12 +124,12 @@
 			loaded.Work = append(loaded.Work, row)
 		case strings.HasPrefix(key, StatePrefix(testPool)):
 			loaded.States = append(loaded.States, row)
-		case key == RosterKey(testPool):
+		case strings.HasPrefix(key, RosterPrefix(testPool)):
 			var roster Roster
 			if err := decode(row.Value, &roster); err != nil {
 				h.world.t.Fatal(err)
 			}
-			loaded.Roster = roster.Workers
+			loaded.Roster = append(loaded.Roster, roster.Workers...)
 		}
 	}
 	h.step(loaded)
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -123,7 +123,7 @@
 	sent.ends = rec.takeEnds()
 	if m.rosterGrows() || m.rosterShrinks() {
 		sent.roster = m.newRoster()
-		txn.Writes = append(txn.Writes, endive.Write{Key: RosterKey(m.pool), Value: encode(m.rosterRow(sent.roster))})
+		txn.Writes = append(txn.Writes, m.rosterWrites(sent.roster)...)
 	}
 	if due := m.status.due(m); !due.IsZero() && !due.After(m.now) {
 		status := m.status.current
@@ -262,6 +262,9 @@
 // notRecorded puts back what wasn't written.
 func (m *Machine) notRecorded(sent *recording) {
 	m.recorder.ends = append(sent.ends, m.recorder.ends...)
+	if sent.roster != nil {
+		m.doubtRoster(sent.roster)
+	}
 	for _, j := range sent.jobs {
 		m.touch(j, rowUrgent)
 	}
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -34,12 +34,56 @@
 	return roster
 }
 
-// rosterRow returns the row of a roster.
-func (m *Machine) rosterRow(roster map[endive.WorkerID]bool) Roster {
-	var row Roster
+// rosterParts is over how many rows a roster is spread: a row holds 64 KiB, some hundreds
+// of workers.
+const rosterParts = 16
+
+// rosterPart returns the part that a worker is in.
+func rosterPart(id endive.WorkerID) int { return int(endive.Rendezvous("", string(id)) % rosterParts) }
+
+// rosterWrites returns the writes of those parts of a roster that aren't as recorded.
+func (m *Machine) rosterWrites(roster map[endive.WorkerID]bool) []endive.Write {
+	var rows [rosterParts]Roster
 	for id := range roster {
-		row.Workers = append(row.Workers, RosterWorker{ID: id, Address: m.workers[id].self.Address})
+		part := &rows[rosterPart(id)]
+		part.Workers = append(part.Workers, RosterWorker{ID: id, Address: m.workers[id].self.Address})
+	}
+	changed := differingParts(m.recorder.roster, roster)
+	var writes []endive.Write
+	for i := range rows {
+		if !changed[i] {
+			continue
+		}
+		workers := rows[i].Workers
+		sort.Slice(workers, func(a, b int) bool { return workers[a].ID < workers[b].ID })
+		writes = append(writes, endive.Write{Key: rosterKey(m.pool, i), Value: encode(rows[i])})
+	}
+	return writes
+}
+
+// differingParts returns the parts in which two rosters differ.
+func differingParts(a, b map[endive.WorkerID]bool) [rosterParts]bool {
+	var differ [rosterParts]bool
+	for id := range a {
+		if !b[id] {
+			differ[rosterPart(id)] = true
+		}
+	}
+	for id := range b {
+		if !a[id] {
+			differ[rosterPart(id)] = true
+		}
+	}
+	return differ
+}
+
+// doubtRoster notes that a write of a roster may have been carried out or not: only
+// workers of both are surely recorded.
+func (m *Machine) doubtRoster(sent map[endive.WorkerID]bool) {
+	for id := range m.recorder.roster {
+		if !sent[id] {
+			delete(m.recorder.roster, id)
+		}
 	}
-	sort.Slice(row.Workers, func(i, j int) bool { return row.Workers[i].ID < row.Workers[j].ID })
-	return row
+	m.recorder.rosterStale = true
 }
--- /dev/null
+++ b/flow/roster_test.go
@@ -0,0 +1,48 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// A pool of three thousand workers: no row that its holder writes is larger than the store
+// takes, and a new worker has one part of the roster written.
+func TestRosterFitsIntoRows(t *testing.T) {
+	is := is.New(t)
+	const workers, rowBytes = 3000, 64 << 10
+	w := newWorld(t, 1, faults{})
+	for i := range workers {
+		one := &fakeWorker{world: w, id: endive.WorkerID(fmt.Sprintf("i-%010x", i))}
+		one.bear(endive.Resources{Processors: 32000}, nil)
+		one.self.Address = endive.Address(fmt.Sprintf("10.201.%d.%d:12345", i/256, i%256))
+		w.workers[one.id] = one
+	}
+	w.list()
+	h := w.hold()
+	w.run(2 * time.Second)
+	for key, row := range w.rows {
+		if len(row.Value) > rowBytes {
+			t.Fatalf("%s has %d bytes", key, len(row.Value))
+		}
+	}
+	is.Equal(len(h.machine.recorder.roster), workers)
+	before := w.version
+	w.addWorker("i-new", endive.Resources{Processors: 32000})
+	w.run(3 * time.Second)
+	is.True(h.machine.recorder.roster["i-new"])
+	written := 0
+	for key, row := range w.rows {
+		if row.Version > before && len(key) > len(RosterPrefix(testPool)) && key[:len(RosterPrefix(testPool))] == RosterPrefix(testPool) {
+			written++
+		}
+	}
+	is.Equal(written, 1)
+	second := w.hold()
+	w.run(10 * time.Second)
+	is.Equal(len(second.machine.recorder.roster), workers+1)
+}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -56,8 +56,13 @@
 // FenceKey returns the row that each write of a pool's holder replaces.
 func FenceKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/fence" }
 
-// RosterKey returns the row that lists the workers that may run something.
-func RosterKey(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/roster" }
+// RosterPrefix returns what to scan for the workers that may run something.
+func RosterPrefix(pool endive.PoolName) string { return tableFence + "/" + string(pool) + "/roster." }
+
+// rosterKey returns the row of a part of them.
+func rosterKey(pool endive.PoolName, part int) string {
+	return fmt.Sprintf("%s%02d", RosterPrefix(pool), part)
+}
 
 // StatusKey returns the row in which a pool's holder tells the other entries how
 // the pool fares. It is in the table of leases, which all entries follow.
@@ -87,7 +92,7 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-// Roster is the row of the workers that may run something of the pool.
+// Roster is the row of a part of the workers that may run something of the pool.
 type Roster struct {
 	Workers []RosterWorker `json:"workers"`
 }
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -59,7 +59,7 @@
 	statusAge = 1500 * time.Millisecond
 	// rowsPerRecord leaves room for the fence, the roster and the counts among
 	// the 100 rows of a transaction.
-	rowsPerRecord = 90
+	rowsPerRecord = 80
 	// ticketMargin is how long before its end a ticket isn't used any more.
 	ticketMargin = 150 * time.Millisecond
 	// adviceRetry is the pause after a question that failed, or that named no
