--- a/flow/malformed_test.go
+++ b/flow/malformed_test.go
@@ -57,3 +57,23 @@
 	w.holds()
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 }
+
+// A run whose progress is told to have gone back, and stands still there, is moved.
+func TestProgressThatGoesBack(t *testing.T) {
+	is := is.New(t)
+	w, h := heldWorld(t, faults{}, 2)
+	w.workers["w0"].hangs, w.workers["w1"].hangs = true, true
+	w.submit("job1", quick, stepOfTasks(1, time.Second))
+	w.run(1500 * time.Millisecond)
+	moved := 0
+	for _, one := range h.machine.workers {
+		for _, r := range one.runs {
+			r.state, r.firstPercent, r.percent = runRunning, 5, 4
+			r.percentAt = w.now.Add(-time.Minute)
+			h.machine.now = w.now
+			h.machine.watchProgress(one)
+			moved++
+		}
+	}
+	is.Equal(moved, 1)
+}
--- a/flow/pace.go
+++ b/flow/pace.go
@@ -19,7 +19,8 @@
 // whole returns how long a run takes in all, by its progress so far. It errs to the short
 // side, since progress is cut to whole percents.
 func (r *run) whole(now time.Time) time.Duration {
-	return now.Sub(r.began) * fullPercent / time.Duration(r.percent-r.firstPercent+1)
+	// A worker may tell of less progress than before.
+	return now.Sub(r.began) * fullPercent / time.Duration(max(1, r.percent-r.firstPercent+1))
 }
 
 // watchPace notes how fast a run goes.
