--- a/entry/cell/workersloop_test.go
+++ b/entry/cell/workersloop_test.go
@@ -21,7 +21,7 @@
 	second := r.addEntry("entry-1")
 	r.until("the second entry knows the workers", func() bool {
 		workers, ok := second.workers.of("svc")
-		return ok && len(workers) == 3
+		return ok && len(workers) == 3 && second.poolNamed("svc") != nil
 	})
 	is.NoErr(r.workers[0].Register(r.store, 2, true))
 	first.Leave()
