One order among equals, one reckoning of spare time; holders are looked up once a question

Cell.isHolder repeated Cell.holders and took the lock on the pools for each entry that a question could go to, on the path of each question: holders() is read once. drain and preempt each reckoned the time to spare: Machine.spare. Two copies of 'some workers are unknown' in reserve.go: someUnknown. Behaviour as before.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -148,14 +148,10 @@
 	return holders
 }
 
-// isHolder reports whether another entry holds a pool.
-func (c *Cell) isHolder(id endive.EntryID) bool {
-	for _, p := range c.allPools() {
-		if p.heldIn() == id {
-			return true
-		}
-	}
-	return false
+// order is the place of an entry among others that suit equally well. It differs from
+// entry to entry, so that they don't all choose the same one.
+func (c *Cell) order(id endive.EntryID) uint64 {
+	return endive.Rendezvous(id, string(c.Settings.Name))
 }
 
 // taken counts the other pools that this entry holds or is about to hold, and tells
--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -122,19 +122,14 @@
 	return true
 }
 
-// order is the place of an entry among those that are free at the same time. It differs
-// from asker to asker, so that they don't all ask the same one.
-func (h *helpers) order(id endive.EntryID) uint64 {
-	return endive.Rendezvous(id, string(h.cell.Settings.Name))
-}
-
 // soonest returns the entry that should be asked a question of some cost: the one
 // that is free soonest, but for the way there and for long questions in the quick
 // lane. Holders of pools are left to their own questions.
 func (h *helpers) soonest(now time.Time, cost endive.Interval) endive.EntryID {
 	best, bestAt := self, time.Time{}
+	holders := h.cell.holders()
 	for id, one := range h.known {
-		if now.Before(one.avoidUntil) || id != self && h.cell.isHolder(id) {
+		if now.Before(one.avoidUntil) || id != self && holders[id] {
 			continue
 		}
 		lane := id
@@ -142,7 +137,7 @@
 			lane = h.cell.Settings.Name
 		}
 		at := endive.Latest(one.busyUntil, now).Add(detour(cost, h.lanes.isQuick(lane), one.far, id == self))
-		if bestAt.IsZero() || at.Before(bestAt) || at.Equal(bestAt) && h.order(id) > h.order(best) {
+		if bestAt.IsZero() || at.Before(bestAt) || at.Equal(bestAt) && h.cell.order(id) > h.cell.order(best) {
 			best, bestAt = id, at
 		}
 	}
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -114,7 +114,7 @@
 // nearest leaves of many entries a part that spreads the links, those that hold a
 // pool or may soon, and all that asked something lately.
 func (p *peers) nearest(others endive.Peers, now time.Time) endive.Peers {
-	sort.Slice(others, func(i, j int) bool { return p.rank(others[i].ID) > p.rank(others[j].ID) })
+	sort.Slice(others, func(i, j int) bool { return p.cell.order(others[i].ID) > p.cell.order(others[j].ID) })
 	if len(others) <= fullMesh {
 		return others
 	}
@@ -131,10 +131,6 @@
 	return kept
 }
 
-func (p *peers) rank(id endive.EntryID) uint64 {
-	return endive.Rendezvous(id, string(p.cell.Settings.Name))
-}
-
 // asked notes that an entry asked something, and links to it for the answer.
 func (p *peers) asked(from endive.EntryID) {
 	p.mu.Lock()
@@ -219,7 +215,7 @@
 		if near != far {
 			return near
 		}
-		return p.rank(ids[i]) > p.rank(ids[j])
+		return p.cell.order(ids[i]) > p.cell.order(ids[j])
 	})
 	return ids
 }
--- a/flow/drain.go
+++ b/flow/drain.go
@@ -125,7 +125,7 @@
 }
 
 // isPressed reports whether a job has little time to spare.
-func (m *Machine) isPressed(j *job) bool { return j.objective.Sub(m.now)-j.remaining() < pressedSpare }
+func (m *Machine) isPressed(j *job) bool { return m.spare(j) < pressedSpare }
 
 // largestGang returns the number of members of the largest gang that waits.
 func (m *Machine) largestGang() int {
--- a/flow/preempt.go
+++ b/flow/preempt.go
@@ -129,6 +129,6 @@
 	case tierLate:
 		return false
 	default:
-		return j.objective.Sub(m.now)-j.remaining() > preemptSpare
+		return m.spare(j) > preemptSpare
 	}
 }
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -91,6 +91,9 @@
 	return longest
 }
 
+// spare returns how much time a job has left beside its work until its objective.
+func (m *Machine) spare(j *job) time.Duration { return j.objective.Sub(m.now) - j.remaining() }
+
 // ranked returns the live jobs in their order.
 func (m *Machine) ranked() []*job {
 	live := make([]*job, 0, len(m.jobs))
--- a/flow/reserve.go
+++ b/flow/reserve.go
@@ -120,14 +120,18 @@
 			places += w.placesIn(s, need, w.self.Capacity)
 		}
 	}
-	return places < 2*len(s.tasks) && len(s.tickets.good)+len(s.tickets.bad) < len(m.ordered)
+	return places < 2*len(s.tasks) && m.someUnknown(s)
 }
 
 // mayResurvey reports whether a gang that found no room may ask about more workers: while
 // questions of others leave the time, and not at once after the last.
 func (m *Machine) mayResurvey(s *step) bool {
-	unknown := len(s.tickets.good)+len(s.tickets.bad) < len(m.ordered)
-	return unknown && m.now.Sub(s.tickets.askedAt) > adviceRest && m.advice.asking+m.advice.planned < m.mayAsk()/2
+	return m.someUnknown(s) && m.now.Sub(s.tickets.askedAt) > adviceRest && m.advice.asking+m.advice.planned < m.mayAsk()/2
+}
+
+// someUnknown reports whether there are workers of which nothing is known for a step.
+func (m *Machine) someUnknown(s *step) bool {
+	return len(s.tickets.good)+len(s.tickets.bad) < len(m.ordered)
 }
 
 // ticketsFor reports whether there are valid tickets for workers.
