How long work takes is learned by queue, and what is left by progress

Deadlines, order, draining and preemption went by the estimates alone, and what a run had left by the estimate too, though its progress is told. Work whose estimate was low was called hopeless long before it was. Change: a regression of times on estimates for each queue, that forgets; a step's own pace goes before it; a run's rest by its progress; the objective allows for one question a step. Ruled out: estimates of a job's steps don't err together (correlation 0.07).

--- a/flow/advice.go
+++ b/flow/advice.go
@@ -53,7 +53,7 @@
 		if b.waiting > 0 || b.began.IsZero() {
 			return
 		}
-		due := b.began.Add(time.Duration(b.spec.Estimate) - cost - foresight)
+		due := m.now.Add(m.remaining(b) - cost - foresight)
 		if due.After(m.now) {
 			m.passAgain(due)
 			return
--- a/flow/drain.go
+++ b/flow/drain.go
@@ -97,11 +97,11 @@
 			runs = append(runs, r)
 		}
 	}
-	sort.SliceStable(runs, func(i, j int) bool { return runs[i].left(m.now) < runs[j].left(m.now) })
+	sort.SliceStable(runs, func(i, j int) bool { return m.left(runs[i]) < m.left(runs[j]) })
 	for _, r := range runs {
 		free = free.Add(r.need)
 		if need.Fits(free) {
-			return m.now.Add(r.left(m.now)), true
+			return m.now.Add(m.left(r)), true
 		}
 	}
 	return time.Time{}, false
--- /dev/null
+++ b/flow/forecast.go
@@ -0,0 +1,121 @@
+package flow
+
+import (
+	"math"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// How long work takes decides what can still be on time, what runs will soon give back
+// and which gang can wait. The load: callers' estimates that are off by a factor of two or
+// more either way, while the steps of one queue differ less than that among themselves.
+// So what has ended in a queue tells how far an estimate is to be believed there.
+
+// Forecast relates, for one queue, the logarithms of estimates and of the times that tasks
+// really took: a linear regression that forgets old steps. The zero value believes
+// estimates. It is part of a row, so that it outlasts the holder that learned it.
+type Forecast struct {
+	// Steps is the weight of the steps that were seen.
+	Steps float64 `json:"steps"`
+	// Estimates and Times are the sums of the logarithms, Squares and Products those
+	// of the squared estimates and of the products.
+	Estimates float64 `json:"estimates"`
+	Times     float64 `json:"times"`
+	Squares   float64 `json:"squares"`
+	Products  float64 `json:"products"`
+}
+
+const (
+	// forecastMemory is over how many steps a Forecast averages.
+	forecastMemory = 200
+	// forecastTrust is how many steps have to be seen until they count as much as the
+	// estimate itself.
+	forecastTrust = 4
+	// slopeTrust is the weight of the belief that times go with estimates, in steps
+	// whose estimates differ by a factor of e.
+	slopeTrust = 2
+)
+
+// learn takes in how long the tasks of a step took.
+func (f *Forecast) learn(estimate endive.Interval, took time.Duration) {
+	if estimate <= 0 || took <= 0 {
+		return
+	}
+	e, t := math.Log(time.Duration(estimate).Seconds()), math.Log(took.Seconds())
+	const keep = 1 - 1.0/forecastMemory
+	f.Steps = f.Steps*keep + 1
+	f.Estimates = f.Estimates*keep + e
+	f.Times = f.Times*keep + t
+	f.Squares = f.Squares*keep + e*e
+	f.Products = f.Products*keep + e*t
+}
+
+// expect returns how long a task with an estimate probably takes.
+func (f *Forecast) expect(estimate endive.Interval) time.Duration {
+	if f == nil || estimate <= 0 || f.Steps <= 0 {
+		return time.Duration(estimate)
+	}
+	e := math.Log(time.Duration(estimate).Seconds())
+	meanE, meanT := f.Estimates/f.Steps, f.Times/f.Steps
+	spread := f.Squares - f.Steps*meanE*meanE
+	slope := (f.Products - f.Steps*meanE*meanT + slopeTrust) / (spread + slopeTrust)
+	seen := meanT + slope*(e-meanE)
+	weight := f.Steps / (f.Steps + forecastTrust)
+	return time.Duration(math.Exp(weight*seen+(1-weight)*e) * float64(time.Second))
+}
+
+// forecast returns what was learned of a queue; nil for nothing.
+func (m *Machine) forecast(queue endive.QueueName) *Forecast { return m.forecasts[queue] }
+
+// learnFrom takes in the times of a step whose tasks have all ended well.
+func (m *Machine) learnFrom(s *step) {
+	if s.ranWell == 0 {
+		return
+	}
+	queue := s.occ.job.policy.Name
+	if m.forecasts[queue] == nil {
+		m.forecasts[queue] = &Forecast{}
+	}
+	m.forecasts[queue].learn(s.spec.Estimate, s.ranFor/time.Duration(s.ranWell))
+}
+
+// expected returns how long a task of a step probably takes: by what others of its tasks
+// show, or else by its estimate and what was learned of its queue.
+func (m *Machine) expected(s *step) time.Duration {
+	if s.pace > 0 {
+		return time.Duration(s.pace)
+	}
+	return m.forecast(s.occ.job.policy.Name).expect(s.spec.Estimate)
+}
+
+// leastLeft is which part of what a run should take is left at least of one that has
+// taken longer already.
+const leastLeft = 0.2
+
+// left returns how much longer a run will probably take.
+func (m *Machine) left(r *run) time.Duration {
+	if r.percent-r.firstPercent >= minPaceProgress {
+		whole := r.percentAt.Sub(r.began) * fullPercent / time.Duration(r.percent-r.firstPercent)
+		return max(0, whole*time.Duration(fullPercent-r.percent)/fullPercent-m.now.Sub(r.percentAt))
+	}
+	expected := m.expected(r.task.step) * time.Duration(fullPercent-r.firstPercent) / fullPercent
+	return max(expected-m.now.Sub(r.began), time.Duration(leastLeft*float64(expected)))
+}
+
+// remaining returns how much longer a step will probably take once it can run.
+func (m *Machine) remaining(s *step) time.Duration {
+	if s.unended == 0 {
+		return 0
+	}
+	if s.waiting > 0 {
+		return m.expected(s)
+	}
+	longest := time.Duration(0)
+	for _, t := range s.tasks {
+		if t.run != nil && t.state == taskPlaced {
+			longest = max(longest, m.left(t.run))
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/flow/forecast_test.go
@@ -0,0 +1,89 @@
+package flow
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+func TestForecastLearns(t *testing.T) {
+	tests := []struct {
+		name string
+		// pairs are estimates and the times that were really taken, in seconds.
+		pairs    [][2]float64
+		estimate float64
+		min, max float64
+	}{
+		{"nothing seen, the estimate counts", nil, 3, 3, 3},
+		{"estimates that say nothing give way to the usual time",
+			[][2]float64{{0.5, 2}, {1, 2}, {4, 2}, {8, 2}, {1, 2}, {4, 2}, {0.5, 2}, {8, 2}}, 16, 2, 7},
+		{"estimates that are right are believed",
+			[][2]float64{{1, 1}, {2, 2}, {4, 4}, {8, 8}, {1, 1}, {2, 2}, {4, 4}, {8, 8}}, 4, 3.9, 4.1},
+		{"a common factor is found",
+			[][2]float64{{1, 2}, {2, 4}, {4, 8}, {8, 16}, {1, 2}, {2, 4}, {4, 8}, {8, 16}}, 4, 6, 8.1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var f Forecast
+			for _, pair := range tt.pairs {
+				f.learn(endive.Interval(pair[0]*float64(time.Second)), time.Duration(pair[1]*float64(time.Second)))
+			}
+			got := f.expect(endive.Interval(tt.estimate * float64(time.Second))).Seconds()
+			t.Logf("expects %.2f s", got)
+			is.True(got >= tt.min-1e-6)
+			is.True(got <= tt.max+1e-6)
+		})
+	}
+}
+
+// The load: more work than the pool can do, whose estimates are off by far either way.
+// Work with a low estimate isn't given up before its time, and what is on time isn't held
+// up by what only seems to be urgent.
+func TestRoughEstimatesUnderLoad(t *testing.T) {
+	is := is.New(t)
+	const (
+		takes   = 2 * time.Second
+		rough   = 0.9
+		every   = 290 * time.Millisecond
+		lasts   = 40 * time.Second
+		perTask = 8000
+		// enough is the part that is on time: nearly what the pool can do.
+		enough = 0.85
+	)
+	// The objective of work that takes so long allows for waiting of twice its length.
+	policy := endive.Queue{Name: "rough", Pool: testPool, Rank: 1, MaxAttempts: 3, SlackFactor: 3}
+	w, _ := heldWorld(t, faults{}, 6)
+	due := make(map[endive.JobID]time.Time)
+	met := 0
+	for i := 0; w.now.Sub(w.start) < lasts; i++ {
+		stretch := math.Exp(rough * w.random.NormFloat64())
+		step := stepOfTasks(2, time.Duration(float64(takes)/stretch))
+		step.Need.Processors = perTask
+		id := w.submit(fmt.Sprintf("job%d", i), policy, step)
+		w.jobs[id].stretch = stretch
+		due[id] = w.now.Add(3 * takes)
+		w.run(w.now.Add(every).Sub(w.start))
+		for id, at := range due {
+			if !w.now.After(at) && w.state(id) == endive.WorkflowSucceeded {
+				met++
+				delete(due, id)
+			}
+		}
+	}
+	over := 0
+	for _, at := range due {
+		if w.now.After(at) {
+			over++
+		}
+	}
+	w.holds()
+	share := float64(met) / float64(met+over)
+	t.Logf("%d on time, %d not: %.2f", met, over, share)
+	is.True(share >= enough)
+}
--- a/flow/health.go
+++ b/flow/health.go
@@ -105,7 +105,7 @@
 		if r.task == nil || r.state == runStopping {
 			continue
 		}
-		if r.task.step.spec.LongRunning || r.left(m.now) > leaves {
+		if r.task.step.spec.LongRunning || m.left(r) > leaves {
 			m.stopRun(r, "the worker leaves before the task would end")
 		}
 	}
@@ -114,15 +114,6 @@
 // defaultNotice is how long a worker stays that didn't say how long.
 const defaultNotice = 3 * time.Second
 
-// left returns how long a run will go on by its estimate.
-func (r *run) left(now time.Time) time.Duration {
-	estimate := time.Duration(r.task.step.spec.Estimate)
-	if r.percent > 0 {
-		return estimate * time.Duration(fullPercent-r.percent) / fullPercent
-	}
-	return max(estimate-now.Sub(r.began), estimate/10)
-}
-
 // number formats a number for a note.
 func number(n int64) string { return strconv.FormatInt(n, 10) }
 
--- a/flow/held.go
+++ b/flow/held.go
@@ -116,6 +116,10 @@
 	switch end.Kind {
 	case endive.EndSucceeded:
 		if counts && !t.step.spec.LongRunning {
+			if current && r.firstPercent == 0 {
+				t.step.ranWell++
+				t.step.ranFor += m.now.Sub(r.began)
+			}
 			m.succeeded(t)
 			m.recordEnd(w, end.Number, j)
 		}
@@ -144,6 +148,7 @@
 
 // succeeded marks a task as done; a gang ends together.
 func (m *Machine) succeeded(t *task) {
+	before := t.step.unended
 	members := []*task{t}
 	if t.step.spec.Gang {
 		members = t.step.tasks
@@ -158,6 +163,9 @@
 		}
 	}
 	t.step.gang.run = 0
+	if before > 0 && t.step.unended == 0 {
+		m.learnFrom(t.step)
+	}
 	m.passDue = true
 	m.closeJob(t.step.occ.job)
 }
--- a/flow/job.go
+++ b/flow/job.go
@@ -69,8 +69,13 @@
 	// perWorker counts the runs on each worker.
 	perWorker map[endive.WorkerID]int
 
-	// paces is how long the step's tasks take, by worker.
+	// paces is how long the step's tasks take, by worker, and pace the median.
 	paces map[endive.WorkerID]endive.Interval
+	pace  endive.Interval
+	// ranWell counts the tasks that ended well without a resumed run, and ranFor is how
+	// long they ran in all.
+	ranWell int
+	ranFor  time.Duration
 
 	tickets tickets
 	gang    gang
@@ -123,26 +128,18 @@
 			j.accepted = at
 		}
 	}
-	j.objective = j.accepted.Add(time.Duration(j.policy.SlackFactor*float64(j.chain())) + time.Duration(j.policy.Grace))
 	return j
 }
 
-// chain returns the longest chain of estimated work of one occurrence.
-func (j *job) chain() time.Duration {
-	return j.longest(func(int) bool { return true })
-}
-
-// longest returns the longest chain of estimated work of those steps that count.
-func (j *job) longest(counts func(step int) bool) time.Duration {
-	ends := make([]time.Duration, len(j.spec.Steps))
+// longest returns the longest chain of steps that take so long each.
+func (j *job) longest(takes func(step int) time.Duration) time.Duration {
+	var ends [endive.MaxSteps]time.Duration
 	var longest time.Duration
 	for i, step := range j.spec.Steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		if counts(i) {
-			ends[i] += time.Duration(step.Estimate)
-		}
+		ends[i] += takes(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -61,6 +61,8 @@
 	// gangsWait says that in the last look gangs found no room, gangsWaiting that they don't
 	// in the current one.
 	gangsWait, gangsWaiting bool
+	// forecasts are what was learned of the queues, also in earlier tenures.
+	forecasts map[endive.QueueName]*Forecast
 	// claims are those of the last look.
 	claims claims
 	// startsMade makes the run numbers of this epoch rise.
@@ -69,7 +71,7 @@
 
 // New returns the machine of a pool, which isn't held yet.
 func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
-	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs, helpers: 1}
+	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs, helpers: 1, forecasts: make(map[endive.QueueName]*Forecast)}
 	m.forget()
 	return m
 }
--- a/flow/pace.go
+++ b/flow/pace.go
@@ -36,22 +36,29 @@
 		s.paces = make(map[endive.WorkerID]endive.Interval)
 	}
 	s.paces[id] = endive.Interval(whole)
+	s.pace = median(s.paces, "")
 }
 
 // paceElsewhere returns how long a task of the step takes on the other workers, if any
 // has shown it.
 func (s *step) paceElsewhere(id endive.WorkerID) (time.Duration, bool) {
-	var paces []endive.Interval
-	for worker, pace := range s.paces {
-		if worker != id {
+	pace := median(s.paces, id)
+	return time.Duration(pace), pace > 0
+}
+
+// median returns the median of the paces on all workers but one; 0 if there is none.
+func median(of map[endive.WorkerID]endive.Interval, but endive.WorkerID) endive.Interval {
+	paces := make([]endive.Interval, 0, len(of))
+	for id, pace := range of {
+		if id != but {
 			paces = append(paces, pace)
 		}
 	}
 	if len(paces) == 0 {
-		return 0, false
+		return 0
 	}
 	slices.Sort(paces)
-	return time.Duration(paces[len(paces)/2]), true
+	return paces[len(paces)/2]
 }
 
 // runsElsewhere reports whether another worker runs a task of the step, whose pace will
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -52,7 +52,7 @@
 func (m *Machine) endsWithin(w *worker, ahead time.Duration) endive.Resources {
 	var soon endive.Resources
 	for _, r := range w.runs {
-		if r.task != nil && r.state == runRunning && !r.task.step.spec.LongRunning && r.left(m.now) < ahead {
+		if r.task != nil && r.state == runRunning && !r.task.step.spec.LongRunning && m.left(r) < ahead {
 			soon = soon.Add(r.need)
 		}
 	}
--- a/flow/preempt.go
+++ b/flow/preempt.go
@@ -120,7 +120,7 @@
 	if !spec.Checkpoints || spec.LongRunning || spec.Gang && spec.Tasks > 1 || j.policy.Rank <= s.occ.job.policy.Rank {
 		return false
 	}
-	if r.left(m.now) < askAheadOf {
+	if m.left(r) < askAheadOf {
 		return false
 	}
 	switch j.rank.tier {
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -70,7 +70,9 @@
 	if j.lasts() || j.spec.Schedule.Occurrences > 0 {
 		return r
 	}
-	done := m.now.Add(j.remaining())
+	j.objective = m.objectiveOf(j)
+	r.objective = j.objective
+	done := m.now.Add(m.remainingOf(j))
 	allowed := j.objective.Sub(j.accepted)
 	switch {
 	case !done.After(j.objective):
@@ -82,17 +84,37 @@
 	return r
 }
 
-// remaining returns the longest chain of estimated work that is left.
-func (j *job) remaining() time.Duration {
+// objectiveWorkers is how many workers the question about each step names that a
+// workflow's objective allows for.
+const objectiveWorkers = 30
+
+// objectiveOf returns when a job should be over, by what is known of its steps.
+func (m *Machine) objectiveOf(j *job) time.Time {
+	if j.lasts() || len(j.occs) == 0 {
+		return j.accepted.Add(time.Duration(j.policy.Grace))
+	}
+	question := time.Duration(0)
+	if j.policy.Advice.Required() {
+		question = time.Duration(j.policy.Advice.Cost(objectiveWorkers))
+	}
+	var chain time.Duration
+	for _, occ := range j.occs {
+		chain = max(chain, j.longest(func(i int) time.Duration { return question + m.expected(occ.steps[i]) }))
+	}
+	return j.accepted.Add(time.Duration(j.policy.SlackFactor*float64(chain)) + time.Duration(j.policy.Grace))
+}
+
+// remainingOf returns the longest chain of work that is left of a job.
+func (m *Machine) remainingOf(j *job) time.Duration {
 	var longest time.Duration
 	for _, occ := range j.occs {
-		longest = max(longest, j.longest(func(i int) bool { return occ.steps[i].unended > 0 }))
+		longest = max(longest, j.longest(func(i int) time.Duration { return m.remaining(occ.steps[i]) }))
 	}
 	return longest
 }
 
 // spare returns how much time a job has left beside its work until its objective.
-func (m *Machine) spare(j *job) time.Duration { return j.objective.Sub(m.now) - j.remaining() }
+func (m *Machine) spare(j *job) time.Duration { return j.objective.Sub(m.now) - m.remainingOf(j) }
 
 // ranked returns the live jobs in their order.
 func (m *Machine) ranked() []*job {
--- a/flow/stall.go
+++ b/flow/stall.go
@@ -86,9 +86,9 @@
 		return 0, 0, false
 	}
 	if m.now.Before(r.worker.health.slowUntil) {
-		return time.Duration(s.spec.Estimate), slowFactor, true
+		return m.expected(s), slowFactor, true
 	}
-	return time.Duration(s.spec.Estimate), blindFactor, true
+	return m.expected(s), blindFactor, true
 }
 
 // moveOn stops a run, and uses its worker last for a while if like tasks are faster
