A new holder reads the rows of live work only

Change: a second after its end a workflow's submission is deleted, and its last state goes to a table that no holder loads; a mark of its own tells a second submission. Tests: TestSuccessorReadsLiveWorkOnly (300 and 300 rows before, none after), TestSuccessorClearsWhatHasEnded, TestKeptStatesAreDeleted. world.state() of the tests reads the second table as callers' questions do.

--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -35,6 +35,7 @@
 		loaded, err := f.load()
 		if err == nil {
 			f.pool.tell(loaded)
+			go f.sweep().run()
 			break
 		}
 		f.pool.cell.pause(followRetry)
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -62,15 +62,19 @@
 	return flow.Progress{}, "", endive.ErrNotFound.New("there is no workflow %s", id)
 }
 
-// findIn looks for a workflow in a pool. One of which nothing is recorded waits.
+// findIn looks for a workflow in a pool. One of which nothing is recorded waits. What is
+// recorded moves on from table to table, so they are read in that order.
 func (c *Cell) findIn(ctx context.Context, pool endive.PoolName, id endive.JobID) (flow.Progress, bool, error) {
 	progress := flow.Progress{State: endive.WorkflowQueued}
 	rows, err := c.read(ctx, flow.StateKey(pool, id))
+	if err == nil && len(rows) == 0 {
+		rows, err = c.read(ctx, flow.EndedKey(pool, id))
+	}
 	if err != nil {
 		return progress, false, err
 	}
 	if len(rows) == 0 {
-		rows, err = c.read(ctx, flow.JobKey(pool, id))
+		rows, err = c.read(ctx, flow.KnownKey(pool, id))
 		return progress, len(rows) > 0, err
 	}
 	if err := json.Unmarshal(rows[0].Value, &progress); err != nil {
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"endiveroute.example/endive"
-	"endiveroute.example/endive/flow"
 	"endiveroute.example/endive/wire"
 )
 
@@ -245,12 +244,3 @@
 func relayAsk(kind wire.RelayKind, queue endive.Queue, id endive.JobID) *wire.RelayAsk {
 	return &wire.RelayAsk{Kind: kind, Pool: string(queue.Pool), Queue: string(queue.Name), Job: string(id)}
 }
-
-// submission returns the transaction that stores an encoded submission.
-func submission(pool endive.PoolName, id endive.JobID, job []byte) endive.Transaction {
-	key := flow.JobKey(pool, id)
-	return endive.Transaction{
-		Conditions: []endive.Condition{{Key: key}},
-		Writes:     []endive.Write{{Key: key, Value: job}},
-	}
-}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -52,7 +52,7 @@
 
 // storeSubmission writes a submission, and tells the pool's holder of it.
 func (c *Cell) storeSubmission(ctx context.Context, pool endive.PoolName, id endive.JobID, job []byte) endive.SubmitResult {
-	result := c.commitSubmission(ctx, submission(pool, id, job))
+	result := c.commitSubmission(ctx, flow.Submit(pool, id, job))
 	if result.Status == endive.SubmitAccepted {
 		c.tellStored(pool, id, job)
 	}
--- /dev/null
+++ b/flow/deletions_test.go
@@ -0,0 +1,85 @@
+package flow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// count returns how many rows there are under a prefix.
+func (w *world) count(prefix string) int {
+	count := 0
+	for key := range w.rows {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
+// The load: hundreds of short workflows, and a holder that ends after them. Its successor
+// has little to read, starts none of them again, and each can still be asked for.
+func TestSuccessorReadsLiveWorkOnly(t *testing.T) {
+	is := is.New(t)
+	const workflows = 300
+	w, h := heldWorld(t, faults{}, 6)
+	for i := range workflows {
+		w.submit(fmt.Sprintf("job%d", i), quick, stepOfTasks(1, 100*time.Millisecond))
+		w.run(w.now.Add(30 * time.Millisecond).Sub(w.start))
+	}
+	w.run(w.now.Add(5 * time.Second).Sub(w.start))
+	is.Equal(w.count(WorkPrefix(testPool)), 0)
+	is.Equal(w.count(StatePrefix(testPool)), 0)
+	starts := w.starts
+	h.dead = true
+	w.hold()
+	w.run(w.now.Add(5 * time.Second).Sub(w.start))
+	w.holds()
+	is.Equal(w.starts, starts)
+	for i := range workflows {
+		is.Equal(w.state(endive.JobID(fmt.Sprintf("job%d", i))), endive.WorkflowSucceeded)
+	}
+}
+
+// The load: a holder that ends just after many workflows have, before their rows have made
+// way. Its successor lets them make way, and starts none again.
+func TestSuccessorClearsWhatHasEnded(t *testing.T) {
+	is := is.New(t)
+	const workflows = 40
+	w, h := heldWorld(t, faults{}, 6)
+	for i := range workflows {
+		w.submit(fmt.Sprintf("job%d", i), quick, stepOfTasks(1, 100*time.Millisecond))
+	}
+	w.run(w.now.Add(900 * time.Millisecond).Sub(w.start))
+	is.True(w.count(WorkPrefix(testPool)) > 0)
+	h.dead = true
+	w.hold()
+	w.run(w.now.Add(10 * time.Second).Sub(w.start))
+	w.holds()
+	is.Equal(w.starts, workflows)
+	is.Equal(w.count(WorkPrefix(testPool)), 0)
+	is.Equal(w.count(StatePrefix(testPool)), 0)
+	is.Equal(w.count(EndedPrefix(testPool)), workflows)
+}
+
+// A state that was kept for as long as it can be asked for is deleted, also one from before
+// the tenure.
+func TestKeptStatesAreDeleted(t *testing.T) {
+	is := is.New(t)
+	w, h := heldWorld(t, faults{}, 3)
+	w.submit("job1", quick, stepOfTasks(1, 100*time.Millisecond))
+	w.run(5 * time.Second)
+	is.Equal(w.count(EndedPrefix(testPool)), 1)
+	h.dead = true
+	next := w.hold()
+	w.run(6 * time.Second)
+	next.tell(EndedFound{Epoch: next.epoch, Jobs: []endive.JobID{"job1"}})
+	w.run(4 * time.Minute)
+	is.Equal(w.count(EndedPrefix(testPool)), 0)
+	is.Equal(w.count(tableKnown), 0)
+}
--- a/flow/events.go
+++ b/flow/events.go
@@ -100,6 +100,16 @@
 	Expiry time.Time
 }
 
+// EndedFound gives workflows whose last states are kept in the store from before the
+// tenure.
+type EndedFound struct {
+	Epoch endive.Epoch
+	Jobs  []endive.JobID
+}
+
+// IsEvent marks EndedFound as an event.
+func (EndedFound) IsEvent() {}
+
 // IsEvent marks AdviceNoted as an event.
 func (AdviceNoted) IsEvent() {}
 
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -39,9 +39,9 @@
 	recorder recorder
 	advice   advice
 	// early are answers about steps that aren't known yet.
-	early  map[endive.StepID]AdviceNoted
-	status statusReport
-	ended  []endedJob
+	early   map[endive.StepID]AdviceNoted
+	status  statusReport
+	endings endings
 	// passDue asks for a look at what could start; passAt is the earliest time.
 	passDue bool
 	passAt  time.Time
@@ -88,7 +88,7 @@
 	m.advice = advice{}
 	m.early = make(map[endive.StepID]AdviceNoted)
 	m.status = statusReport{}
-	m.ended = nil
+	m.endings = endings{known: make(map[endive.JobID]bool)}
 	m.touched, m.sweepAt = nil, time.Time{}
 	m.startsMade = 0
 }
@@ -146,6 +146,8 @@
 		m.advised(e)
 	case AdviceNoted:
 		m.adviceNoted(e)
+	case EndedFound:
+		m.endedFound(e)
 	case endive.Committed:
 		m.committed(e)
 	}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -49,6 +49,7 @@
 	ends    []listedEnd
 	jobs    []*job
 	roster  map[endive.WorkerID]bool
+	cleared int
 	deleted int
 	status  *Status
 }
@@ -183,7 +184,7 @@
 	}
 	m.notRecorded(sent)
 	rec.retryAt = m.now.Add(recordRetry)
-	if sent.deleted > 0 {
+	if sent.cleared+sent.deleted > 0 {
 		rec.deleteAt = m.now.Add(deleteRetry)
 	}
 	m.note(Note{Kind: NoteRecord, Outcome: string(e.Status), Reason: number(int64(len(sent.ends))) + " ends wait"})
@@ -219,7 +220,7 @@
 	if sent.status != nil {
 		m.status.wrote(*sent.status, m.now)
 	}
-	m.ended = m.ended[sent.deleted:]
+	m.deletionsDone(sent)
 	for _, end := range sent.ends {
 		if end.life != end.worker.life {
 			continue
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -14,8 +14,14 @@
 // spread over many parts: each carries out one transaction after the other, and may
 // fail alone.
 const (
+	// tableWork has the submissions of work that lives, tableKnown a mark for each
+	// that was ever accepted and can still be asked for.
 	tableWork  = "work."
+	tableKnown = "known."
+	// tableState has the progress of work that lives, tableEnded the last states of
+	// work that doesn't any more.
 	tableState = "state."
+	tableEnded = "ended."
 	tableFence = "fence"
 )
 
@@ -78,6 +84,29 @@
 	return shardPrefix(pool, shardOf(id)) + kindCancel + string(id)
 }
 
+// KnownKey returns the row that marks a workflow as accepted.
+func KnownKey(pool endive.PoolName, id endive.JobID) string {
+	return fmt.Sprintf("%s%s/%03d/%s", tableKnown, pool, shardOf(id), id)
+}
+
+// EndedPrefix returns what to scan for the last states of a pool's workflows.
+func EndedPrefix(pool endive.PoolName) string {
+	return tableEnded + string(pool) + "/" + string(pool) + "/"
+}
+
+// EndedKey returns the row of the last state of a workflow that ended a while ago.
+func EndedKey(pool endive.PoolName, id endive.JobID) string { return EndedPrefix(pool) + string(id) }
+
+// Submit returns the transaction that stores an encoded submission, unless it was
+// stored before.
+func Submit(pool endive.PoolName, id endive.JobID, job []byte) endive.Transaction {
+	known := KnownKey(pool, id)
+	return endive.Transaction{
+		Conditions: []endive.Condition{{Key: known}},
+		Writes:     []endive.Write{{Key: known, Value: []byte("{}")}, {Key: JobKey(pool, id), Value: job}},
+	}
+}
+
 // StateKey returns the row of a workflow's progress.
 func StateKey(pool endive.PoolName, id endive.JobID) string {
 	return StatePrefix(pool) + string(id)
--- a/flow/work.go
+++ b/flow/work.go
@@ -19,7 +19,7 @@
 		id := endive.JobID(name)
 		done, known := progress[id]
 		if known && done.State.Ended() {
-			m.ended = append(m.ended, endedJob{id: id, deleteAt: m.now.Add(time.Duration(m.settings.Retention))})
+			m.noteEnded(id, done.State)
 			continue
 		}
 		m.addJob(id, row.Value, done, true)
@@ -34,7 +34,7 @@
 	for _, row := range rows {
 		kind, name := workRow(m.pool, row.Key)
 		id := endive.JobID(name)
-		if kind == kindJob && !row.Deleted && m.tenure.loaded && m.jobs[id] == nil && !m.hasEnded(id) {
+		if kind == kindJob && !row.Deleted && m.tenure.loaded && m.jobs[id] == nil && !m.endings.known[id] {
 			m.addJob(id, row.Value, Progress{}, m.now.Before(m.tenure.lastUntil))
 		}
 	}
@@ -49,16 +49,6 @@
 	}
 }
 
-// hasEnded reports whether a workflow is known to have ended.
-func (m *Machine) hasEnded(id endive.JobID) bool {
-	for _, one := range m.ended {
-		if one.id == id {
-			return true
-		}
-	}
-	return false
-}
-
 // addJob takes in a submission, with what is recorded of it.
 func (m *Machine) addJob(id endive.JobID, value []byte, done Progress, inherited bool) {
 	var s endive.Submission
@@ -208,12 +198,6 @@
 	return p
 }
 
-// endedJob is a workflow whose rows are deleted after a while.
-type endedJob struct {
-	id       endive.JobID
-	deleteAt time.Time
-}
-
 // finish gives a job its final state and stops what still runs of it.
 func (m *Machine) finish(j *job, state endive.WorkflowState, reason string) {
 	if j.state.Ended() {
@@ -244,11 +228,10 @@
 	if m.jobs[j.id] != j || !j.state.Ended() || j.row != rowCurrent || len(j.runs()) > 0 {
 		return
 	}
-	one := endedJob{id: j.id, deleteAt: m.now.Add(time.Duration(m.settings.Retention))}
 	for _, occ := range j.sortedOccs() {
 		m.dropOccurrence(occ)
 	}
 	delete(m.jobs, j.id)
 	delete(m.scheduled, j.id)
-	m.ended = append(m.ended, one)
+	m.noteEnded(j.id, j.state)
 }
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -242,11 +242,15 @@
 
 // state returns the recorded state of a workflow.
 func (w *world) state(id endive.JobID) endive.WorkflowState {
-	if _, ok := w.rows[StateKey(testPool, id)]; !ok {
+	row, ok := w.rows[StateKey(testPool, id)]
+	if !ok {
+		row, ok = w.rows[EndedKey(testPool, id)]
+	}
+	if !ok {
 		return endive.WorkflowQueued
 	}
 	var p Progress
-	if err := decode(w.rows[StateKey(testPool, id)].Value, &p); err != nil {
+	if err := decode(row.Value, &p); err != nil {
 		w.t.Fatalf("the state of %s: %s", id, err)
 	}
 	return p.State
