A holder that ends gives the next one what it knows

Change: the holder chooses an entry that reaches the store, of equally good ones the one that started last, and sends it rows, roster and advice as recorded, together with the lease's row. That needs one write, and reads the list of workers. What was learned of the queues goes into the status row. A worker that had told that it leaves, isn't listed and takes no connections is gone: its tasks no longer hold up gangs and questions for 4 s. Only new work is told, and what has ended is given on.

--- a/elect/events.go
+++ b/elect/events.go
@@ -49,7 +49,19 @@
 type Renewed struct{ Until time.Time }
 
 // Lost is the action of ending a tenure.
-type Lost struct{ Reason string }
+type Lost struct {
+	Reason string
+	// HandedOver says that the lease was given up, and Lease is its row then.
+	HandedOver bool
+	Lease      Seen
+}
+
+// Offered says that the last holder leaves the pool to this entry, with the lease's row as
+// it left it.
+type Offered struct{ Lease Seen }
+
+// IsEvent marks Offered as an event.
+func (Offered) IsEvent() {}
 
 // Record is the action of writing a transaction; it is answered by
 // endive.Committed.
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -47,6 +47,8 @@
 	// entries that suit better.
 	due func(freeSince time.Time) time.Time
 
+	// offered says that the last holder left the pool to this entry.
+	offered bool
 	holding bool
 	until   time.Time
 	giveUp  bool
@@ -98,6 +100,9 @@
 		}
 	case Superseded:
 		m.superseded(e)
+	case Offered:
+		m.saw(e.Lease)
+		m.offered = m.version == e.Lease.Version && !m.holding
 	case GiveUp:
 		m.giveUp = true
 		m.nextAt = now
@@ -119,6 +124,7 @@
 	}
 	m.seen = true
 	if e.Version > m.version {
+		m.offered = false
 		// Whoever writes the lease is alive.
 		m.suspected = ""
 	}
@@ -142,6 +148,13 @@
 	m.emit(Lost{Reason: reason})
 }
 
+// handedOver ends a tenure whose lease was given up.
+func (m *Machine) handedOver(version endive.Version) {
+	m.holding = false
+	m.freeSince = time.Time{}
+	m.emit(Lost{Reason: "handed over", HandedOver: true, Lease: Seen{Version: version, Value: m.written.encode()}})
+}
+
 // fenced ends a tenure whose epoch isn't the highest any more.
 func (m *Machine) fenced(e Fenced) {
 	if m.holding && e.Epoch == m.written.Epoch {
@@ -208,7 +221,7 @@
 		m.freeSince = m.now
 	}
 	due := m.due(m.freeSince)
-	if m.now.Before(due) {
+	if m.now.Before(due) && !m.offered {
 		m.wake(due)
 		return
 	}
@@ -247,7 +260,7 @@
 	if e.WriteID != m.inFlight {
 		return
 	}
-	m.inFlight = ""
+	m.inFlight, m.offered = "", false
 	if e.Status != endive.CommitApplied {
 		// Whatever the row is now, reading it tells.
 		m.nextAt = m.settings.Retry.After(m.now)
@@ -258,7 +271,7 @@
 	m.version = e.Result.Versions[0]
 	m.lease = m.written
 	if m.written.Vacant {
-		m.lose("handed over")
+		m.handedOver(e.Result.Versions[0])
 		return
 	}
 	m.until = m.clock.Earliest(m.written.Until).Add(-margin)
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -79,7 +79,7 @@
 func (c *Cell) Leave() {
 	c.leaving.Store(true)
 	for _, p := range c.allPools() {
-		p.giveUp()
+		go (&handOver{pool: p}).run()
 	}
 }
 
--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -23,11 +23,18 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	after  endive.Revision
+	// given is what the last holder gave; nil if there is nothing.
+	given *flow.Loaded
 }
 
-func newFollow(p *pool, epoch endive.Epoch) *follow {
+// newFollow returns what reads for a tenure. What the last holder gave counts if nobody
+// held the pool in between.
+func newFollow(p *pool, epoch endive.Epoch, given *flow.Loaded) *follow {
 	ctx, cancel := context.WithCancel(p.cell.ctx)
-	return &follow{pool: p, epoch: epoch, ctx: ctx, cancel: cancel}
+	if given != nil && (given.Epoch+1 != epoch || given.Revision == 0) {
+		given = nil
+	}
+	return &follow{pool: p, epoch: epoch, ctx: ctx, cancel: cancel, given: given}
 }
 
 func (f *follow) run() {
@@ -47,6 +54,9 @@
 
 // load reads all rows of the pool.
 func (f *follow) load() (flow.Loaded, error) {
+	if f.given != nil {
+		return f.loadGiven()
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, loadTimeout)
 	defer cancel()
 	rows, name := f.pool.cell.Rows, f.pool.name
@@ -66,7 +76,7 @@
 		return flow.Loaded{}, err
 	}
 	f.after = work.Revision
-	loaded := flow.Loaded{Epoch: f.epoch, Work: work.Rows, States: states.Rows}
+	loaded := flow.Loaded{Epoch: f.epoch, Revision: work.Revision, Work: work.Rows, States: states.Rows}
 	for _, row := range roster.Rows {
 		var read flow.Roster
 		if err := json.Unmarshal(row.Value, &read); err != nil {
@@ -103,7 +113,5 @@
 		return
 	}
 	f.after = changes.Revision
-	if len(changes.Rows) > 0 {
-		f.pool.tell(flow.WorkChanged{Rows: changes.Rows})
-	}
+	f.pool.tell(flow.WorkChanged{Rows: changes.Rows, Revision: changes.Revision})
 }
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -44,7 +44,9 @@
 	knownSince time.Time
 	// askers are entries that asked something lately.
 	askers map[endive.EntryID]time.Time
-	linked map[endive.EntryID]bool
+	// startedAt is when this process first had the platform's time.
+	startedAt endive.PlatformTime
+	linked    map[endive.EntryID]bool
 }
 
 func newPeers(c *Cell) *peers {
@@ -160,6 +162,8 @@
 		p.cell.helpers.answered(from, m)
 	case *wire.AdviceNote:
 		p.cell.adviceNoted(m)
+	case *wire.PoolHandOver:
+		p.cell.handedOver(m)
 	case *wire.RelayAsk:
 		switch m.GetKind() {
 		case wire.RelayKind_RELAY_TAKE:
--- a/entry/cell/perform.go
+++ b/entry/cell/perform.go
@@ -25,12 +25,15 @@
 	case elect.Lost:
 		p.cell.Log.Info("pool is lost", "pool", string(p.name), "reason", a.Reason)
 		p.endFollow()
-		p.tell(flow.TenureEnded{})
+		p.left = a.Lease
+		p.tell(flow.TenureEnded{HandOver: a.HandedOver && p.successor.Load() != endive.EntryID("")})
+	case flow.HandOver:
+		p.give(a.State)
 	case flow.Fenced:
 		p.send(toElect, elect.Fenced{Epoch: a.Epoch})
 	case flow.Load:
 		p.endFollow()
-		p.follow = newFollow(p, a.Epoch)
+		p.follow = newFollow(p, a.Epoch, p.given.Swap(nil))
 		go p.follow.run()
 	case flow.Record:
 		go (&commitCall{pool: p, to: toFlow, transaction: a.Transaction}).run()
@@ -52,7 +55,9 @@
 	p.cell.peers.tellTaken(p.name, a.Epoch)
 	seen, _ := p.cell.workers.seenOf(p.name)
 	p.tell(seen)
-	p.tell(flow.TenureBegan{Epoch: a.Epoch, FenceVersion: a.FenceVersion, Until: a.Until, LastUntil: a.LastUntil})
+	p.tell(flow.TenureBegan{
+		Epoch: a.Epoch, FenceVersion: a.FenceVersion, Until: a.Until, LastUntil: a.LastUntil, Forecasts: p.status.Load().Forecasts,
+	})
 }
 
 func (p *pool) endFollow() {
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -24,6 +24,12 @@
 	alarms [2]*time.Timer
 	// follow reads the rows of the current tenure; nil without one.
 	follow *follow
+	// successor is to be given the pool when this entry gives it up, with the lease as
+	// it was left; empty for nobody.
+	successor atomic.Value
+	left      elect.Seen
+	// given is what the last holder gave this entry; nil for nothing.
+	given atomic.Pointer[flow.Loaded]
 	// status is what the pool's holder told last.
 	status atomic.Pointer[flow.Status]
 	// holds mirrors whether this entry holds the pool.
@@ -55,6 +61,7 @@
 	p := &pool{name: name, cell: c}
 	p.status.Store(&flow.Status{})
 	p.holder.Store(endive.EntryID(""))
+	p.successor.Store(endive.EntryID(""))
 	p.elect = elect.New(id, c.Incarnation, name, p.fence, p.due, elect.Settings{
 		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
--- a/entry/cell/registry.go
+++ b/entry/cell/registry.go
@@ -19,6 +19,8 @@
 	// store.
 	Cores     float64 `json:"cores"`
 	WayMillis int64   `json:"wayMillis"`
+	// Started is when the entry's process began.
+	Started endive.PlatformTime `json:"started,omitempty"`
 }
 
 // peer returns the entry of a row as a peer.
@@ -29,6 +31,12 @@
 // register writes this entry's row, and deletes those of entries that are gone.
 func (p *peers) register() bool {
 	own := p.ownRow()
+	p.mu.Lock()
+	if p.startedAt == 0 {
+		p.startedAt = own.At
+	}
+	own.Started = p.startedAt
+	p.mu.Unlock()
 	value, err := json.Marshal(own)
 	if err != nil {
 		p.cell.Log.Error("the entry's row can't be encoded", "error", err.Error())
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -178,6 +178,9 @@
 	if !c.Rows.usable() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away here too"}
 	}
+	if c.leaving.Load() && r.ask.GetKind() == wire.RelayKind_RELAY_PROBE {
+		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the entry is about to end"}
+	}
 	switch r.ask.GetKind() {
 	case wire.RelayKind_RELAY_PROBE:
 		return answerOf(nil, "", 0)
--- a/entry/cell/stored_test.go
+++ b/entry/cell/stored_test.go
@@ -22,6 +22,7 @@
 			if accepting != "holder" {
 				by = r.otherThan(by)
 				r.until("the entries are linked", func() bool { return len(by.peers.ids()) == 1 })
+				r.until("the other entry knows the holder", func() bool { return by.poolNamed("svc").heldIn() != "" })
 			}
 			r.store.MuteFeed("work.svc")
 			by.Rows.mu.Lock()
@@ -36,6 +37,31 @@
 	}
 }
 
+// A caller hands a workflow in again after it has ended, in a slow store, and the pool has
+// another holder, which never knew of it: nothing runs again.
+func TestHolderIsNotToldOfWorkThatWasStoredBefore(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 2)
+	r.ready()
+	first := r.holder()
+	r.accept(first, "/quick/", "00000000000000aa", 2, false)
+	r.until("it has succeeded", func() bool { return r.state(first, "/quick/", "00000000000000aa") == endive.WorkflowSucceeded })
+	r.until("its rows have made way", func() bool { return r.store.Count("ended.svc") == 1 })
+	first.Close()
+	var other *Cell
+	r.until("another holds the pool", func() bool { other = r.holder(); return other != nil })
+	r.until("it has read all rows", func() bool { return len(r.log.lines(`"loaded"`)) == 2 })
+	other.Rows.mu.Lock()
+	other.Rows.usual = other.Rows.way + 100*endive.Interval(time.Second)
+	other.Rows.mu.Unlock()
+	r.accept(other, "/quick/", "00000000000000aa", 2, false)
+	r.accept(other, "/quick/", "00000000000000bb", 2, false)
+	r.until("new work has succeeded", func() bool { return r.state(other, "/quick/", "00000000000000bb") == endive.WorkflowSucceeded })
+	is.Equal(r.state(other, "/quick/", "00000000000000aa"), endive.WorkflowSucceeded)
+	is.Equal(len(r.log.lines(`"ordered"`, `"kind":"start"`, "00000000000000aa")), 2)
+	r.holds()
+}
+
 // A store is slow by its usual answers, not by its distance.
 func TestStoreIsSlow(t *testing.T) {
 	tests := []struct {
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -53,7 +53,8 @@
 // storeSubmission writes a submission, and tells the pool's holder of it.
 func (c *Cell) storeSubmission(ctx context.Context, pool endive.PoolName, id endive.JobID, job []byte) endive.SubmitResult {
 	result := c.commitSubmission(ctx, flow.Submit(pool, id, job))
-	if result.Status == endive.SubmitAccepted {
+	if result.Status == endive.SubmitAccepted && !result.Before {
+		// One that was stored before may have ended since, unknown to this holder.
 		c.tellStored(pool, id, job)
 	}
 	return result
@@ -86,7 +87,7 @@
 		case err == nil:
 			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "stored"}
 		case endive.ErrConflict.Has(err):
-			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "is stored already"}
+			return endive.SubmitResult{Status: endive.SubmitAccepted, Before: true, Reason: "is stored already"}
 		case endive.ErrUnknown.Has(err):
 			lost = true
 		}
--- a/entry/cell/suits.go
+++ b/entry/cell/suits.go
@@ -146,6 +146,23 @@
 	return ids
 }
 
+// successors returns the linked entries that may hold a pool after this one, the best
+// first. Of those that suit equally well the one that started last is the best: where
+// entries are restarted in turn, its turn is over.
+func (p *peers) successors(pool endive.PoolName) []endive.EntryID {
+	ids := p.linkedFor(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sort.SliceStable(ids, func(i, j int) bool {
+		a, b := p.rows[ids[i]], p.rows[ids[j]]
+		if a.suitsBetter(b) != b.suitsBetter(a) {
+			return a.suitsBetter(b)
+		}
+		return a.Started > b.Started
+	})
+	return ids
+}
+
 // bestFor returns the entry that suits a pool best of those that are linked and hold
 // no other, if it suits much better than this one.
 func (p *peers) bestFor(pool endive.PoolName, holders map[endive.EntryID]bool) (endive.EntryID, bool) {
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -36,6 +36,13 @@
 // write id.
 type Record struct{ Transaction endive.Transaction }
 
+// HandOver gives what the pool's next holder would read in the store. Epoch is that of
+// the tenure which has ended.
+type HandOver struct{ State Loaded }
+
+// IsAction marks HandOver as an action.
+func (HandOver) IsAction() {}
+
 // Fenced says that another entry holds the pool with a higher epoch.
 type Fenced struct{ Epoch endive.Epoch }
 
--- a/flow/events.go
+++ b/flow/events.go
@@ -16,24 +16,42 @@
 	// LastUntil is until when the last holder may go on starting work, if it was
 	// replaced before its lease ran out.
 	LastUntil time.Time
+	// Forecasts are what earlier holders learned of the queues.
+	Forecasts map[endive.QueueName]*Forecast
 }
 
 // TenureRenewed says until when the pool is held.
 type TenureRenewed struct{ Until time.Time }
 
 // TenureEnded says that another entry holds the pool, or may.
-type TenureEnded struct{}
+type TenureEnded struct {
+	// HandOver says that the lease was given up, and the next holder can be given what
+	// is known.
+	HandOver bool
+}
 
 // Loaded gives the pool's rows as they were when the tenure began.
 type Loaded struct {
-	Epoch  endive.Epoch
-	Work   []endive.Row
-	States []endive.Row
-	Roster []RosterWorker
+	Epoch endive.Epoch
+	// Revision is the one up to which the rows of work are complete.
+	Revision endive.Revision
+	Work     []endive.Row
+	States   []endive.Row
+	Roster   []RosterWorker
+	// Ended are workflows that have ended and whose submissions are deleted. The feed may
+	// tell of them once more.
+	Ended []endive.JobID
+	// Advice is what the last holder knew of the workers that may run steps.
+	Advice []AdviceNoted
 }
 
 // WorkChanged gives rows of the pool's table of work that were written.
-type WorkChanged struct{ Rows []endive.Row }
+type WorkChanged struct {
+	Rows []endive.Row
+	// Revision is the one up to which the rows are complete; 0 where the rows say
+	// nothing of others.
+	Revision endive.Revision
+}
 
 // WorkersSeen gives all workers of the pool that are listed.
 type WorkersSeen struct{ Workers []endive.FleetWorker }
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -135,6 +135,10 @@
 		w.after(2500*time.Millisecond, func() { *last = w.hold() })
 	case 4:
 		w.cutOff(one)
+	case 6:
+		if !(*last).dead && !(*last).frozen {
+			*last = (*last).handOver()
+		}
 	case 5:
 		if w.faults.lostWays {
 			w.loseWay(one, (*last).epoch)
--- a/flow/forecast.go
+++ b/flow/forecast.go
@@ -68,6 +68,26 @@
 // forecast returns what was learned of a queue; nil for nothing.
 func (m *Machine) forecast(queue endive.QueueName) *Forecast { return m.forecasts[queue] }
 
+// takeForecasts takes over what earlier holders have learned, where that is more.
+func (m *Machine) takeForecasts(learned map[endive.QueueName]*Forecast) {
+	for queue, one := range learned {
+		if own := m.forecasts[queue]; one != nil && (own == nil || own.Steps < one.Steps) {
+			copied := *one
+			m.forecasts[queue] = &copied
+		}
+	}
+}
+
+// copyForecasts returns what was learned so far.
+func (m *Machine) copyForecasts() map[endive.QueueName]*Forecast {
+	learned := make(map[endive.QueueName]*Forecast, len(m.forecasts))
+	for queue, one := range m.forecasts {
+		copied := *one
+		learned[queue] = &copied
+	}
+	return learned
+}
+
 // learnFrom takes in the times of a step whose tasks have all ended well.
 func (m *Machine) learnFrom(s *step) {
 	if s.ranWell == 0 {
--- a/flow/gone.go
+++ b/flow/gone.go
@@ -5,12 +5,17 @@
 // isGone reports whether a look has shown that a worker's life is over: somebody else
 // answers at its address, or the platform doesn't list it any more, and nothing listens
 // there. Missing from the list, with or without an answer, is not enough: a worker that is
-// cut off runs on, and the last holder may have reached it and renewed its leases.
+// cut off runs on, and the last holder may have reached it and renewed its leases. But one
+// that had told that it would leave, has left the list and takes no connections has left.
 func (m *Machine) isGone(w *worker, e Held) bool {
 	if e.Answer.Refused == endive.RefusalIncarnation {
 		return true
 	}
-	return !w.listed && e.Result == OrderRefused
+	if w.listed {
+		return false
+	}
+	left := m.recorder.roster[w.id] == rosterDraining && e.Result == OrderNotSent
+	return left || e.Result == OrderRefused
 }
 
 // forgetGone gives up what a worker ran whose life is over.
--- /dev/null
+++ b/flow/handover.go
@@ -0,0 +1,93 @@
+package flow
+
+import (
+	"sort"
+
+	"endiveroute.example/endive"
+)
+
+// A holder that ends its tenure by itself gives the next one what that would read in the
+// store. The load: entries that are stopped in turn, so that a pool changes its holder every
+// few seconds while as much work comes as ever; all that waits for a new holder to read is
+// late. What is given is what the store has: what isn't recorded yet the workers still list.
+
+// handOver gives the next holder what is known. A write whose answer is still on its way
+// may have been carried out, or be so before the next holder's fence: its ends aren't
+// acknowledged, so the workers list them again.
+func (m *Machine) handOver() { m.emit(HandOver{State: m.state()}) }
+
+// state returns the rows of the pool as the store has them, and what is known of the
+// workers that may run steps.
+func (m *Machine) state() Loaded {
+	state := Loaded{Epoch: m.tenure.epoch, Revision: m.tenure.revision, Roster: m.recordedRoster()}
+	ids := make([]endive.JobID, 0, len(m.jobs))
+	for id := range m.jobs {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	for _, id := range ids {
+		m.jobs[id].addTo(&state, m)
+	}
+	for _, one := range m.endings.uncleared {
+		state.Work = append(state.Work, endive.Row{Key: JobKey(m.pool, one.id)})
+		state.States = append(state.States, endive.Row{Key: StateKey(m.pool, one.id), Value: encode(Progress{State: one.state})})
+	}
+	for _, one := range m.endings.kept {
+		state.Ended = append(state.Ended, one.id)
+	}
+	return state
+}
+
+// addTo adds the rows of a job, and the advice on its steps.
+func (j *job) addTo(state *Loaded, m *Machine) {
+	state.Work = append(state.Work, endive.Row{Key: JobKey(m.pool, j.id), Value: j.submitted})
+	if j.cancelled {
+		state.Work = append(state.Work, endive.Row{Key: CancelKey(m.pool, j.id), Value: []byte("{}")})
+	}
+	if j.recorded != nil {
+		state.States = append(state.States, endive.Row{Key: StateKey(m.pool, j.id), Value: j.recorded})
+	}
+	for _, occ := range j.sortedOccs() {
+		for _, s := range occ.steps {
+			if s.unended > 0 && s.tickets.surveyed() {
+				state.Advice = append(state.Advice, s.tickets.noted(s.id)...)
+			}
+		}
+	}
+}
+
+// noted returns what is known of a step's workers, an answer for each time at which
+// tickets end.
+func (t *tickets) noted(id endive.StepID) []AdviceNoted {
+	first := AdviceNoted{Step: id}
+	for worker := range t.bad {
+		first.Bad = append(first.Bad, worker)
+	}
+	sort.Slice(first.Bad, func(i, j int) bool { return first.Bad[i] < first.Bad[j] })
+	notes := []AdviceNoted{first}
+	for _, worker := range t.goodIDs {
+		one := t.good[worker]
+		last := &notes[len(notes)-1]
+		if len(last.Good) > 0 && !last.Expiry.Equal(one.until) {
+			notes = append(notes, AdviceNoted{Step: id})
+			last = &notes[len(notes)-1]
+		}
+		last.Expiry = one.until
+		last.Good = append(last.Good, endive.AdviceGrant{Worker: worker, Ticket: one.ticket})
+	}
+	return notes
+}
+
+// recordedRoster returns the roster as it is recorded.
+func (m *Machine) recordedRoster() []RosterWorker {
+	roster := make([]RosterWorker, 0, len(m.recorder.roster))
+	for id, mark := range m.recorder.roster {
+		one := RosterWorker{ID: id, Draining: mark == rosterDraining, Gone: true}
+		if w := m.workers[id]; w != nil {
+			one.Address, one.Gone = w.self.Address, false
+		}
+		roster = append(roster, one)
+	}
+	sort.Slice(roster, func(i, j int) bool { return roster[i].ID < roster[j].ID })
+	return roster
+}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -58,8 +58,10 @@
 				h.step(endive.Wake{})
 			}
 		})
+	case HandOver:
+		w.given = &a.State
 	case Load:
-		w.after(10*time.Millisecond, func() { h.load(a.Epoch) })
+		w.after(w.loadTime(a.Epoch), func() { h.load(a.Epoch) })
 	case Record:
 		h.record(a.Transaction)
 	case Ask:
@@ -111,7 +113,11 @@
 
 // load reads the rows for a new tenure.
 func (h *holder) load(epoch endive.Epoch) {
-	loaded := Loaded{Epoch: epoch}
+	if given := h.world.given; given != nil && given.Epoch+1 == epoch {
+		h.loadGiven(*given)
+		return
+	}
+	loaded := Loaded{Epoch: epoch, Revision: endive.Revision(h.world.version)}
 	keys := make([]string, 0, len(h.world.rows))
 	for key := range h.world.rows {
 		keys = append(keys, key)
@@ -135,6 +141,34 @@
 	h.step(loaded)
 }
 
+// loadTime returns how long a new holder reads.
+func (w *world) loadTime(epoch endive.Epoch) time.Duration {
+	if w.given != nil && w.given.Epoch+1 == epoch {
+		return time.Millisecond
+	}
+	return max(w.loadTakes, 10*time.Millisecond)
+}
+
+// loadGiven takes over what the last holder gave, and what was stored since.
+func (h *holder) loadGiven(given Loaded) {
+	given.Epoch = h.epoch
+	h.step(given)
+	news := WorkChanged{Revision: endive.Revision(h.world.version)}
+	for key, row := range h.world.rows {
+		if strings.HasPrefix(key, WorkPrefix(testPool)) && row.Version > endive.Version(given.Revision) {
+			news.Rows = append(news.Rows, row)
+		}
+	}
+	sort.Slice(news.Rows, func(i, j int) bool { return news.Rows[i].Key < news.Rows[j].Key })
+	h.step(news)
+}
+
+// handOver ends a tenure by itself: the next holder is given what this one knows.
+func (h *holder) handOver() *holder {
+	h.step(TenureEnded{HandOver: true})
+	return h.world.hold()
+}
+
 // record carries a transaction out, with the faults of the world.
 func (h *holder) record(txn endive.Transaction) {
 	const way, patience = 4 * time.Millisecond, 300 * time.Millisecond
--- a/flow/job.go
+++ b/flow/job.go
@@ -22,6 +22,10 @@
 	nextOcc  int
 	finished int
 	begun    bool
+	// submitted and recorded are the values of the rows of its submission and of its
+	// state; cancelled says that there is a row which asks for its cancelling.
+	submitted, recorded []byte
+	cancelled           bool
 	// row says that the state row is older than what is known.
 	row rowAge
 	// rank is the job's place in the order of the last pass.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -112,7 +112,7 @@
 		m.tenureBegan(e)
 		return
 	case TenureEnded:
-		m.tenureEnded()
+		m.tenureEnded(e)
 		return
 	case WorkersSeen:
 		m.listed = e
@@ -136,6 +136,7 @@
 		m.loaded(e)
 	case WorkChanged:
 		m.workChanged(e.Rows)
+		m.tenure.revision = max(m.tenure.revision, e.Revision)
 	case Held:
 		m.held(e)
 	case Started:
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -168,7 +168,7 @@
 // couldStart reports whether a task of a step may start on a worker as soon as there are
 // room and a ticket.
 func (m *Machine) couldStart(s *step, w *worker) bool {
-	if !w.usable() || !m.recorder.roster[w.id] || m.now.Before(w.health.avoidUntil) {
+	if !w.usable() || m.recorder.roster[w.id] == rosterAbsent || m.now.Before(w.health.avoidUntil) {
 		return false
 	}
 	if s.spec.Label != "" && !w.self.HasLabel(s.spec.Label) {
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -13,7 +13,7 @@
 	fence        Fence
 	fenceVersion endive.Version
 	// roster are the recorded workers that may run something.
-	roster map[endive.WorkerID]bool
+	roster map[endive.WorkerID]rosterMark
 
 	// dirty are the jobs whose rows have to be written; urgent says that somebody
 	// waits for one of them.
@@ -48,7 +48,9 @@
 	writeID endive.WriteID
 	ends    []listedEnd
 	jobs    []*job
-	roster  map[endive.WorkerID]bool
+	roster  map[endive.WorkerID]rosterMark
+	// states are the values of the jobs' rows.
+	states  map[*job][]byte
 	cleared int
 	deleted int
 	status  *Status
@@ -115,10 +117,11 @@
 func (m *Machine) writeRows() {
 	rec := &m.recorder
 	txn := m.fencedTransaction()
-	sent := &recording{writeID: txn.WriteID}
+	sent := &recording{writeID: txn.WriteID, states: make(map[*job][]byte)}
 	for _, j := range m.dirtyJobs() {
 		sent.jobs = append(sent.jobs, j)
-		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: encode(j.progress())})
+		sent.states[j] = encode(j.progress())
+		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: sent.states[j]})
 		j.row = rowCurrent
 	}
 	sent.ends = rec.takeEnds()
@@ -232,6 +235,7 @@
 		}
 	}
 	for _, j := range sent.jobs {
+		j.recorded = sent.states[j]
 		if j.row == rowCurrent {
 			m.closeTasks(j)
 		}
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -6,13 +6,38 @@
 	"endiveroute.example/endive"
 )
 
-// rosterGrows reports whether a worker isn't in the roster yet.
+// rosterMark says what is recorded of a worker.
+type rosterMark int
+
+const (
+	rosterAbsent rosterMark = iota
+	rosterPresent
+	rosterDraining
+)
+
+// mark returns what a row records of a worker.
+func (r RosterWorker) mark() rosterMark {
+	if r.Draining {
+		return rosterDraining
+	}
+	return rosterPresent
+}
+
+// mark returns what is to be recorded of a worker.
+func (w *worker) mark() rosterMark {
+	if w.self.Draining {
+		return rosterDraining
+	}
+	return rosterPresent
+}
+
+// rosterGrows reports whether a worker isn't in the roster yet, or not as draining.
 func (m *Machine) rosterGrows() bool {
 	if !m.recorder.rosterStale {
 		return false
 	}
 	for _, w := range m.ordered {
-		if w.listed && !m.recorder.roster[w.id] {
+		if w.listed && m.recorder.roster[w.id] < w.mark() {
 			return true
 		}
 	}
@@ -26,10 +51,10 @@
 }
 
 // newRoster returns the workers that may run something.
-func (m *Machine) newRoster() map[endive.WorkerID]bool {
-	roster := make(map[endive.WorkerID]bool, len(m.workers))
-	for id := range m.workers {
-		roster[id] = true
+func (m *Machine) newRoster() map[endive.WorkerID]rosterMark {
+	roster := make(map[endive.WorkerID]rosterMark, len(m.workers))
+	for id, w := range m.workers {
+		roster[id] = max(m.recorder.roster[id], w.mark())
 	}
 	return roster
 }
@@ -42,11 +67,13 @@
 func rosterPart(id endive.WorkerID) int { return int(endive.Rendezvous("", string(id)) % rosterParts) }
 
 // rosterWrites returns the writes of those parts of a roster that aren't as recorded.
-func (m *Machine) rosterWrites(roster map[endive.WorkerID]bool) []endive.Write {
+func (m *Machine) rosterWrites(roster map[endive.WorkerID]rosterMark) []endive.Write {
 	var rows [rosterParts]Roster
-	for id := range roster {
+	for id, mark := range roster {
 		part := &rows[rosterPart(id)]
-		part.Workers = append(part.Workers, RosterWorker{ID: id, Address: m.workers[id].self.Address})
+		part.Workers = append(part.Workers, RosterWorker{
+			ID: id, Address: m.workers[id].self.Address, Draining: mark == rosterDraining,
+		})
 	}
 	changed := differingParts(m.recorder.roster, roster)
 	var writes []endive.Write
@@ -62,15 +89,15 @@
 }
 
 // differingParts returns the parts in which two rosters differ.
-func differingParts(a, b map[endive.WorkerID]bool) [rosterParts]bool {
+func differingParts(a, b map[endive.WorkerID]rosterMark) [rosterParts]bool {
 	var differ [rosterParts]bool
-	for id := range a {
-		if !b[id] {
+	for id, mark := range a {
+		if b[id] != mark {
 			differ[rosterPart(id)] = true
 		}
 	}
-	for id := range b {
-		if !a[id] {
+	for id, mark := range b {
+		if a[id] != mark {
 			differ[rosterPart(id)] = true
 		}
 	}
@@ -79,9 +106,9 @@
 
 // doubtRoster notes that a write of a roster may have been carried out or not: only
 // workers of both are surely recorded.
-func (m *Machine) doubtRoster(sent map[endive.WorkerID]bool) {
+func (m *Machine) doubtRoster(sent map[endive.WorkerID]rosterMark) {
 	for id := range m.recorder.roster {
-		if !sent[id] {
+		if sent[id] == rosterAbsent {
 			delete(m.recorder.roster, id)
 		}
 	}
--- a/flow/roster_test.go
+++ b/flow/roster_test.go
@@ -34,7 +34,7 @@
 	before := w.version
 	w.addWorker("i-new", endive.Resources{Processors: 32000})
 	w.run(3 * time.Second)
-	is.True(h.machine.recorder.roster["i-new"])
+	is.Equal(h.machine.recorder.roster["i-new"], rosterPresent)
 	written := 0
 	for key, row := range w.rows {
 		if row.Version > before && len(key) > len(RosterPrefix(testPool)) && key[:len(RosterPrefix(testPool))] == RosterPrefix(testPool) {
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -131,6 +131,10 @@
 type RosterWorker struct {
 	ID      endive.WorkerID `json:"id"`
 	Address endive.Address  `json:"address"`
+	// Draining says that the worker had told that it would leave.
+	Draining bool `json:"draining,omitempty"`
+	// Gone says that its life is known to be over; in no row.
+	Gone bool `json:"-"`
 }
 
 // Status is the row that tells how a pool fares.
@@ -139,6 +143,8 @@
 	Pending map[endive.QueueName]int `json:"pending"`
 	// Crowded says that work waits for room, so that new work won't start at once.
 	Crowded bool `json:"crowded,omitempty"`
+	// Forecasts is what was learned of how long the work of each queue takes.
+	Forecasts map[endive.QueueName]*Forecast `json:"forecasts,omitempty"`
 	// At is when the holder told so.
 	At endive.PlatformTime `json:"at"`
 }
--- a/flow/status.go
+++ b/flow/status.go
@@ -45,6 +45,7 @@
 		Crowded: !r.crowdedSince.IsZero() && m.now.Sub(r.crowdedSince) > crowdedAfter,
 		At:      m.clock.AtLeast(m.now),
 	}
+	r.current.Forecasts = m.copyForecasts()
 	for _, j := range m.jobs {
 		if !j.begun && !j.state.Ended() && j.spec.Schedule.Occurrences == 0 {
 			r.current.Pending[j.policy.Name]++
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -22,6 +22,8 @@
 	unheardUntil time.Time
 	// settled says that no task can run on a worker that hasn't answered.
 	settled bool
+	// revision is the one up to which the rows of work were taken in.
+	revision endive.Revision
 }
 
 func (m *Machine) tenureBegan(e TenureBegan) {
@@ -29,6 +31,7 @@
 	m.tenure = tenure{active: true, epoch: e.Epoch, until: e.Until, lastUntil: e.LastUntil}
 	// The last holder may renew leases for as long as it may start tasks.
 	m.tenure.unheardUntil = endive.Latest(m.now, e.LastUntil).Add(slowest(time.Duration(m.settings.Grant)) + guessMargin + leaseMargin)
+	m.takeForecasts(e.Forecasts)
 	m.recorder.fence = Fence{Epoch: e.Epoch}
 	m.recorder.fenceVersion = e.FenceVersion
 	m.note(Note{Kind: NoteTenure, Outcome: "began", Reason: "epoch " + number(int64(e.Epoch))})
@@ -36,11 +39,14 @@
 	m.updateWorkers()
 }
 
-func (m *Machine) tenureEnded() {
+func (m *Machine) tenureEnded(e TenureEnded) {
 	if !m.tenure.active {
 		return
 	}
 	m.note(Note{Kind: NoteTenure, Outcome: "ended", Reason: "epoch " + number(int64(m.tenure.epoch))})
+	if e.HandOver && m.tenure.loaded {
+		m.handOver()
+	}
 	m.forget()
 }
 
@@ -66,6 +72,7 @@
 		return
 	}
 	m.tenure.loaded = true
+	m.tenure.revision = e.Revision
 	progress := make(map[endive.JobID]Progress)
 	for _, row := range e.States {
 		id, read, ok := m.readProgress(row)
@@ -73,14 +80,20 @@
 			progress[id] = read
 		}
 	}
-	m.recorder.roster = make(map[endive.WorkerID]bool)
+	m.recorder.roster = make(map[endive.WorkerID]rosterMark)
 	for _, one := range e.Roster {
-		m.recorder.roster[one.ID] = true
-		if m.workers[one.ID] == nil {
+		m.recorder.roster[one.ID] = one.mark()
+		if m.workers[one.ID] == nil && !one.Gone {
 			m.addUnlisted(one)
 		}
 	}
+	for _, id := range e.Ended {
+		m.keepEnded(id)
+	}
 	m.takeRows(e.Work, progress)
+	for _, one := range e.Advice {
+		m.adviceNoted(one)
+	}
 	m.updateWorkers()
 	m.passDue = true
 	m.sweepAt = m.now
--- a/flow/work.go
+++ b/flow/work.go
@@ -23,6 +23,9 @@
 			continue
 		}
 		m.addJob(id, row.Value, done, true)
+		if j := m.jobs[id]; j != nil && known {
+			j.recorded = encode(done)
+		}
 	}
 	m.workChanged(rows)
 }
@@ -65,6 +68,7 @@
 	}
 	j := m.newJob(s)
 	j.inherited = inherited
+	j.submitted = value
 	m.jobs[id] = j
 	if j.spec.Schedule.Occurrences > 0 {
 		m.scheduled[id] = j
@@ -217,7 +221,11 @@
 // cancel ends a workflow on its caller's request.
 func (m *Machine) cancel(id endive.JobID) {
 	j := m.jobs[id]
-	if j == nil || j.state.Ended() {
+	if j == nil {
+		return
+	}
+	j.cancelled = true
+	if j.state.Ended() {
 		return
 	}
 	m.finish(j, endive.WorkflowCancelled, "cancelled by its caller")
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -49,6 +49,10 @@
 	// advisers are until when each entry that asks the advice service is busy; empty
 	// for as many entries as are needed.
 	advisers []time.Time
+	// loadTakes is how long the rows of a pool take to read; 0 for a store as usual.
+	loadTakes time.Duration
+	// given is what the last holder gave to the next one.
+	given *Loaded
 	// accepts says that entries ask for advice about what they accept.
 	accepts bool
 }
@@ -220,7 +224,7 @@
 	row := endive.Row{Key: key, Version: w.version, Value: encode(value)}
 	w.rows[key] = row
 	for _, h := range w.holders {
-		h.tell(WorkChanged{Rows: []endive.Row{row}})
+		h.tell(WorkChanged{Rows: []endive.Row{row}, Revision: endive.Revision(w.version)})
 	}
 }
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -44,6 +44,8 @@
 		return &Frame{Body: &Frame_AdviceAnswer{m}}
 	case *AdviceNote:
 		return &Frame{Body: &Frame_AdviceNote{m}}
+	case *PoolHandOver:
+		return &Frame{Body: &Frame_PoolHandOver{m}}
 	case *RelayAsk:
 		return &Frame{Body: &Frame_RelayAsk{m}}
 	case *RelayAnswer:
@@ -92,6 +94,8 @@
 		return b.AdviceAnswer
 	case *Frame_AdviceNote:
 		return b.AdviceNote
+	case *Frame_PoolHandOver:
+		return b.PoolHandOver
 	case *Frame_RelayAsk:
 		return b.RelayAsk
 	case *Frame_RelayAnswer:
