The holder tells states; the store's parts fail alone; the feed goes on over gaps

Change: the holder tells what it knows, an end once it is recorded; the rest is read as before. Change: a call that fails while later ones are answered tells of its part only. Cause: where the feed forgets its history, nothing new was heard of until 128 parts were read, or ever while one was silent. Change: the feed goes on from now, the gap is read beside it; a new holder reads its four tables side by side.

--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -154,7 +154,7 @@
 	r.ready()
 	cut := r.otherThan(r.holder())
 	r.until("the entries are linked", func() bool { return len(cut.peers.ids()) == 1 })
-	cut.Rows.saw(endive.ErrUnavailable.New("turned away"))
+	cut.Rows.sawNow(endive.ErrUnavailable.New("turned away"))
 	before := len(r.log.lines(`"kind":"relay"`, "RELAY_DONE"))
 	// A refusal says that nothing was done, so a caller may come back; the session
 	// between the entries may not be open yet.
--- a/entry/cell/follow.go
+++ b/entry/cell/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"endiveroute.example/endive"
@@ -25,6 +24,8 @@
 	after  endive.Revision
 	// given is what the last holder gave; nil if there is nothing.
 	given *flow.Loaded
+	// gap reads what the feed has forgotten.
+	gap *gapScan
 }
 
 // newFollow returns what reads for a tenure. What the last holder gave counts if nobody
@@ -34,7 +35,9 @@
 	if given != nil && (given.Epoch+1 != epoch || given.Revision == 0) {
 		given = nil
 	}
-	return &follow{pool: p, epoch: epoch, ctx: ctx, cancel: cancel, given: given}
+	f := &follow{pool: p, epoch: epoch, ctx: ctx, cancel: cancel, given: given}
+	f.gap = &gapScan{follow: f}
+	return f
 }
 
 func (f *follow) run() {
@@ -59,32 +62,17 @@
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, loadTimeout)
 	defer cancel()
-	rows, name := f.pool.cell.Rows, f.pool.name
-	work, err := f.pool.cell.scanWork(ctx, name)
+	reading := newLoading(f.pool)
+	go reading.runWork(ctx)
+	go reading.runStates(ctx)
+	go reading.runRoster(ctx)
+	go reading.runWorkers()
+	loaded, err := reading.wait()
 	if err != nil {
 		return flow.Loaded{}, err
 	}
-	states, err := rows.Scan(ctx, flow.StatePrefix(name), 0)
-	if err != nil {
-		return flow.Loaded{}, err
-	}
-	roster, err := rows.Scan(ctx, flow.RosterPrefix(name), 0)
-	if err != nil {
-		return flow.Loaded{}, err
-	}
-	if err := f.pool.cell.workers.refresh(); err != nil {
-		return flow.Loaded{}, err
-	}
-	f.after = work.Revision
-	loaded := flow.Loaded{Epoch: f.epoch, Revision: work.Revision, Work: work.Rows, States: states.Rows}
-	for _, row := range roster.Rows {
-		var read flow.Roster
-		if err := json.Unmarshal(row.Value, &read); err != nil {
-			f.pool.cell.Log.Error("the roster can't be read", "pool", string(name), "error", err.Error())
-			continue
-		}
-		loaded.Roster = append(loaded.Roster, read.Workers...)
-	}
+	loaded.Epoch = f.epoch
+	f.after = loaded.Revision
 	return loaded, nil
 }
 
@@ -94,18 +82,12 @@
 	ctx, cancel := context.WithTimeout(f.ctx, wait)
 	defer cancel()
 	prefix := flow.WorkPrefix(f.pool.name)
-	var changes endive.Changes
-	var err error
-	if f.after == 0 {
-		changes, err = f.pool.cell.scanWork(ctx, f.pool.name)
-	} else {
-		changes, err = f.pool.cell.Rows.Follow(ctx, prefix, f.after, followWait)
-	}
+	changes, err := f.pool.cell.Rows.Follow(ctx, prefix, f.after, followWait)
 	if f.ctx.Err() != nil {
 		return
 	}
 	if endive.ErrHistoryLost.Has(err) {
-		f.after = 0
+		f.skip(ctx)
 		return
 	}
 	if err != nil {
@@ -113,5 +95,10 @@
 		return
 	}
 	f.after = changes.Revision
-	f.pool.tell(flow.WorkChanged{Rows: changes.Rows, Revision: changes.Revision})
+	revision := changes.Revision
+	if f.gap.isOpen() {
+		// What the feed has forgotten may not be read yet.
+		revision = 0
+	}
+	f.pool.tell(flow.WorkChanged{Rows: changes.Rows, Revision: revision})
 }
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -31,7 +31,9 @@
 			continue
 		}
 		if err != nil {
-			l.offer()
+			if !l.cell.Rows.usable() {
+				l.offer()
+			}
 			continue
 		}
 		after = changes.Revision
--- a/entry/cell/perform.go
+++ b/entry/cell/perform.go
@@ -21,12 +21,16 @@
 	case elect.Began:
 		p.tenureBegan(a)
 	case elect.Renewed:
+		p.told.extend(a.Until)
 		p.tell(flow.TenureRenewed{Until: a.Until})
 	case elect.Lost:
 		p.cell.Log.Info("pool is lost", "pool", string(p.name), "reason", a.Reason)
 		p.endFollow()
+		p.told.clear()
 		p.left = a.Lease
 		p.tell(flow.TenureEnded{HandOver: a.HandedOver && p.successor.Load() != endive.EntryID("")})
+	case flow.Told:
+		p.told.take(a)
 	case flow.HandOver:
 		p.give(a.State)
 	case flow.Fenced:
@@ -52,6 +56,7 @@
 
 func (p *pool) tenureBegan(a elect.Began) {
 	p.cell.Log.Info("pool is held", "pool", string(p.name), "epoch", uint64(a.Epoch))
+	p.told.extend(a.Until)
 	p.cell.peers.tellTaken(p.name, a.Epoch)
 	seen, _ := p.cell.workers.seenOf(p.name)
 	p.tell(seen)
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -28,6 +28,10 @@
 	// it was left; empty for nobody.
 	successor atomic.Value
 	left      elect.Seen
+	// told is what callers may be told of the pool's workflows while it is held here.
+	told told
+	// quietUntil is until when the holder isn't asked for states, since it didn't answer.
+	quietUntil atomic.Pointer[time.Time]
 	// given is what the last holder gave this entry; nil for nothing.
 	given atomic.Pointer[flow.Loaded]
 	// status is what the pool's holder told last.
@@ -59,6 +63,7 @@
 func newPool(c *Cell, name endive.PoolName) *pool {
 	id := c.Settings.Name
 	p := &pool{name: name, cell: c}
+	p.quietUntil.Store(&time.Time{})
 	p.status.Store(&flow.Status{})
 	p.holder.Store(endive.EntryID(""))
 	p.successor.Store(endive.EntryID(""))
@@ -119,6 +124,7 @@
 // heldBy notes which entry holds the pool, and links to it.
 func (p *pool) heldBy(holder endive.EntryID) {
 	if p.holder.Swap(holder) != holder {
+		p.quietUntil.Store(&time.Time{})
 		p.cell.peers.link()
 	}
 }
--- a/entry/cell/questions.go
+++ b/entry/cell/questions.go
@@ -36,6 +36,9 @@
 
 // State implements endive.Cell.
 func (c *Cell) State(ctx context.Context, queue endive.Queue, id endive.JobID) (endive.WorkflowState, error) {
+	if state, ok := c.heldState(ctx, queue, id); ok {
+		return state, nil
+	}
 	if !c.Rows.usable() {
 		answer := c.relays.try(ctx, relayAsk(wire.RelayKind_RELAY_STATE, queue, id))
 		return endive.WorkflowState(answer.GetState()), errorOf(answer)
--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -165,7 +165,8 @@
 	answer := r.do(ctx)
 	answer.Tag = r.ask.GetTag()
 	r.cell.peers.mesh.Send(r.from, answer)
-	if r.ask.GetKind() == wire.RelayKind_RELAY_PROBE {
+	switch r.ask.GetKind() {
+	case wire.RelayKind_RELAY_PROBE, wire.RelayKind_RELAY_HELD_STATE:
 		return
 	}
 	r.cell.Log.Info("decision", "kind", "relay", "job", r.ask.GetJob(), "entry", string(r.from),
@@ -175,6 +176,9 @@
 func (r *relayed) do(ctx context.Context) *wire.RelayAnswer {
 	c, id := r.cell, endive.JobID(r.ask.GetJob())
 	queue := endive.Queue{Name: endive.QueueName(r.ask.GetQueue()), Pool: endive.PoolName(r.ask.GetPool())}
+	if r.ask.GetKind() == wire.RelayKind_RELAY_HELD_STATE {
+		return c.tellHeldState(queue.Pool, id)
+	}
 	if !c.Rows.usable() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away here too"}
 	}
--- a/entry/cell/scan.go
+++ b/entry/cell/scan.go
@@ -25,29 +25,32 @@
 	s.results <- shardResult{changes: changes, err: err}
 }
 
-// scanWork reads all rows of a pool's table of work, its parts side by side. What
-// changes meanwhile is told by what follows after its revision.
-func (c *Cell) scanWork(ctx context.Context, pool endive.PoolName) (endive.Changes, error) {
+// scanShards reads the parts of a pool's table of work side by side.
+func (c *Cell) scanShards(ctx context.Context, pool endive.PoolName) []shardResult {
 	prefixes := flow.WorkShards(pool)
 	results := make(chan shardResult, len(prefixes))
 	for _, prefix := range prefixes {
 		go (&shardScan{rows: c.Rows, prefix: prefix, results: results}).run(ctx)
 	}
-	var all endive.Changes
-	var failed error
+	read := make([]shardResult, 0, len(prefixes))
 	for range prefixes {
-		one := <-results
+		read = append(read, <-results)
+	}
+	return read
+}
+
+// scanWork reads all rows of a pool's table of work. What changes meanwhile is told by what
+// follows after its revision.
+func (c *Cell) scanWork(ctx context.Context, pool endive.PoolName) (endive.Changes, error) {
+	var all endive.Changes
+	for _, one := range c.scanShards(ctx, pool) {
 		if one.err != nil {
-			failed = one.err
-			continue
+			return endive.Changes{}, one.err
 		}
 		if all.Revision == 0 || one.changes.Revision < all.Revision {
 			all.Revision = one.changes.Revision
 		}
 		all.Rows = append(all.Rows, one.changes.Rows...)
 	}
-	if failed != nil {
-		return endive.Changes{}, failed
-	}
 	return all, nil
 }
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -51,9 +51,11 @@
 	badSince time.Time
 	// backAt is when it answered again after an outage.
 	backAt time.Time
-	// open are the beginnings of the short calls on their way, by their numbers.
-	open map[uint64]time.Time
+	// open are the short calls on their way, by their numbers.
+	open map[uint64]storeCall
 	last uint64
+	// parts tells which parts of the store don't answer.
+	parts partHealth
 	// usual is how long a short call takes, way the shortest that one took.
 	usual endive.Interval
 	way   endive.Interval
@@ -61,12 +63,16 @@
 
 // NewStore returns a store that hasn't been asked yet.
 func NewStore(inner Rows, clock endive.Clock, log hclog.Logger) *Store {
-	return &Store{inner: inner, clock: clock, log: log, open: make(map[uint64]time.Time)}
+	return &Store{inner: inner, clock: clock, log: log, open: make(map[uint64]storeCall), parts: newPartHealth()}
 }
 
 // Commit implements endive.Table.
 func (s *Store) Commit(ctx context.Context, txn endive.Transaction) (endive.CommitResult, error) {
-	call := s.begin()
+	part := ""
+	if len(txn.Writes) > 0 {
+		part = partOf(txn.Writes[0].Key)
+	}
+	call := s.begin(part)
 	result, err := s.inner.Commit(ctx, txn)
 	s.end(call, err)
 	return result, err
@@ -74,7 +80,11 @@
 
 // Read implements endive.Table.
 func (s *Store) Read(ctx context.Context, keys ...string) ([]endive.Row, error) {
-	call := s.begin()
+	part := ""
+	if len(keys) > 0 {
+		part = partOf(keys[0])
+	}
+	call := s.begin(part)
 	rows, err := s.inner.Read(ctx, keys...)
 	s.end(call, err)
 	return rows, err
@@ -82,7 +92,7 @@
 
 // Scan implements endive.Table.
 func (s *Store) Scan(ctx context.Context, prefix string, after endive.Revision) (endive.Changes, error) {
-	call := s.begin()
+	call := s.begin(partOf(prefix))
 	changes, err := s.inner.Scan(ctx, prefix, after)
 	s.end(call, err)
 	return changes, err
@@ -91,38 +101,42 @@
 // Follow implements endive.RowFeed.
 func (s *Store) Follow(ctx context.Context, prefix string, after endive.Revision, wait endive.Interval) (endive.Changes, error) {
 	if wait > 0 {
+		began := s.clock.Now()
 		changes, err := s.inner.Follow(ctx, prefix, after, wait)
-		s.saw(err)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.saw(storeCall{began: began, part: partOf(prefix)}, err)
 		return changes, err
 	}
-	call := s.begin()
+	call := s.begin(partOf(prefix))
 	changes, err := s.inner.Follow(ctx, prefix, after, 0)
 	s.end(call, err)
 	return changes, err
 }
 
-// begin notes that a short call is on its way.
-func (s *Store) begin() uint64 {
+// begin notes that a short call to a part is on its way.
+func (s *Store) begin(part string) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last++
-	s.open[s.last] = s.clock.Now()
+	s.open[s.last] = storeCall{began: s.clock.Now(), part: part}
 	return s.last
 }
 
 // end takes in the result of a short call.
-func (s *Store) end(call uint64, err error) {
+func (s *Store) end(number uint64, err error) {
 	s.mu.Lock()
-	took := endive.Interval(s.clock.Now().Sub(s.open[call]))
-	delete(s.open, call)
+	defer s.mu.Unlock()
+	call := s.open[number]
+	delete(s.open, number)
 	if answered(err) {
+		took := endive.Interval(s.clock.Now().Sub(call.began))
 		s.usual += endive.Interval(usualWeight * float64(took-s.usual))
 		if s.way == 0 || took < s.way {
 			s.way = took
 		}
 	}
-	s.mu.Unlock()
-	s.saw(err)
+	s.saw(call, err)
 }
 
 // answered reports whether the store did what it was asked for, or said why not.
@@ -130,12 +144,11 @@
 	return err == nil || endive.ErrConflict.Has(err) || endive.ErrHistoryLost.Has(err)
 }
 
-// saw takes in the result of a call.
-func (s *Store) saw(err error) {
+// saw takes in the result of a call. The caller holds the lock.
+func (s *Store) saw(call storeCall, err error) {
 	now := s.clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if answered(err) {
+		s.parts.answered(call)
 		if !s.good {
 			s.log.Info("dependency is back", "dependency", "store", "awayMillis", sinceMillis(now, s.badSince))
 		}
@@ -145,6 +158,10 @@
 		s.good, s.goodAt = true, now
 		return
 	}
+	if s.parts.failed(call, now) {
+		s.log.Info("a part of the store doesn't answer", "part", call.part, "error", err.Error())
+		return
+	}
 	if s.good {
 		s.good = false
 		s.badSince = now
@@ -166,21 +183,36 @@
 	return s.good
 }
 
-// usable reports whether a write may be expected to be answered: the last call was,
-// and none is on its way for much longer than usual.
+// usable reports whether a write may be expected to be answered: the store was there when
+// it was called last, and no call is on its way for much longer than usual that began after
+// all that were answered.
 func (s *Store) usable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.good {
+	return s.good && !s.overdue(func(call storeCall) bool { return !s.parts.isThere(call) })
+}
+
+// takes reports whether a write of a row may be expected to be answered.
+func (s *Store) takes(key string) bool {
+	if !s.usable() {
 		return false
 	}
+	part := partOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts.usable(part, s.clock.Now()) && !s.overdue(func(call storeCall) bool { return call.part == part })
+}
+
+// overdue reports whether one of some calls is on its way for much longer than usual. The
+// caller holds the lock.
+func (s *Store) overdue(counts func(storeCall) bool) bool {
 	now, patience := s.clock.Now(), max(storeDoubt, time.Duration(slowFactor*s.usual))
-	for _, began := range s.open {
-		if now.Sub(began) > patience {
-			return false
+	for _, call := range s.open {
+		if now.Sub(call.began) > patience && counts(call) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // patience returns how long to wait for the answer to a submission.
--- a/entry/cell/suits_test.go
+++ b/entry/cell/suits_test.go
@@ -92,8 +92,8 @@
 	c.peers.known = true
 	p := newPool(c, "svc")
 	longAgo := clock.Now().Add(-time.Hour)
-	c.Rows.saw(nil)
+	c.Rows.sawNow(nil)
 	is.True(p.due(longAgo).Before(clock.Now()))
-	c.Rows.saw(endive.ErrUnavailable.New("turned away"))
+	c.Rows.sawNow(endive.ErrUnavailable.New("turned away"))
 	is.True(p.due(longAgo).After(clock.Now()))
 }
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -36,6 +36,16 @@
 // write id.
 type Record struct{ Transaction endive.Transaction }
 
+// Told says what callers may be told of a workflow from now on: an end only once it is
+// recorded. An empty state says that it isn't known here any more.
+type Told struct {
+	Job   endive.JobID
+	State endive.WorkflowState
+}
+
+// IsAction marks Told as an action.
+func (Told) IsAction() {}
+
 // HandOver gives what the pool's next holder would read in the store. Epoch is that of
 // the tenure which has ended.
 type HandOver struct{ State Loaded }
--- a/flow/deletions.go
+++ b/flow/deletions.go
@@ -45,6 +45,7 @@
 // noteEnded notes that the end of a workflow is recorded.
 func (m *Machine) noteEnded(id endive.JobID, state endive.WorkflowState) {
 	m.endings.known[id] = true
+	m.emit(Told{Job: id, State: state})
 	m.endings.uncleared = append(m.endings.uncleared, endedJob{id: id, state: state, dueAt: m.now.Add(clearAfter)})
 }
 
@@ -130,6 +131,7 @@
 	m.endings.uncleared = m.endings.uncleared[sent.cleared:]
 	for _, one := range m.endings.kept[:sent.deleted] {
 		delete(m.endings.known, one.id)
+		m.emit(Told{Job: one.id})
 	}
 	m.endings.kept = m.endings.kept[sent.deleted:]
 }
--- a/flow/held.go
+++ b/flow/held.go
@@ -273,6 +273,7 @@
 	if !j.begun || j.state == endive.WorkflowQueued {
 		j.begun = true
 		j.state = endive.WorkflowRunning
+		m.tell(j)
 		m.touch(j, rowLazy)
 	}
 	if t.step.spec.Gang {
--- a/flow/run.go
+++ b/flow/run.go
@@ -207,6 +207,7 @@
 		j.begun = true
 		if !j.state.Ended() {
 			j.state = endive.WorkflowRunning
+			m.tell(j)
 			m.touch(j, rowLazy)
 		}
 	}
--- a/flow/work.go
+++ b/flow/work.go
@@ -69,6 +69,7 @@
 	j := m.newJob(s)
 	j.inherited = inherited
 	j.submitted = value
+	defer m.tell(j)
 	m.jobs[id] = j
 	if j.spec.Schedule.Occurrences > 0 {
 		m.scheduled[id] = j
@@ -95,6 +96,13 @@
 		", accepted " + m.now.Sub(j.accepted).Round(time.Millisecond).String() + " ago"})
 }
 
+// tell says what callers may be told of a job that hasn't ended.
+func (m *Machine) tell(j *job) {
+	if !j.state.Ended() {
+		m.emit(Told{Job: j.id, State: j.state})
+	}
+}
+
 // restore makes an occurrence from what is recorded of it.
 func (m *Machine) restore(j *job, done OccurrenceProgress) {
 	if done.Number < 0 || done.Number >= j.spec.Schedule.Count() || j.occs[done.Number] != nil {
