After a restart of all the pool is held at once; a silent part or worker holds up less

A holder offered its pool to an entry that noticed the store's return a moment earlier. Change: the lease of an earlier process of this very entry is free; a silent part is asked again by itself; questions go out before the takeover is settled; a pool is offered after 0.6 s of being away alone. Tests: TestEarlierProcessOfThisEntryHasEnded, TestOfferedPoolIsTakenAtOnce.

--- a/elect/machine.go
+++ b/elect/machine.go
@@ -207,9 +207,13 @@
 	// A lease of this very process that isn't held any more was lost to a fence,
 	// or taken by a write whose answer was lost; nobody else may take it.
 	ours := m.lease.Incarnation == m.incarnation
+	// A lease of an earlier process of this entry is free as well: that process has ended,
+	// since this one runs in its place. After a restart of all entries nobody else can
+	// tell so soon.
 	// The epoch keeps a holder out that is suspected wrongly.
 	suspected := m.suspected != "" && m.suspected == m.lease.Incarnation
-	if m.version > 0 && !m.lease.Vacant && !ours && !suspected {
+	earlier := m.lease.Holder == m.entry && !ours
+	if m.version > 0 && !m.lease.Vacant && !ours && !earlier && !suspected {
 		over := m.clock.AtLeast(m.now) >= m.lease.Until
 		if !over {
 			m.freeSince = time.Time{}
@@ -221,7 +225,7 @@
 		m.freeSince = m.now
 	}
 	due := m.due(m.freeSince)
-	if m.now.Before(due) && !m.offered {
+	if m.now.Before(due) && !m.offered && !earlier {
 		m.wake(due)
 		return
 	}
@@ -230,7 +234,7 @@
 		return
 	}
 	m.lastUntil = time.Time{}
-	if left := m.lease.Until - m.clock.AtLeast(m.now); left > 0 && !m.lease.Vacant && !ours {
+	if left := m.lease.Until - m.clock.AtLeast(m.now); left > 0 && !m.lease.Vacant && !ours && !earlier {
 		m.lastUntil = m.now.Add(time.Duration(left) * time.Millisecond)
 	}
 	m.write(Lease{
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -252,3 +252,49 @@
 	r.is.True(ok)
 	r.is.Equal(b.Epoch, endive.Epoch(41))
 }
+
+// The load: all entries end at once and start anew. The one that held the pool knows by its
+// own name that the holder has ended, and takes it at once, though others suit as well;
+// another entry waits until the lease has run out.
+func TestEarlierProcessOfThisEntryHasEnded(t *testing.T) {
+	tests := []struct {
+		name   string
+		holder endive.EntryID
+		taken  bool
+	}{
+		{"an earlier process of this entry", "entry-1", true},
+		{"another entry", "entry-2", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t)
+			r.wait = endive.Interval(time.Second)
+			r.others(Lease{Holder: tt.holder, Incarnation: "run-0", Epoch: 4, Until: 1500})
+			_, taken := recordIn(r.see())
+			r.is.Equal(taken, tt.taken)
+			r.is.True(r.machine.lastUntil.IsZero())
+		})
+	}
+}
+
+// A pool that its last holder leaves to this entry is taken at once, with the lease's row
+// as it was left. One that another entry took meanwhile isn't.
+func TestOfferedPoolIsTakenAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.wait = endive.Interval(time.Second)
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-7", Epoch: 4, Until: 1500})
+	r.see()
+	r.others(Lease{Holder: "entry-2", Incarnation: "run-7", Epoch: 4, Until: 1500, Vacant: true})
+	left := Seen{Version: r.version, Value: r.value}
+	txn, taken := recordIn(r.step(Offered{Lease: left}))
+	r.is.True(taken)
+	r.is.Equal(txn.Conditions[0].Version, left.Version)
+
+	late := newRig(t)
+	late.others(Lease{Holder: "entry-2", Incarnation: "run-7", Epoch: 4, Until: 1500, Vacant: true})
+	old := Seen{Version: late.version, Value: late.value}
+	late.others(Lease{Holder: "entry-3", Incarnation: "run-1", Epoch: 5, Until: 1500})
+	late.see()
+	_, taken = recordIn(late.step(Offered{Lease: old}))
+	late.is.True(!taken)
+}
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -13,6 +13,9 @@
 // leaseLoop follows the leases of all pools.
 type leaseLoop struct {
 	cell *Cell
+	// ableSince is when another entry was first found to reach the store while this one
+	// doesn't; zero while it does, or nobody does.
+	ableSince time.Time
 	// handedOnAt is when a pool was last offered to an entry that suits better.
 	handedOnAt time.Time
 }
@@ -36,6 +39,7 @@
 			}
 			continue
 		}
+		l.ableSince = time.Time{}
 		after = changes.Revision
 		for _, row := range changes.Rows {
 			l.saw(row)
@@ -113,12 +117,30 @@
 		if !p.holds.Load() {
 			continue
 		}
-		if to, ok := l.cell.relays.findAble(ctx, l.cell.peers.linkedFor(p.name)); ok {
+		to, ok := l.cell.relays.findAble(ctx, l.cell.peers.linkedFor(p.name))
+		if l.mayOffer(ok) {
 			l.offerTo(to, p, "the store is away")
 		}
 	}
 }
 
+// awayAlone is how long another entry has to reach the store, and this one not, for a pool
+// to be offered. After an outage of the whole store some notice its return before others.
+const awayAlone = 600 * time.Millisecond
+
+// mayOffer takes in whether another entry reaches the store, and reports whether it has
+// done so for long enough.
+func (l *leaseLoop) mayOffer(able bool) bool {
+	now := l.cell.Clock.Now()
+	switch {
+	case !able:
+		l.ableSince = time.Time{}
+	case l.ableSince.IsZero():
+		l.ableSince = now
+	}
+	return able && now.Sub(l.ableSince) >= awayAlone
+}
+
 func (l *leaseLoop) saw(row endive.Row) {
 	for _, p := range l.cell.allPools() {
 		switch row.Key {
--- a/entry/cell/scan.go
+++ b/entry/cell/scan.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/flow"
 )
 
-// shardScan reads one of the parts that a pool's work is spread over.
+// shardScan reads one of the parts that a pool's work is spread over. One that doesn't
+// answer is asked again, so that it doesn't hold up the others.
 type shardScan struct {
+	timeout time.Duration
 	rows    Rows
 	prefix  string
 	results chan<- shardResult
@@ -21,16 +24,24 @@
 }
 
 func (s *shardScan) run(ctx context.Context) {
-	changes, err := s.rows.Scan(ctx, s.prefix, 0)
-	s.results <- shardResult{changes: changes, err: err}
+	for {
+		limited, cancel := context.WithTimeout(ctx, s.timeout)
+		changes, err := s.rows.Scan(limited, s.prefix, 0)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			s.results <- shardResult{changes: changes, err: err}
+			return
+		}
+	}
 }
 
 // scanShards reads the parts of a pool's table of work side by side.
 func (c *Cell) scanShards(ctx context.Context, pool endive.PoolName) []shardResult {
 	prefixes := flow.WorkShards(pool)
 	results := make(chan shardResult, len(prefixes))
+	timeout := c.Rows.patience(time.Duration(c.Settings.Timings.StoreTimeout))
 	for _, prefix := range prefixes {
-		go (&shardScan{rows: c.Rows, prefix: prefix, results: results}).run(ctx)
+		go (&shardScan{timeout: timeout, rows: c.Rows, prefix: prefix, results: results}).run(ctx)
 	}
 	read := make([]shardResult, 0, len(prefixes))
 	for range prefixes {
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -62,6 +62,15 @@
 	m.advice.wanted = append(m.advice.wanted, s)
 }
 
+// surveyAhead asks about a step that can't start yet, since its tasks may run unseen. The
+// load: a takeover with hundreds of workflows, while one worker doesn't answer. Which
+// workers are good stays true until it does.
+func (m *Machine) surveyAhead(s *step) {
+	if m.needsTicket(s) && !s.tickets.surveyed() && !s.tickets.onItsWay(m.now) {
+		m.plan(s, m.surveySize(s))
+	}
+}
+
 const (
 	// foresight is how much earlier than needed advice is asked for.
 	foresight = 200 * time.Millisecond
--- a/flow/pass.go
+++ b/flow/pass.go
@@ -74,6 +74,9 @@
 			m.foresee(s)
 			continue
 		}
+		if s.occ.job.inheritedUnseen(m) {
+			m.surveyAhead(s)
+		}
 		if s.spec.Gang {
 			m.placeGang(s)
 		} else {
