Questions at busy entries are waited for, and late answers count

The answer was thrown away, its entry left alone for 4 s, and the holder asked nothing at all for 0.3 s. Half of the batch gangs had their first answer after 1.3 s, up to 4.5 s, while 30 to 80 steps were unasked beside a pool in use to 60 to 80%. Change: an entry that was heard of since it was asked is waited for, up to 3 s; an answer after that still tells which workers are good; a question that fails holds up its step only. Tests: TestBusyHelperIsWaitedFor, TestLateAnswerCounts.

--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -14,6 +14,11 @@
 	// helperMargin is how much longer than its cost a question to another entry may
 	// take before it is given up.
 	helperMargin = 900 * time.Millisecond
+	// helperPatience bounds how much longer it may take where the entry is heard of
+	// meanwhile: it answers the questions of many.
+	helperPatience = 3 * time.Second
+	// lateAge is how long the answer to a question that was given up still counts.
+	lateAge = 5 * time.Second
 	// helperPause is how long an entry that didn't answer isn't asked.
 	helperPause = 4 * time.Second
 )
@@ -28,6 +33,9 @@
 	last uint64
 	// waiting are the questions that other entries ask for us.
 	waiting map[uint64]*helped
+	// late are those that were given up, whose answers still tell which workers are
+	// good.
+	late map[uint64]*helped
 	// known are the entries that may be asked, this one included under "".
 	known map[endive.EntryID]*helper
 }
@@ -46,14 +54,16 @@
 	tag      uint64
 	to       endive.EntryID
 	question question
-	timer    *time.Timer
+	// sentAt is when the question was sent, dueAt when its answer is due.
+	sentAt, dueAt time.Time
+	timer         *time.Timer
 }
 
 // self is the key of this entry among the helpers.
 const self = endive.EntryID("")
 
 func newHelpers(c *Cell) *helpers {
-	return &helpers{cell: c, last: firstTag(c), waiting: make(map[uint64]*helped), known: map[endive.EntryID]*helper{self: {}}}
+	return &helpers{cell: c, last: firstTag(c), waiting: make(map[uint64]*helped), late: make(map[uint64]*helped), known: map[endive.EntryID]*helper{self: {}}}
 }
 
 // firstTag returns a tag that no earlier run of this entry has reached, since answers
@@ -109,9 +119,9 @@
 		return true
 	}
 	h.last++
-	asked := &helped{helpers: h, tag: h.last, to: to, question: q}
+	asked := &helped{helpers: h, tag: h.last, to: to, question: q, sentAt: now, dueAt: one.busyUntil.Add(helperMargin)}
 	h.waiting[asked.tag] = asked
-	asked.timer = time.AfterFunc(one.busyUntil.Sub(now)+helperMargin, asked.expire)
+	asked.timer = time.AfterFunc(asked.dueAt.Sub(now), asked.overdue)
 	h.mu.Unlock()
 	message := &wire.AdviceAsk{
 		Tag: asked.tag, Step: string(q.step), Workers: namesOf(q.workers), CostMillis: time.Duration(q.cost).Milliseconds(),
@@ -158,17 +168,40 @@
 	return asked
 }
 
+// overdue waits on for an entry that was heard of since it was asked.
+func (a *helped) overdue() {
+	h := a.helpers
+	now := h.cell.Clock.Now()
+	if now.Before(a.dueAt.Add(helperPatience)) && h.cell.peers.heardSince(a.to, a.sentAt) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.waiting[a.tag] == a {
+			a.timer.Reset(helperMargin)
+		}
+		return
+	}
+	a.expire()
+}
+
 // expire gives a question up, and leaves the entry that didn't answer alone.
 func (a *helped) expire() {
-	if a.helpers.take(a.tag, a.to) == nil {
+	h := a.helpers
+	if h.take(a.tag, a.to) == nil {
 		return
 	}
-	a.helpers.mu.Lock()
-	if one := a.helpers.known[a.to]; one != nil {
-		one.avoidUntil = a.helpers.cell.Clock.Now().Add(helperPause)
+	now := h.cell.Clock.Now()
+	h.mu.Lock()
+	if one := h.known[a.to]; one != nil {
+		one.avoidUntil = now.Add(helperPause)
 		one.busyUntil = time.Time{}
 	}
-	a.helpers.mu.Unlock()
+	for tag, old := range h.late {
+		if now.Sub(old.sentAt) > lateAge {
+			delete(h.late, tag)
+		}
+	}
+	h.late[a.tag] = a
+	h.mu.Unlock()
 	a.helpers.cell.Log.Warn("an entry didn't ask for advice", "entry", string(a.to), "step", string(a.question.step))
 	a.helpers.cell.adviser.answer(a.question, endive.Advice{}, false)
 }
@@ -177,6 +210,7 @@
 func (h *helpers) answered(from endive.EntryID, m *wire.AdviceAnswer) {
 	asked := h.take(m.GetTag(), from)
 	if asked == nil {
+		h.answeredLate(from, m)
 		return
 	}
 	advice := endive.Advice{
@@ -186,6 +220,22 @@
 	h.cell.adviser.answer(asked.question, advice, m.GetAnswered())
 }
 
+// answeredLate takes in the answer to a question that was given up: which workers are good
+// stays true.
+func (h *helpers) answeredLate(from endive.EntryID, m *wire.AdviceAnswer) {
+	h.mu.Lock()
+	asked := h.late[m.GetTag()]
+	if asked != nil && asked.to == from {
+		delete(h.late, m.GetTag())
+	}
+	h.mu.Unlock()
+	if asked == nil || asked.to != from || !m.GetAnswered() || asked.question.from != "" {
+		return
+	}
+	validity := endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)
+	asked.question.pool.noteAdvice(asked.question, endive.Advice{Good: grantsIn(m.GetGood()), Validity: validity})
+}
+
 // heardBacklog takes in how busy an entry is with questions of all holders. What
 // this entry sent meanwhile may not be counted there yet.
 func (h *helpers) heardBacklog(from endive.EntryID, backlog time.Duration) {
--- a/entry/cell/helpers_test.go
+++ b/entry/cell/helpers_test.go
@@ -55,3 +55,68 @@
 		is.True(count <= most)
 	}
 }
+
+// askedOf returns a question that another entry was asked a while ago.
+func askedOf(c *Cell, to endive.EntryID, step endive.StepID) *helped {
+	h := c.helpers
+	now := c.Clock.Now()
+	asked := &helped{
+		helpers: h, tag: 1, to: to, sentAt: now.Add(-time.Second), dueAt: now,
+		question: question{step: step, workers: []endive.WorkerID{"i-0", "i-1", "i-gone"}, pool: c.poolNamed("svc"), own: true},
+	}
+	asked.timer = time.AfterFunc(time.Hour, asked.overdue)
+	h.mu.Lock()
+	h.waiting[asked.tag] = asked
+	h.mu.Unlock()
+	return asked
+}
+
+// The load: entries that answer the questions of many, so that answers come later than
+// reckoned. Of one that is heard of the answer is waited for; one that is silent isn't
+// asked for a while.
+func TestBusyHelperIsWaitedFor(t *testing.T) {
+	tests := []struct {
+		name  string
+		heard bool
+	}{
+		{"heard of since", true},
+		{"silent", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, 1, 1)
+			r.ready()
+			c := r.cells[0]
+			asked := askedOf(c, "entry-9", "00000000000000aa.0.0")
+			c.helpers.mu.Lock()
+			c.helpers.known["entry-9"] = &helper{}
+			c.helpers.mu.Unlock()
+			if tt.heard {
+				c.peers.hear("entry-9")
+			}
+			asked.overdue()
+			c.helpers.mu.Lock()
+			defer c.helpers.mu.Unlock()
+			is.Equal(c.helpers.waiting[asked.tag] == asked, tt.heard)
+			if one := c.helpers.known["entry-9"]; one != nil {
+				is.Equal(one.avoidUntil.IsZero(), tt.heard)
+			}
+		})
+	}
+}
+
+// An answer that comes after its question was given up still tells which workers are good.
+func TestLateAnswerCounts(t *testing.T) {
+	r := newRig(t, 2, 1)
+	r.ready()
+	c := r.holder()
+	r.until("the holder has read all rows", func() bool { return len(r.log.lines(`"loaded"`)) == 1 })
+	r.accept(c, "/slow/", "00000000000000aa", 1, false)
+	asked := askedOf(c, "entry-9", "00000000000000aa.0.0")
+	asked.expire()
+	c.helpers.answered("entry-9", &wire.AdviceAnswer{
+		Tag: asked.tag, Answered: true, Good: []*wire.AdviceGrant{{Worker: "i-1", Ticket: "late"}}, ValidityMillis: 2000,
+	})
+	r.until("the answer is taken", func() bool { return len(r.log.lines("00000000000000aa.0.0: 1 good, 2 bad")) == 1 })
+}
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -44,6 +44,8 @@
 	knownSince time.Time
 	// askers are entries that asked something lately.
 	askers map[endive.EntryID]time.Time
+	// heard is when something came from each entry last.
+	heard map[endive.EntryID]time.Time
 	// startedAt is when this process first had the platform's time.
 	startedAt endive.PlatformTime
 	linked    map[endive.EntryID]bool
@@ -52,7 +54,7 @@
 func newPeers(c *Cell) *peers {
 	p := &peers{
 		cell: c, rows: make(map[endive.EntryID]entryRow), askers: make(map[endive.EntryID]time.Time),
-		linked: make(map[endive.EntryID]bool),
+		linked: make(map[endive.EntryID]bool), heard: make(map[endive.EntryID]time.Time),
 	}
 	p.mesh = peer.New(p.own(), p, c.Counters, c.Log)
 	p.mesh.Watch(p)
@@ -152,8 +154,24 @@
 	}
 }
 
+// hear notes that something came from an entry.
+func (p *peers) hear(from endive.EntryID) {
+	now := p.cell.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[from] = now
+}
+
+// heardSince reports whether something has come from an entry since a time.
+func (p *peers) heardSince(id endive.EntryID, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard[id].After(since)
+}
+
 // Deliver implements peer.Inbox.
 func (p *peers) Deliver(from endive.EntryID, incarnation endive.Incarnation, message proto.Message) {
+	p.hear(from)
 	switch m := message.(type) {
 	case *wire.AdviceAsk:
 		p.asked(from)
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -19,8 +19,7 @@
 	// wanted lists the steps that could use an answer, in the order of the pass.
 	wanted []*step
 	// nextAt is when the next question may be asked; zero for never.
-	nextAt  time.Time
-	retryAt time.Time
+	nextAt time.Time
 	// room is what is left for the steps that come later in the pass, if those
 	// before get what they ask for; short says that some found none.
 	room  endive.Resources
@@ -114,10 +113,6 @@
 	if len(m.advice.wanted) == 0 {
 		return false
 	}
-	if m.now.Before(m.advice.retryAt) {
-		m.advice.nextAt = m.advice.retryAt
-		return false
-	}
 	for i, s := range m.advice.wanted {
 		if m.now.Before(s.tickets.askAt) {
 			m.advice.nextAt = endive.Earliest(m.advice.nextAt, s.tickets.askAt)
@@ -216,9 +211,6 @@
 func (m *Machine) advised(e Advised) {
 	m.advice.asking = max(0, m.advice.asking-e.Cost)
 	s := m.stepOf(e.Step)
-	if !e.OK {
-		m.advice.retryAt = m.now.Add(adviceRetry)
-	}
 	m.passDue = true
 	if s == nil {
 		return
