Callers are told of an end once it is recorded

Change: the holder answers a question about a workflow that has ended once the end is recorded, if that takes no longer than 0.15 s; the state as before otherwise. Nothing else is waited for. Test: TestEndIsToldOnceRecorded.

--- a/entry/cell/relay.go
+++ b/entry/cell/relay.go
@@ -177,7 +177,7 @@
 	c, id := r.cell, endive.JobID(r.ask.GetJob())
 	queue := endive.Queue{Name: endive.QueueName(r.ask.GetQueue()), Pool: endive.PoolName(r.ask.GetPool())}
 	if r.ask.GetKind() == wire.RelayKind_RELAY_HELD_STATE {
-		return c.tellHeldState(queue.Pool, id)
+		return c.tellHeldState(ctx, queue.Pool, id)
 	}
 	if !c.Rows.usable() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is away here too"}
--- a/entry/cell/told.go
+++ b/entry/cell/told.go
@@ -19,8 +19,11 @@
 const (
 	// nearTimeout bounds the wait for a holder of this region that tells a state, and
 	// farTimeout for one of another region.
-	nearTimeout = 80 * time.Millisecond
-	farTimeout  = 200 * time.Millisecond
+	nearTimeout = 80*time.Millisecond + endingWait
+	farTimeout  = 200*time.Millisecond + endingWait
+	// endingWait bounds the wait for the record of an end: its caller would be told that
+	// the workflow runs, and ask again later.
+	endingWait = 150 * time.Millisecond
 	// quietPause is how long a holder that didn't answer isn't asked for states.
 	quietPause = time.Second
 )
@@ -29,6 +32,8 @@
 type told struct {
 	mu     sync.Mutex
 	states map[endive.JobID]endive.WorkflowState
+	// ending has, for each workflow whose end isn't recorded yet, what is closed then.
+	ending map[endive.JobID]chan struct{}
 	// until is when the lease of the pool ends, after which another entry may know more.
 	until time.Time
 }
@@ -46,6 +51,14 @@
 	defer t.mu.Unlock()
 	if t.states == nil {
 		t.states = make(map[endive.JobID]endive.WorkflowState)
+		t.ending = make(map[endive.JobID]chan struct{})
+	}
+	if recorded := t.ending[a.Job]; recorded != nil {
+		close(recorded)
+		delete(t.ending, a.Job)
+	}
+	if a.Ending {
+		t.ending[a.Job] = make(chan struct{})
 	}
 	if a.State == "" {
 		delete(t.states, a.Job)
@@ -58,7 +71,28 @@
 func (t *told) clear() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.states, t.until = nil, time.Time{}
+	for _, recorded := range t.ending {
+		close(recorded)
+	}
+	t.states, t.ending, t.until = nil, nil, time.Time{}
+}
+
+// stateSoon returns what callers may be told of a workflow; of one that has ended, once
+// that is recorded, if it is soon.
+func (t *told) stateSoon(ctx context.Context, clock endive.Clock, id endive.JobID) (endive.WorkflowState, bool) {
+	t.mu.Lock()
+	recorded := t.ending[id]
+	t.mu.Unlock()
+	if recorded != nil {
+		timer := time.NewTimer(endingWait)
+		defer timer.Stop()
+		select {
+		case <-recorded:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return t.state(clock.Now(), id)
 }
 
 // state returns what callers may be told of a workflow.
@@ -78,7 +112,7 @@
 	}
 	now := c.Clock.Now()
 	if p.holds.Load() {
-		return p.told.state(now, id)
+		return p.told.stateSoon(ctx, c.Clock, id)
 	}
 	holder := p.heldIn()
 	if holder == "" || holder == c.Settings.Name || now.Before(*p.quietUntil.Load()) {
@@ -98,12 +132,12 @@
 }
 
 // tellHeldState answers another entry.
-func (c *Cell) tellHeldState(pool endive.PoolName, id endive.JobID) *wire.RelayAnswer {
+func (c *Cell) tellHeldState(ctx context.Context, pool endive.PoolName, id endive.JobID) *wire.RelayAnswer {
 	p := c.poolNamed(pool)
 	if p == nil || !p.holds.Load() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the pool isn't held here"}
 	}
-	state, ok := p.told.state(c.Clock.Now(), id)
+	state, ok := p.told.stateSoon(ctx, c.Clock, id)
 	if !ok {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the holder doesn't know the workflow"}
 	}
--- a/entry/cell/told_test.go
+++ b/entry/cell/told_test.go
@@ -43,6 +43,44 @@
 	}
 }
 
+// The load: callers ask just after the last task has ended. They are told of the end as
+// soon as it is recorded, and that the workflow runs if that takes long.
+func TestEndIsToldOnceRecorded(t *testing.T) {
+	tests := []struct {
+		name string
+		next []flow.Told
+		want endive.WorkflowState
+	}{
+		{"recorded soon", []flow.Told{{Job: "a", State: "succeeded"}}, "succeeded"},
+		{"not recorded", nil, "running"},
+		{"another is recorded", []flow.Told{{Job: "b", State: "succeeded"}}, "running"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var book told
+			book.extend(time.Now().Add(time.Minute))
+			book.take(flow.Told{Job: "a", State: "running", Ending: true})
+			go (&teller{book: &book, next: tt.next}).run()
+			state, known := book.stateSoon(t.Context(), endive.SystemClock{}, "a")
+			is.True(known)
+			is.Equal(state, tt.want)
+		})
+	}
+}
+
+// teller tells a book of states.
+type teller struct {
+	book *told
+	next []flow.Told
+}
+
+func (t *teller) run() {
+	for _, one := range t.next {
+		t.book.take(one)
+	}
+}
+
 // The load: callers ask for states while the store answers nothing. The holder tells what
 // it knows, also to callers of other entries, and an end only once it is recorded.
 func TestHolderTellsStates(t *testing.T) {
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -41,6 +41,8 @@
 type Told struct {
 	Job   endive.JobID
 	State endive.WorkflowState
+	// Ending says that the workflow has ended, and only the record of that is missing.
+	Ending bool
 }
 
 // IsAction marks Told as an action.
--- a/flow/work.go
+++ b/flow/work.go
@@ -215,6 +215,7 @@
 	if j.state.Ended() {
 		return
 	}
+	m.emit(Told{Job: j.id, State: j.state, Ending: true})
 	j.state = state
 	m.touch(j, rowUrgent)
 	m.note(Note{Kind: NoteJob, Job: j.id, Outcome: string(state), Reason: reason +
