--- a/elect/machine.go
+++ b/elect/machine.go
@@ -12,9 +12,6 @@
 type Settings struct {
 	// Lease is how long a lease lasts after it was written.
 	Lease endive.Interval
-	// Patience is how long a lease stays with a holder that doesn't renew it while the
-	// store could be written to; the lease itself is longer, for outages of the store.
-	Patience endive.Interval
 	// Renewal lies between two writes of the lease by its holder.
 	Renewal endive.Interval
 	// Retry is the pause after a write that failed.
@@ -42,8 +39,6 @@
 	version endive.Version
 	lease   Lease
 	seen    bool
-	// changedAt is when the row was first seen as it is.
-	changedAt time.Time
 	// suspected is the incarnation of a holder whose process seems to have ended.
 	suspected endive.Incarnation
 	// freeSince is when the lease was first found to have run out.
@@ -129,7 +124,6 @@
 	}
 	m.seen = true
 	if e.Version > m.version {
-		m.changedAt = m.now
 		m.offered = false
 		// Whoever writes the lease is alive.
 		m.suspected = ""
@@ -220,12 +214,10 @@
 	suspected := m.suspected != "" && m.suspected == m.lease.Incarnation
 	earlier := m.lease.Holder == m.entry && !ours
 	if m.version > 0 && !m.lease.Vacant && !ours && !earlier && !suspected {
-		// The write is carried out only if the holder hasn't renewed the lease.
-		unrenewedAt := m.settings.Patience.After(m.changedAt)
-		over := m.clock.AtLeast(m.now) >= m.lease.Until || !m.now.Before(unrenewedAt)
+		over := m.clock.AtLeast(m.now) >= m.lease.Until
 		if !over {
 			m.freeSince = time.Time{}
-			m.wake(endive.Earliest(m.clock.Earliest(m.lease.Until).Add(margin), unrenewedAt))
+			m.wake(m.clock.Earliest(m.lease.Until).Add(margin))
 			return
 		}
 	}
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -36,9 +36,7 @@
 func newRig(t *testing.T) *rig {
 	start := time.Unix(1_800_000_000, 0)
 	fence := func(epoch endive.Epoch) endive.Write { return endive.Write{Key: "fence", Value: []byte{byte(epoch)}} }
-	settings := Settings{
-		Lease: endive.Interval(lease), Patience: endive.Interval(lease), Renewal: endive.Interval(lease / 3), Retry: endive.Interval(100 * time.Millisecond),
-	}
+	settings := Settings{Lease: endive.Interval(lease), Renewal: endive.Interval(lease / 3), Retry: endive.Interval(100 * time.Millisecond)}
 	r := &rig{is: is.New(t), now: start}
 	due := func(freeSince time.Time) time.Time { return r.wait.After(freeSince) }
 	ids := endive.NewWriteIDs("entry-1", "run-1", "elect")
@@ -300,25 +298,3 @@
 	_, taken = recordIn(late.step(Offered{Lease: old}))
 	late.is.True(!taken)
 }
-
-// The load: an outage of the store that is shorter than the lease. The holder holds on. One
-// that doesn't renew its lease while the store is there is replaced long before the lease is
-// over, and its successor knows until when it may have started work.
-func TestLongLeaseIsTakenFromASilentHolder(t *testing.T) {
-	r := newRig(t)
-	r.machine.settings.Lease = endive.Interval(3 * lease)
-	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 6000})
-	r.see()
-	r.now = r.now.Add(lease - time.Millisecond)
-	_, taken := recordIn(r.step(endive.Wake{}))
-	r.is.True(!taken)
-	r.others(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 8000})
-	r.see()
-	r.now = r.now.Add(lease - time.Millisecond)
-	_, taken = recordIn(r.step(endive.Wake{}))
-	r.is.True(!taken)
-	r.now = r.now.Add(time.Millisecond)
-	b, ok := began(r.commit(r.step(endive.Wake{})))
-	r.is.True(ok)
-	r.is.Equal(b.LastUntil, r.now.Add(8*time.Second-2*lease+time.Millisecond))
-}
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -68,8 +68,7 @@
 	p.holder.Store(endive.EntryID(""))
 	p.successor.Store(endive.EntryID(""))
 	p.elect = elect.New(id, c.Incarnation, name, p.fence, p.due, elect.Settings{
-		Lease: c.Settings.Timings.PoolLease, Patience: c.Settings.Timings.PoolPatience,
-		Renewal: c.Settings.Timings.PoolPatience / renewalsPerLease, Retry: electRetry,
+		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetry,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
 	p.flow = flow.New(name, flow.Settings{
 		Grant:     min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -65,9 +65,6 @@
 type CellTimings struct {
 	// PoolLease is how long a pool stays with its holder after a renewal.
 	PoolLease endive.Interval `toml:"poolLease" json:"poolLease"`
-	// PoolPatience is how long a pool stays with a holder that doesn't renew its lease
-	// while others reach the store.
-	PoolPatience endive.Interval `toml:"poolPatience" json:"poolPatience"`
 	// Poll lies between two looks at the leases and at the list of workers.
 	Poll endive.Interval `toml:"poll" json:"poll"`
 	// StoreTimeout bounds one call of the store.
@@ -76,8 +73,7 @@
 
 // Defaults of the cell's settings.
 const (
-	DefaultPoolLease    = endive.Interval(6 * time.Second)
-	DefaultPoolPatience = endive.Interval(2200 * time.Millisecond)
+	DefaultPoolLease    = endive.Interval(2200 * time.Millisecond)
 	DefaultPoll         = endive.Interval(400 * time.Millisecond)
 	DefaultStoreTimeout = endive.Interval(800 * time.Millisecond)
 	DefaultMaxGrant     = endive.Interval(6 * time.Second)
@@ -108,7 +104,6 @@
 	c.Bounds.StopGrace.Default(DefaultStopGrace)
 	c.Bounds.Retention.Default(DefaultRetention)
 	c.Timings.PoolLease.Default(DefaultPoolLease)
-	c.Timings.PoolPatience.Default(min(DefaultPoolPatience, c.Timings.PoolLease))
 	c.Timings.Poll.Default(DefaultPoll)
 	c.Timings.StoreTimeout.Default(DefaultStoreTimeout)
 }
@@ -137,8 +132,7 @@
 	}{
 		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.stopGrace", c.Bounds.StopGrace},
 		{"bounds.retention", c.Bounds.Retention},
-		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poolPatience", c.Timings.PoolPatience},
-		{"timings.poll", c.Timings.Poll},
+		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poll", c.Timings.Poll},
 		{"timings.storeTimeout", c.Timings.StoreTimeout},
 	} {
 		if one.value < MinTiming || one.value > MaxTiming {
@@ -148,11 +142,8 @@
 	if c.Limits.Cores < 0 {
 		f.Add("limits.cores", "is %g; it must not be negative", c.Limits.Cores)
 	}
-	if c.Timings.PoolPatience < RenewalsPerLease*c.Timings.Poll {
-		f.Add("timings.poolPatience", "is %s; it must be at least %d times timings.poll", c.Timings.PoolPatience, RenewalsPerLease)
-	}
-	if c.Timings.PoolLease < c.Timings.PoolPatience {
-		f.Add("timings.poolLease", "is %s; it must be at least timings.poolPatience, %s", c.Timings.PoolLease, c.Timings.PoolPatience)
+	if c.Timings.PoolLease < RenewalsPerLease*c.Timings.Poll {
+		f.Add("timings.poolLease", "is %s; it must be at least %d times timings.poll", c.Timings.PoolLease, RenewalsPerLease)
 	}
 	return f
 }
--- a/setup/cell_test.go
+++ b/setup/cell_test.go
@@ -29,7 +29,7 @@
 		{"unknown key", goodCell + "stor = \"x\"\n", `platform.stor: is unknown; the nearest known key is "store"`},
 		{"several findings", strings.Replace(strings.Replace(goodCell, "edge-1", "Edge 1", 1), "10.200.1.7:8142", "nowhere", 1) +
 			"[timings]\npoll = \"5s\"\n", "name: \"Edge 1\" must be lower-case"},
-		{"a patience shorter than its renewals", goodCell + "[timings]\npoolPatience = \"500ms\"\n", "timings.poolPatience: is 500ms; it must be at least 3 times timings.poll"},
+		{"a lease shorter than its renewals", goodCell + "[timings]\npoolLease = \"500ms\"\n", "timings.poolLease: is 500ms; it must be at least 3 times timings.poll"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
