--- a/flow/rank.go
+++ b/flow/rank.go
@@ -64,14 +64,6 @@
 	return r.objective.Before(o.objective)
 }
 
-const (
-	// doubt is how many times as long as expected work is reckoned to take when it is
-	// told what can still be on time: what only just could seldom is.
-	doubt = 1.2
-	// tellingTime is how long the end of a workflow takes to be recorded and told.
-	tellingTime = 100 * time.Millisecond
-)
-
 // rankOf returns the place of a job in the order at this moment.
 func (m *Machine) rankOf(j *job) rank {
 	r := rank{queue: j.policy.Rank, objective: j.objective}
@@ -80,7 +72,7 @@
 	}
 	j.objective = m.objectiveOf(j)
 	r.objective = j.objective
-	done := m.now.Add(time.Duration(doubt*float64(m.remainingOf(j))) + tellingTime)
+	done := m.now.Add(m.remainingOf(j))
 	allowed := j.objective.Sub(j.accepted)
 	switch {
 	case !done.After(j.objective):
