Quick questions are asked elsewhere when their entry is busy

Change: only long questions are waited for; of a quick one the entry is reckoned busy, and its late answer still counts. A busy entry isn't left alone any more. Test: TestBusyHelperIsWaitedFor, with a quick question.

--- a/entry/cell/helpers.go
+++ b/entry/cell/helpers.go
@@ -127,7 +127,7 @@
 		Tag: asked.tag, Step: string(q.step), Workers: namesOf(q.workers), CostMillis: time.Duration(q.cost).Milliseconds(),
 	}
 	if !h.cell.peers.mesh.Send(to, message) {
-		asked.expire()
+		asked.expire(false)
 	}
 	return true
 }
@@ -168,11 +168,13 @@
 	return asked
 }
 
-// overdue waits on for an entry that was heard of since it was asked.
+// overdue waits on for the answer to a long question by an entry that was heard of since it
+// was asked. A quick one is asked elsewhere: its work has no time to wait.
 func (a *helped) overdue() {
 	h := a.helpers
 	now := h.cell.Clock.Now()
-	if now.Before(a.dueAt.Add(helperPatience)) && h.cell.peers.heardSince(a.to, a.sentAt) {
+	heard := h.cell.peers.heardSince(a.to, a.sentAt)
+	if heard && a.question.cost >= longQuestion && now.Before(a.dueAt.Add(helperPatience)) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.waiting[a.tag] == a {
@@ -180,11 +182,12 @@
 		}
 		return
 	}
-	a.expire()
+	a.expire(heard)
 }
 
-// expire gives a question up, and leaves the entry that didn't answer alone.
-func (a *helped) expire() {
+// expire gives a question up. An entry that was heard of since is busy; one that wasn't is
+// left alone.
+func (a *helped) expire(heard bool) {
 	h := a.helpers
 	if h.take(a.tag, a.to) == nil {
 		return
@@ -192,8 +195,10 @@
 	now := h.cell.Clock.Now()
 	h.mu.Lock()
 	if one := h.known[a.to]; one != nil {
-		one.avoidUntil = now.Add(helperPause)
-		one.busyUntil = time.Time{}
+		one.busyUntil = now.Add(helperMargin)
+		if !heard {
+			one.avoidUntil = now.Add(helperPause)
+		}
 	}
 	for tag, old := range h.late {
 		if now.Sub(old.sentAt) > lateAge {
--- a/entry/cell/helpers_test.go
+++ b/entry/cell/helpers_test.go
@@ -76,11 +76,15 @@
 // asked for a while.
 func TestBusyHelperIsWaitedFor(t *testing.T) {
 	tests := []struct {
-		name  string
-		heard bool
+		name   string
+		cost   endive.Interval
+		heard  bool
+		waits  bool
+		avoids bool
 	}{
-		{"heard of since", true},
-		{"silent", false},
+		{"a long question, heard of since", longQuestion, true, true, false},
+		{"a quick question, heard of since", longQuestion - 1, true, false, false},
+		{"silent", longQuestion, false, false, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -89,6 +93,7 @@
 			r.ready()
 			c := r.cells[0]
 			asked := askedOf(c, "entry-9", "00000000000000aa.0.0")
+			asked.question.cost = tt.cost
 			c.helpers.mu.Lock()
 			c.helpers.known["entry-9"] = &helper{}
 			c.helpers.mu.Unlock()
@@ -98,9 +103,9 @@
 			asked.overdue()
 			c.helpers.mu.Lock()
 			defer c.helpers.mu.Unlock()
-			is.Equal(c.helpers.waiting[asked.tag] == asked, tt.heard)
+			is.Equal(c.helpers.waiting[asked.tag] == asked, tt.waits)
 			if one := c.helpers.known["entry-9"]; one != nil {
-				is.Equal(one.avoidUntil.IsZero(), tt.heard)
+				is.Equal(!one.avoidUntil.IsZero(), tt.avoids)
 			}
 		})
 	}
@@ -114,7 +119,7 @@
 	r.until("the holder has read all rows", func() bool { return len(r.log.lines(`"loaded"`)) == 1 })
 	r.accept(c, "/slow/", "00000000000000aa", 1, false)
 	asked := askedOf(c, "entry-9", "00000000000000aa.0.0")
-	asked.expire()
+	asked.expire(false)
 	c.helpers.answered("entry-9", &wire.AdviceAnswer{
 		Tag: asked.tag, Answered: true, Good: []*wire.AdviceGrant{{Worker: "i-1", Ticket: "late"}}, ValidityMillis: 2000,
 	})
