--- a/flow/reserve.go
+++ b/flow/reserve.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"math"
 	"time"
 
 	"endiveroute.example/endive"
@@ -18,9 +17,9 @@
 const (
 	// surveyPerMember is how many workers the first question names for each member.
 	surveyPerMember = 25
-	// sparesPerWorker is how many other good workers with room a later question names for
-	// each that is reserved, in case that some of these are lost meanwhile.
-	sparesPerWorker = 0.5
+	// sparesPerMember is how many other good workers with room a later question names
+	// for each member, in case that some of the reserved ones are lost meanwhile.
+	sparesPerMember = 1
 	// reserveAhead is how much longer than its question room may still be in use that
 	// is reserved.
 	reserveAhead = 100 * time.Millisecond
@@ -81,7 +80,7 @@
 		}
 		return
 	}
-	if s.ticketsFor(s.gang.reserved, m.now) || m.plan(s, m.workersOfReserve(s)) {
+	if s.ticketsFor(s.gang.reserved, m.now) || m.plan(s, len(s.gang.reserved)*(1+sparesPerMember)) {
 		m.keepReserved(s)
 		return
 	}
@@ -159,7 +158,7 @@
 			named[w] = true
 		}
 	}
-	spares := sparesOf(len(workers))
+	spares := sparesPerMember * len(s.gang.reserved)
 	for _, w := range m.candidates(s) {
 		if spares > 0 && !named[w] && m.couldStart(s, w) && w.places(s) > 0 {
 			workers = append(workers, w.id)
@@ -169,19 +168,6 @@
 	return workers[:min(len(workers), MaxAdviceWorkers)]
 }
 
-// sparesOf returns how many other workers a question names beside those that are reserved.
-func sparesOf(reserved int) int { return int(math.Ceil(sparesPerWorker * float64(reserved))) }
-
-// workersOfReserve returns how many workers a question about a gang names that has room
-// reserved.
-func (m *Machine) workersOfReserve(s *step) int {
-	distinct := make(map[*worker]bool)
-	for _, w := range s.gang.reserved {
-		distinct[w] = true
-	}
-	return len(distinct) + sparesOf(len(distinct))
-}
-
 // survey returns workers that could run a member and of which nothing is known, those
 // with room first.
 func (m *Machine) survey(s *step) []endive.WorkerID {
