--- a/flow/fakelook_test.go
+++ b/flow/fakelook_test.go
@@ -21,6 +21,10 @@
 		w.after(3*time.Millisecond, func() { h.step(Held{Worker: id, Result: OrderRefused}) })
 		return
 	}
+	if one != nil && one.vanished {
+		w.after(patience, func() { h.step(Held{Worker: id, Result: OrderNotSent}) })
+		return
+	}
 	if one == nil || one.dark || one.deaf(h) || w.chance(w.faults.lostOrder) {
 		w.after(patience, func() { h.step(Held{Worker: id, Result: OrderUnknown}) })
 		return
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -23,6 +23,8 @@
 	late bool
 	// gone workers have ended: nothing listens at their address.
 	gone bool
+	// vanished workers are off: no connection to them is opened.
+	vanished bool
 	// reused says that another worker listens at the address of one that has ended.
 	reused bool
 	// far workers are in another region.
--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -113,6 +113,32 @@
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 }
 
+// The load: all entries end while workers are replaced one after the other, so that one has
+// left when the next holder comes. It had told that it would leave and isn't listed: nothing
+// waits for it. One that had told nothing may be cut off and run on.
+func TestTakeoverAfterAWorkerHasLeft(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		t.Run(fmt.Sprintf("told=%v", told), func(t *testing.T) {
+			is := is.New(t)
+			w, first := heldWorld(t, faults{}, 3)
+			w.run(1500 * time.Millisecond)
+			one := w.workers["w0"]
+			one.self.Draining = told
+			w.list()
+			w.run(2500 * time.Millisecond)
+			first.kill()
+			one.leave()
+			one.gone, one.vanished = false, true
+			second := w.hold()
+			w.run(4500 * time.Millisecond)
+			is.Equal(second.machine.tenure.settled, told)
+			w.run(10 * time.Second)
+			is.True(second.machine.tenure.settled)
+			w.holds()
+		})
+	}
+}
+
 // A holder is replaced before its lease is over. On a worker that the new one can't
 // reach, it may go on renewing until then.
 func TestEarlyTakeoverWaitsForTheOldLease(t *testing.T) {
