--- a/entry/cell/told.go
+++ b/entry/cell/told.go
@@ -12,9 +12,9 @@
 
 // Callers ask for the state of a workflow several times, most often just after it has
 // ended. The holder of the pool knows it; only what it doesn't know is read in the store,
-// and that there is no such workflow only the store can tell. The load: callers' questions
-// are two thirds of all calls of the store, and each takes a quarter of a second where the
-// store is slow.
+// and that there is no such workflow only the store can tell. The load: many short
+// workflows, whose callers would ask the store more often than all else together does, also
+// while it is slow.
 
 const (
 	// nearTimeout bounds the wait for a holder of this region that tells a state, and
--- a/flow/held.go
+++ b/flow/held.go
@@ -255,44 +255,6 @@
 	}
 }
 
-// foundRun decides on something that a worker runs and that wasn't known of: of an
-// earlier holder, or of an order that was carried out late.
-func (m *Machine) foundRun(w *worker, report endive.RunReport) {
-	t := m.tasks[report.Task]
-	wanted := t != nil && t.run == nil && t.state == taskWaiting && !t.step.occ.job.state.Ended() && !w.adopted
-	if !wanted {
-		r := m.addOrphan(w, t, report)
-		m.stopRun(r, "nothing of it should run here")
-		return
-	}
-	r := m.addRun(w, t, t.id, report.Run, runRunning)
-	r.settled = m.steps
-	r.percent, r.firstPercent = report.Percent, report.Percent
-	t.checkpoint = report.Checkpoint
-	j := t.step.occ.job
-	if !j.begun || j.state == endive.WorkflowQueued {
-		j.begun = true
-		j.state = endive.WorkflowRunning
-		m.tell(j)
-		m.touch(j, rowLazy)
-	}
-	if t.step.spec.Gang {
-		t.step.gang.run = max(t.step.gang.run, report.Run)
-	}
-}
-
-// addOrphan takes room for a run that is to be stopped. It isn't the task's run.
-func (m *Machine) addOrphan(w *worker, t *task, report endive.RunReport) *run {
-	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, began: m.now, percentAt: m.now}
-	r.need = w.self.Capacity
-	if t != nil {
-		r.need = t.step.spec.Reserved()
-	}
-	w.used = w.used.Add(r.need)
-	w.runs[report.Task] = r
-	return r
-}
-
 // sortedRuns returns the runs of a worker in the order of their tasks.
 func (w *worker) sortedRuns() []*run {
 	runs := make([]*run, 0, len(w.runs))
