--- a/entry/cell/parts_test.go
+++ b/entry/cell/parts_test.go
@@ -52,6 +52,8 @@
 	r.ready()
 	c := r.cells[0]
 	silent, there := idsOfTwoParts()
+	// A new holder reads all parts first.
+	r.until("the holder has read all rows", func() bool { return len(r.log.lines(`"loaded"`)) == 1 })
 	r.store.SilencePart(partOf(flow.KnownKey("svc", silent)))
 	first := r.submit(c, "/quick/", string(silent), 1, false)
 	is.Equal(first.Status, endive.SubmitUnknown)
