--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -26,6 +26,7 @@
 	peers   *peers
 	helpers *helpers
 	relays  *relays
+	fates   fates
 	leaving atomic.Bool
 
 	mu    sync.Mutex
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -25,7 +25,7 @@
 // Submit implements endive.Cell.
 func (c *Cell) Submit(ctx context.Context, match endive.QueueMatch, workflow endive.Workflow) endive.SubmitResult {
 	start := c.Clock.Now()
-	result := c.submit(ctx, match, workflow)
+	result := c.fates.settle(c.Clock.Now(), workflow.ID, c.submit(ctx, match, workflow))
 	c.Counters.submitted(result.Status, c.Clock.Now().Sub(start))
 	c.Log.Info("decision", "kind", "submit", "job", string(workflow.ID), "queue", string(match.Queue.Name),
 		"configVersion", int64(match.ConfigVersion), "steps", len(workflow.Steps), "outcome", string(result.Status),
