--- a/entry/cell/scan.go
+++ b/entry/cell/scan.go
@@ -11,10 +11,10 @@
 // shardScan reads one of the parts that a pool's work is spread over. One that doesn't
 // answer is asked again, so that it doesn't hold up the others.
 type shardScan struct {
-	timeout time.Duration
-	rows    Rows
-	prefix  string
-	results chan<- shardResult
+	patience endive.Interval
+	rows     Rows
+	prefix   string
+	results  chan<- shardResult
 }
 
 // shardResult is what a shardScan has read.
@@ -25,7 +25,7 @@
 
 func (s *shardScan) run(ctx context.Context) {
 	for {
-		limited, cancel := context.WithTimeout(ctx, s.timeout)
+		limited, cancel := context.WithTimeout(ctx, time.Duration(s.patience))
 		changes, err := s.rows.Scan(limited, s.prefix, 0)
 		cancel()
 		if err == nil || ctx.Err() != nil {
@@ -39,9 +39,9 @@
 func (c *Cell) scanShards(ctx context.Context, pool endive.PoolName) []shardResult {
 	prefixes := flow.WorkShards(pool)
 	results := make(chan shardResult, len(prefixes))
-	timeout := c.Rows.patience(time.Duration(c.Settings.Timings.StoreTimeout))
+	patience := endive.Interval(c.Rows.patience(time.Duration(c.Settings.Timings.StoreTimeout)))
 	for _, prefix := range prefixes {
-		go (&shardScan{timeout: timeout, rows: c.Rows, prefix: prefix, results: results}).run(ctx)
+		go (&shardScan{patience: patience, rows: c.Rows, prefix: prefix, results: results}).run(ctx)
 	}
 	read := make([]shardResult, 0, len(prefixes))
 	for range prefixes {
--- a/flow/forecast.go
+++ b/flow/forecast.go
@@ -97,7 +97,7 @@
 	if m.forecasts[queue] == nil {
 		m.forecasts[queue] = &Forecast{}
 	}
-	m.forecasts[queue].learn(s.spec.Estimate, s.ranFor/time.Duration(s.ranWell))
+	m.forecasts[queue].learn(s.spec.Estimate, time.Duration(s.ranFor)/time.Duration(s.ranWell))
 }
 
 // expected returns how long a task of a step probably takes: by what others of its tasks
--- a/flow/held.go
+++ b/flow/held.go
@@ -118,7 +118,7 @@
 		if counts && !t.step.spec.LongRunning {
 			if current && r.firstPercent == 0 {
 				t.step.ranWell++
-				t.step.ranFor += m.now.Sub(r.began)
+				t.step.ranFor += endive.Interval(m.now.Sub(r.began))
 			}
 			m.succeeded(t)
 			m.recordEnd(w, end.Number, j)
--- a/flow/job.go
+++ b/flow/job.go
@@ -79,7 +79,7 @@
 	// ranWell counts the tasks that ended well without a resumed run, and ranFor is how
 	// long they ran in all.
 	ranWell int
-	ranFor  time.Duration
+	ranFor  endive.Interval
 
 	tickets tickets
 	gang    gang
