--- a/elect/machine.go
+++ b/elect/machine.go
@@ -142,17 +142,13 @@
 	}
 }
 
-func (m *Machine) lose(reason string) {
-	m.holding = false
-	m.freeSince = time.Time{}
-	m.emit(Lost{Reason: reason})
-}
+func (m *Machine) lose(reason string) { m.end(Lost{Reason: reason}) }
 
-// handedOver ends a tenure whose lease was given up.
-func (m *Machine) handedOver(version endive.Version) {
+// end ends a tenure.
+func (m *Machine) end(lost Lost) {
 	m.holding = false
 	m.freeSince = time.Time{}
-	m.emit(Lost{Reason: "handed over", HandedOver: true, Lease: Seen{Version: version, Value: m.written.encode()}})
+	m.emit(lost)
 }
 
 // fenced ends a tenure whose epoch isn't the highest any more.
@@ -207,11 +203,11 @@
 	// A lease of this very process that isn't held any more was lost to a fence,
 	// or taken by a write whose answer was lost; nobody else may take it.
 	ours := m.lease.Incarnation == m.incarnation
+	// The epoch keeps a holder out that is suspected wrongly.
+	suspected := m.suspected != "" && m.suspected == m.lease.Incarnation
 	// A lease of an earlier process of this entry is free as well: that process has ended,
 	// since this one runs in its place. After a restart of all entries nobody else can
 	// tell so soon.
-	// The epoch keeps a holder out that is suspected wrongly.
-	suspected := m.suspected != "" && m.suspected == m.lease.Incarnation
 	earlier := m.lease.Holder == m.entry && !ours
 	if m.version > 0 && !m.lease.Vacant && !ours && !earlier && !suspected {
 		over := m.clock.AtLeast(m.now) >= m.lease.Until
@@ -275,7 +271,7 @@
 	m.version = e.Result.Versions[0]
 	m.lease = m.written
 	if m.written.Vacant {
-		m.handedOver(e.Result.Versions[0])
+		m.end(Lost{Reason: "handed over", HandedOver: true, Lease: Seen{Version: m.version, Value: m.lease.encode()}})
 		return
 	}
 	m.until = m.clock.Earliest(m.written.Until).Add(-margin)
--- a/entry/cell/handover.go
+++ b/entry/cell/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/elect"
@@ -74,10 +73,7 @@
 	}
 	now := c.Clock.Now()
 	for _, one := range m.GetAdvice() {
-		given.Advice = append(given.Advice, flow.AdviceNoted{
-			Step: endive.StepID(one.GetStep()), Good: grantsIn(one.GetGood()), Bad: workersIn(one.GetBad()),
-			Expiry: now.Add(time.Duration(one.GetValidityMillis()) * time.Millisecond),
-		})
+		given.Advice = append(given.Advice, adviceIn(one, now))
 	}
 	p.given.Store(given)
 	p.send(toElect, elect.Offered{Lease: elect.Seen{Version: endive.Version(m.GetLeaseVersion()), Value: m.GetLease()}})
--- a/entry/cell/noted.go
+++ b/entry/cell/noted.go
@@ -32,10 +32,15 @@
 		c.forwardAdvice(p, m)
 		return
 	}
-	validity := endive.Interval(time.Duration(m.GetValidityMillis()) * time.Millisecond)
-	p.tell(flow.AdviceNoted{
-		Step: endive.StepID(m.GetStep()), Good: grantsIn(m.GetGood()), Bad: workersIn(m.GetBad()), Expiry: validity.After(c.Clock.Now()),
-	})
+	p.tell(adviceIn(m, c.Clock.Now()))
+}
+
+// adviceIn returns the advice that another entry told of.
+func adviceIn(m *wire.AdviceNote, now time.Time) flow.AdviceNoted {
+	return flow.AdviceNoted{
+		Step: endive.StepID(m.GetStep()), Good: grantsIn(m.GetGood()), Bad: workersIn(m.GetBad()),
+		Expiry: now.Add(time.Duration(m.GetValidityMillis()) * time.Millisecond),
+	}
 }
 
 // forwardAdvice passes a note on to the entry that holds the pool now, as far as it is
--- a/entry/cell/scan.go
+++ b/entry/cell/scan.go
@@ -11,8 +11,8 @@
 // shardScan reads one of the parts that a pool's work is spread over. One that doesn't
 // answer is asked again, so that it doesn't hold up the others.
 type shardScan struct {
+	cell     *Cell
 	patience endive.Interval
-	rows     Rows
 	prefix   string
 	results  chan<- shardResult
 }
@@ -26,12 +26,13 @@
 func (s *shardScan) run(ctx context.Context) {
 	for {
 		limited, cancel := context.WithTimeout(ctx, time.Duration(s.patience))
-		changes, err := s.rows.Scan(limited, s.prefix, 0)
+		changes, err := s.cell.Rows.Scan(limited, s.prefix, 0)
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			s.results <- shardResult{changes: changes, err: err}
 			return
 		}
+		s.cell.pause(followRetry)
 	}
 }
 
@@ -41,7 +42,7 @@
 	results := make(chan shardResult, len(prefixes))
 	patience := endive.Interval(c.Rows.patience(time.Duration(c.Settings.Timings.StoreTimeout)))
 	for _, prefix := range prefixes {
-		go (&shardScan{patience: patience, rows: c.Rows, prefix: prefix, results: results}).run(ctx)
+		go (&shardScan{cell: c, patience: patience, prefix: prefix, results: results}).run(ctx)
 	}
 	read := make([]shardResult, 0, len(prefixes))
 	for range prefixes {
--- /dev/null
+++ b/entry/cell/scan_test.go
@@ -0,0 +1,39 @@
+package cell
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// refusingRows refuses each scan at once.
+type refusingRows struct {
+	Rows
+	scans atomic.Int64
+}
+
+func (r *refusingRows) Scan(context.Context, string, endive.Revision) (endive.Changes, error) {
+	r.scans.Add(1)
+	return endive.Changes{}, endive.ErrUnavailable.New("busy")
+}
+
+// The load: a new holder reads its work while the store refuses all calls at once. Each part
+// is asked again after a pause, not as fast as it refuses.
+func TestScanPausesWhereTheStoreRefuses(t *testing.T) {
+	is := is.New(t)
+	rows := &refusingRows{}
+	c := &Cell{Deps: Deps{Rows: NewStore(rows, endive.SystemClock{}, hclog.NewNullLogger())}}
+	c.ctx = t.Context()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*followRetry)
+	defer cancel()
+	results := make(chan shardResult, 1)
+	(&shardScan{cell: c, patience: endive.Interval(time.Second), prefix: "work.svc/000/", results: results}).run(ctx)
+	is.True((<-results).err != nil)
+	is.True(rows.scans.Load() <= 4)
+}
--- a/entry/cell/suits.go
+++ b/entry/cell/suits.go
@@ -110,6 +110,13 @@
 	return ids
 }
 
+// near reports whether an entry is in this one's region, as far as is known.
+func (p *peers) near(id endive.EntryID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rows[id].Region == p.cell.Settings.Region
+}
+
 // nearTo returns whether a zone is in the region of an entry, as far as is known.
 func (p *peers) nearTo(id endive.EntryID) func(endive.Zone) bool {
 	p.mu.Lock()
--- a/entry/cell/sweep.go
+++ b/entry/cell/sweep.go
@@ -28,6 +28,9 @@
 func (s *endedSweep) run() {
 	for s.ctx.Err() == nil {
 		s.pool.cell.pause(sweepAfter)
+		if s.ctx.Err() != nil {
+			return
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, loadTimeout)
 		prefix := flow.EndedPrefix(s.pool.name)
 		changes, err := s.pool.cell.Rows.Scan(ctx, prefix, 0)
--- a/entry/cell/told.go
+++ b/entry/cell/told.go
@@ -119,7 +119,7 @@
 		return "", false
 	}
 	timeout := farTimeout
-	if c.peers.nearTo(holder)(c.Settings.Zone) {
+	if c.peers.near(holder) {
 		timeout = nearTimeout
 	}
 	answer := c.relays.ask(ctx, holder, relayAsk(wire.RelayKind_RELAY_HELD_STATE, queue, id), timeout)
