Client accounts: calls carry keys, and jobs belong to accounts

A job had no owner.

Match authenticates against the same version that it matches with. Rows of acceptance and progress, published states and relayed requests name the account. An entry that can't read the configuration asks other entries for a newer one; with strictKeys it refuses keyed calls once it can't confirm its own.

--- a/cell.go
+++ b/cell.go
@@ -13,6 +13,12 @@
 	// SubmitRefused means that the workflow was rejected because of overload. This
 	// submission never runs.
 	SubmitRefused SubmitStatus = "refused"
+	// SubmitNotOwner means that another account's workflow has the id. This submission never
+	// runs.
+	SubmitNotOwner SubmitStatus = "notOwner"
+	// SubmitImpossible means that the workflow can't run within its account's cap. This
+	// submission never runs.
+	SubmitImpossible SubmitStatus = "impossible"
 	// SubmitUnavailable means that the workflow couldn't be stored. This submission
 	// never runs.
 	SubmitUnavailable SubmitStatus = "unavailable"
@@ -42,20 +48,38 @@
 	// configuration has been loaded yet.
 	ConfigVersion ConfigVersion
 	Found         bool
+	// Caller is who makes the request, and Access whether that caller may use the queue.
+	Caller Caller
+	Access Access
 }
 
+// Access is the result of authenticating a request by its key.
+type Access int
+
+// The results of authenticating a request.
+const (
+	// AccessDenied means that the queue isn't public and the key is missing, or that the key
+	// isn't known.
+	AccessDenied Access = iota
+	AccessGranted
+	// AccessUnconfirmed means that the entry can't confirm its configuration, which may have
+	// withdrawn the key.
+	AccessUnconfirmed
+)
+
 // Cell is the interface through which an entry serves the requests of its clients.
 type Cell interface {
-	// Match finds the queue that a request is addressed to.
-	Match(host, path string) QueueMatch
+	// Match finds the queue that a request is addressed to and authenticates the request by
+	// its key, which is empty if the request has none.
+	Match(host, path, key string) QueueMatch
 	// Submit stores a workflow for execution.
 	Submit(ctx context.Context, match QueueMatch, workflow Workflow) SubmitResult
 	// State returns the state of a workflow. The error is of class ErrNotFound if
-	// the workflow doesn't exist, or ErrUnavailable.
-	State(ctx context.Context, queue Queue, id JobID) (WorkflowState, error)
+	// the caller has no such workflow, or ErrUnavailable.
+	State(ctx context.Context, queue Queue, caller Caller, id JobID) (WorkflowState, error)
 	// Cancel stores a request to cancel a workflow. The error is of class
 	// ErrNotFound, ErrUnavailable or ErrUnknown.
-	Cancel(ctx context.Context, queue Queue, id JobID) error
+	Cancel(ctx context.Context, queue Queue, caller Caller, id JobID) error
 	// Pending counts the workflows of a queue that have not started any task. The
 	// error is of class ErrUnavailable.
 	Pending(ctx context.Context, queue Queue) (int, error)
--- a/directory.go
+++ b/directory.go
@@ -5,7 +5,9 @@
 // ConfigResponse is the result of polling the operators' configuration.
 type ConfigResponse struct {
 	// Config is nil if the configuration has not changed.
-	Config   *CellConfig
+	Config *CellConfig
+	// Findings are the parts of the configuration that are invalid and were left out.
+	Findings Findings
 	Revision Revision
 }
 
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -20,6 +20,7 @@
 	cancel context.CancelFunc
 
 	config       *configLoop
+	peerConfig   *peerConfigLoop
 	workers      *workersLoop
 	leases       *leaseLoop
 	adviceQueue  *adviceQueue
@@ -41,6 +42,7 @@
 		pools: make(map[endive.PoolName]*pool),
 	}
 	c.config = &configLoop{cell: c}
+	c.peerConfig = &peerConfigLoop{cell: c}
 	c.workers = newWorkersLoop(c)
 	c.leases = &leaseLoop{cell: c}
 	c.adviceQueue = newAdviceQueue(c)
@@ -55,6 +57,7 @@
 	c.peers.serve(peers)
 	go c.peers.run()
 	go c.config.run()
+	go c.peerConfig.run()
 	go c.workers.run()
 	go c.leases.run()
 	go c.adviceQueue.run()
--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -140,11 +140,11 @@
 	r.awaitReady()
 	r.submitAccepted(r.cells[0], "/quick/", "00000000000000aa", 3, false)
 	r.waitFor("the tasks run", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.running) == 3 })
-	queue := r.cells[1].Match("a.example", "/quick/").Queue
-	is.NoErr(r.cells[1].Cancel(t.Context(), queue, "00000000000000aa"))
+	queue := r.cells[1].Match("a.example", "/quick/", "").Queue
+	is.NoErr(r.cells[1].Cancel(t.Context(), queue, endive.Caller{}, "00000000000000aa"))
 	r.waitFor("no task runs", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.running) == 0 })
 	r.waitFor("the workflow is cancelled", func() bool { return r.state(r.cells[0], "/quick/", "00000000000000aa") == endive.WorkflowCancelled })
-	is.True(endive.ErrNotFound.Has(r.cells[0].Cancel(t.Context(), queue, "00000000000000ff")))
+	is.True(endive.ErrNotFound.Has(r.cells[0].Cancel(t.Context(), queue, endive.Caller{}, "00000000000000ff")))
 	r.checkInvariants()
 }
 
@@ -159,9 +159,9 @@
 	before := len(r.log.lines(`"kind":"relay"`, "RELAY_DONE"))
 	// The session between the entries may not be open yet. A submission is then refused as
 	// not run, and may be repeated.
-	queue, job := isolated.Match("a.example", "/quick/").Queue, encodeSubmission(isolated, "00000000000000aa")
+	match, job := isolated.Match("a.example", "/quick/", ""), encodeSubmission(isolated, "00000000000000aa")
 	r.waitFor("the submission is relayed", func() bool {
-		result := isolated.relaySubmission(t.Context(), queue, "00000000000000aa", job)
+		result := isolated.relaySubmission(t.Context(), match, "00000000000000aa", job)
 		is.True(result.Status == endive.SubmitAccepted || result.Status == endive.SubmitUnavailable)
 		return result.Status == endive.SubmitAccepted
 	})
@@ -179,7 +179,7 @@
 	r.awaitReady()
 	first := r.holder()
 	other := r.entryExcept(first)
-	queue := other.Match("a.example", "/quick/").Queue
+	queue := other.Match("a.example", "/quick/", "").Queue
 	for i := range 3 {
 		r.submitAccepted(other, "/quick/", fmt.Sprintf("%016x", i), 1, false)
 	}
@@ -220,7 +220,7 @@
 
 // encodeSubmission returns the encoded submission of a workflow with one task.
 func encodeSubmission(c *Cell, id endive.JobID) []byte {
-	match := c.Match("a.example", "/quick/")
+	match := c.Match("a.example", "/quick/", "")
 	row, err := json.Marshal(endive.Submission{
 		Workflow: endive.Workflow{ID: id, Queue: "quick", Steps: []endive.Step{{Tasks: 1, Need: endive.Resources{Processors: 100}}}},
 		Policy:   match.Queue, ConfigVersion: match.ConfigVersion,
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -20,14 +21,38 @@
 type configLoop struct {
 	cell   *Cell
 	latest atomic.Pointer[endive.CellConfig]
+	// confirmedAt is the latest time at which the store surely had no newer version than
+	// latest; nil before the first read.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
 // current returns the newest configuration, or nil before the first is read.
 func (l *configLoop) current() *endive.CellConfig { return l.latest.Load() }
 
+// age returns how long ago the current configuration was confirmed to be the newest; before
+// the first read, a time longer than any limit.
+func (l *configLoop) age() time.Duration {
+	confirmedAt := l.confirmedAt.Load()
+	if confirmedAt == nil {
+		return time.Duration(math.MaxInt64)
+	}
+	return l.cell.Clock.Now().Sub(*confirmedAt)
+}
+
+// confirm records that the current configuration was the newest at the given time.
+func (l *configLoop) confirm(at time.Time) {
+	for {
+		old := l.confirmedAt.Load()
+		if old != nil && !at.After(*old) || l.confirmedAt.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
 func (l *configLoop) run() {
 	var after endive.Revision
 	for l.cell.ctx.Err() == nil {
+		sentAt := l.cell.Clock.Now()
 		response, err := l.fetch(after)
 		if endive.ErrHistoryLost.Has(err) {
 			after = 0
@@ -40,11 +65,14 @@
 		after = response.Revision
 		if response.Config != nil {
 			l.apply(response.Config)
+			l.logFindings(response)
 		}
 		if l.current() == nil {
 			after = 0
 			l.cell.sleep(retryDelay)
+			continue
 		}
+		l.confirm(sentAt)
 	}
 }
 
@@ -56,10 +84,28 @@
 }
 
 func (l *configLoop) apply(config *endive.CellConfig) {
-	if current := l.current(); current != nil && config.Version <= current.Version {
-		return
+	for {
+		current := l.latest.Load()
+		if current != nil && config.Version <= current.Version {
+			return
+		}
+		if l.latest.CompareAndSwap(current, config) {
+			break
+		}
 	}
-	l.latest.Store(config)
-	l.cell.Log.Info("configuration applied", "version", int64(config.Version), "queues", len(config.Queues), "pools", len(config.Pools))
+	l.cell.Log.Info("configuration applied", "version", int64(config.Version), "queues", len(config.Queues), "pools", len(config.Pools),
+		"accounts", len(config.Accounts.All()))
 	l.cell.addConfiguredPools(config)
 }
+
+// maxLoggedFindings limits the findings about one configuration in the log.
+const maxLoggedFindings = 20
+
+func (l *configLoop) logFindings(response endive.ConfigResponse) {
+	for i, finding := range response.Findings {
+		if i == maxLoggedFindings {
+			break
+		}
+		l.cell.Log.Warn("part of the configuration is left out", "version", int64(response.Config.Version), "finding", finding.String())
+	}
+}
--- a/entry/cell/relayclient.go
+++ b/entry/cell/relayclient.go
@@ -167,7 +167,7 @@
 	answer.Tag = r.ask.GetTag()
 	r.cell.peers.mesh.Send(r.from, answer)
 	switch r.ask.GetKind() {
-	case wire.RelayKind_RELAY_PROBE, wire.RelayKind_RELAY_HELD_STATE:
+	case wire.RelayKind_RELAY_PROBE, wire.RelayKind_RELAY_HELD_STATE, wire.RelayKind_RELAY_CONFIG:
 		return
 	}
 	r.cell.Log.Info("decision", "kind", "relay", "job", r.ask.GetJob(), "entry", string(r.from),
@@ -177,8 +177,12 @@
 func (r *relayedRequest) execute(ctx context.Context) *wire.RelayAnswer {
 	c, id := r.cell, endive.JobID(r.ask.GetJob())
 	queue := endive.Queue{Name: endive.QueueName(r.ask.GetQueue()), Pool: endive.PoolName(r.ask.GetPool())}
+	caller := endive.Caller{Account: endive.AccountName(r.ask.GetAccount())}
 	if r.ask.GetKind() == wire.RelayKind_RELAY_HELD_STATE {
-		return c.answerStateRequest(ctx, queue.Pool, id)
+		return c.answerStateRequest(ctx, queue.Pool, caller, id)
+	}
+	if r.ask.GetKind() == wire.RelayKind_RELAY_CONFIG {
+		return c.answerConfigRequest(endive.ConfigVersion(r.ask.GetConfigVersion()))
 	}
 	if !c.Store.usable() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is unreachable from the relaying entry"}
@@ -190,12 +194,12 @@
 	case wire.RelayKind_RELAY_PROBE:
 		return relayAnswer(nil, "", 0)
 	case wire.RelayKind_RELAY_SUBMIT:
-		return r.submit(ctx, queue, id)
+		return r.submit(ctx, queue, caller, id)
 	case wire.RelayKind_RELAY_STATE:
-		progress, _, err := c.findWorkflow(ctx, queue, id)
+		progress, _, err := c.findWorkflow(ctx, queue, caller, id)
 		return relayAnswer(err, string(progress.State), 0)
 	case wire.RelayKind_RELAY_CANCEL:
-		return relayAnswer(c.cancelLocally(ctx, queue, id), "", 0)
+		return relayAnswer(c.cancelLocally(ctx, queue, caller, id), "", 0)
 	case wire.RelayKind_RELAY_PENDING:
 		count, err := c.pendingLocally(queue)
 		return relayAnswer(err, "", int64(count))
@@ -204,12 +208,14 @@
 	}
 }
 
-func (r *relayedRequest) submit(ctx context.Context, queue endive.Queue, id endive.JobID) *wire.RelayAnswer {
-	result := r.cell.storeSubmission(ctx, queue.Pool, id, r.ask.GetSubmission())
+func (r *relayedRequest) submit(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) *wire.RelayAnswer {
+	result := r.cell.storeSubmission(ctx, queue.Pool, id, caller.Account, r.ask.GetSubmission())
 	answer := &wire.RelayAnswer{Reason: result.Reason}
 	switch result.Status {
 	case endive.SubmitAccepted:
 		answer.Status = wire.RelayStatus_RELAY_DONE
+	case endive.SubmitNotOwner:
+		answer.Status = wire.RelayStatus_RELAY_NOT_OWNER
 	case endive.SubmitRefused, endive.SubmitUnavailable:
 		answer.Status = wire.RelayStatus_RELAY_UNAVAILABLE
 	}
@@ -249,6 +255,6 @@
 }
 
 // newRelayAsk returns a request about a workflow of a queue.
-func newRelayAsk(kind wire.RelayKind, queue endive.Queue, id endive.JobID) *wire.RelayAsk {
-	return &wire.RelayAsk{Kind: kind, Pool: string(queue.Pool), Queue: string(queue.Name), Job: string(id)}
+func newRelayAsk(kind wire.RelayKind, queue endive.Queue, caller endive.Caller, id endive.JobID) *wire.RelayAsk {
+	return &wire.RelayAsk{Kind: kind, Pool: string(queue.Pool), Queue: string(queue.Name), Account: string(caller.Account), Job: string(id)}
 }
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -13,7 +13,7 @@
 )
 
 // Match implements endive.Cell.
-func (c *Cell) Match(host, path string) endive.QueueMatch {
+func (c *Cell) Match(host, path, key string) endive.QueueMatch {
 	config := c.config.current()
 	if config == nil {
 		return endive.QueueMatch{}
@@ -31,26 +31,30 @@
 			match.Rest = path[len(queue.Prefix):]
 		}
 	}
+	if match.Found {
+		match.Caller, match.Access = c.authenticate(config, match.Queue, key)
+	}
 	return match
 }
 
 // State implements endive.Cell.
-func (c *Cell) State(ctx context.Context, queue endive.Queue, id endive.JobID) (endive.WorkflowState, error) {
-	if state, ok := c.stateFromHolder(ctx, queue, id); ok {
+func (c *Cell) State(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) (endive.WorkflowState, error) {
+	if state, ok := c.stateFromHolder(ctx, queue, caller, id); ok {
 		return state, nil
 	}
 	if !c.Store.usable() {
-		answer := c.relayClient.forward(ctx, newRelayAsk(wire.RelayKind_RELAY_STATE, queue, id))
+		answer := c.relayClient.forward(ctx, newRelayAsk(wire.RelayKind_RELAY_STATE, queue, caller, id))
 		return endive.WorkflowState(answer.GetState()), relayError(answer)
 	}
-	progress, _, err := c.findWorkflow(ctx, queue, id)
+	progress, _, err := c.findWorkflow(ctx, queue, caller, id)
 	return progress.State, err
 }
 
 // findWorkflow returns the recorded progress of a workflow and the pool in which it is
 // stored. It reads the queue's pool first and then all others, since the queue may have
-// belonged to another pool when the workflow was submitted.
-func (c *Cell) findWorkflow(ctx context.Context, queue endive.Queue, id endive.JobID) (flow.Progress, endive.PoolName, error) {
+// belonged to another pool when the workflow was submitted. A workflow of another account than
+// the caller's isn't found.
+func (c *Cell) findWorkflow(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) (flow.Progress, endive.PoolName, error) {
 	pools := []endive.PoolName{queue.Pool}
 	for _, p := range c.allPools() {
 		if p.name != queue.Pool {
@@ -59,9 +63,15 @@
 	}
 	for _, pool := range pools {
 		progress, found, err := c.findInPool(ctx, pool, id)
-		if found || err != nil {
+		if err != nil {
 			return progress, pool, err
 		}
+		if found && !caller.MayAccess(progress.Account) {
+			break
+		}
+		if found {
+			return progress, pool, nil
+		}
 	}
 	return flow.Progress{}, "", endive.ErrNotFound.New("there is no workflow %s", id)
 }
@@ -80,7 +90,15 @@
 	}
 	if len(rows) == 0 {
 		rows, err = c.readWithRetry(ctx, flow.AcceptedKey(pool, id))
-		return progress, len(rows) > 0, err
+		if err != nil || len(rows) == 0 {
+			return progress, false, err
+		}
+		acceptance, err := flow.DecodeAcceptance(rows[0])
+		if err != nil {
+			return progress, false, endive.ErrUnavailable.New("cannot decode the acceptance of workflow %s: %w", id, err)
+		}
+		progress.Account = acceptance.Account
+		return progress, true, nil
 	}
 	if err := json.Unmarshal(rows[0].Value, &progress); err != nil {
 		return progress, false, endive.ErrUnavailable.New("cannot decode the state of workflow %s: %w", id, err)
@@ -102,24 +120,25 @@
 }
 
 // Cancel implements endive.Cell.
-func (c *Cell) Cancel(ctx context.Context, queue endive.Queue, id endive.JobID) error {
+func (c *Cell) Cancel(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) error {
 	var err error
 	if c.Store.usable() {
-		err = c.cancelLocally(ctx, queue, id)
+		err = c.cancelLocally(ctx, queue, caller, id)
 	} else {
-		err = relayError(c.relayClient.forward(ctx, newRelayAsk(wire.RelayKind_RELAY_CANCEL, queue, id)))
+		err = relayError(c.relayClient.forward(ctx, newRelayAsk(wire.RelayKind_RELAY_CANCEL, queue, caller, id)))
 	}
 	outcome := "recorded"
 	if err != nil {
 		outcome = err.Error()
 	}
-	c.Log.Info("decision", "kind", "cancel", "job", string(id), "queue", string(queue.Name), "outcome", outcome)
+	c.Log.Info("decision", "kind", "cancel", "job", string(id), "queue", string(queue.Name),
+		"account", string(caller.Account), "outcome", outcome)
 	return err
 }
 
 // cancelLocally writes a cancellation to the store from this entry.
-func (c *Cell) cancelLocally(ctx context.Context, queue endive.Queue, id endive.JobID) error {
-	progress, pool, err := c.findWorkflow(ctx, queue, id)
+func (c *Cell) cancelLocally(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) error {
+	progress, pool, err := c.findWorkflow(ctx, queue, caller, id)
 	if err != nil || progress.State.Ended() {
 		return err
 	}
@@ -140,7 +159,7 @@
 // Pending implements endive.Cell.
 func (c *Cell) Pending(ctx context.Context, queue endive.Queue) (int, error) {
 	if !c.Store.usable() {
-		answer := c.relayClient.forward(ctx, newRelayAsk(wire.RelayKind_RELAY_PENDING, queue, ""))
+		answer := c.relayClient.forward(ctx, newRelayAsk(wire.RelayKind_RELAY_PENDING, queue, endive.Caller{}, ""))
 		return int(answer.GetPending()), relayError(answer)
 	}
 	return c.pendingLocally(queue)
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -27,7 +27,7 @@
 	result := c.unconfirmed.resolve(c.Clock.Now(), workflow.ID, c.submit(ctx, match, workflow))
 	c.Counters.recordSubmission(result.Status, c.Clock.Now().Sub(start))
 	c.Log.Info("decision", "kind", "submit", "job", string(workflow.ID), "queue", string(match.Queue.Name),
-		"configVersion", int64(match.ConfigVersion), "steps", len(workflow.Steps), "outcome", string(result.Status),
+		"account", string(match.Caller.Account), "configVersion", int64(match.ConfigVersion), "steps", len(workflow.Steps), "outcome", string(result.Status),
 		"reason", result.Reason, "millis", c.Clock.Now().Sub(start).Milliseconds())
 	return result
 }
@@ -37,24 +37,24 @@
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: callerRetryAfter, Reason: "the store is unreachable"}
 	}
 	job, err := json.Marshal(endive.Submission{
-		Workflow: workflow, Policy: match.Queue, ConfigVersion: match.ConfigVersion,
+		Workflow: workflow, Policy: match.Queue, Account: match.Caller.Account, ConfigVersion: match.ConfigVersion,
 		Accepted: c.Platform.AtLeast(c.Clock.Now()), Advised: c.Store.usable() && c.prefetchAdvice(match.Queue, workflow),
 	})
 	if err != nil {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "the submission cannot be encoded: " + err.Error()}
 	}
 	if !c.Store.usable() {
-		return c.relaySubmission(ctx, match.Queue, workflow.ID, job)
+		return c.relaySubmission(ctx, match, workflow.ID, job)
 	}
-	return c.storeSubmission(ctx, match.Queue.Pool, workflow.ID, job)
+	return c.storeSubmission(ctx, match.Queue.Pool, workflow.ID, match.Caller.Account, job)
 }
 
 // storeSubmission writes a submission and notifies the pool's holder of it.
-func (c *Cell) storeSubmission(ctx context.Context, pool endive.PoolName, id endive.JobID, job []byte) endive.SubmitResult {
+func (c *Cell) storeSubmission(ctx context.Context, pool endive.PoolName, id endive.JobID, account endive.AccountName, job []byte) endive.SubmitResult {
 	if !c.Store.usableFor(flow.AcceptedKey(pool, id)) {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: callerRetryAfter, Reason: "the store partition of the workflow does not answer"}
 	}
-	result := c.commitSubmission(ctx, flow.SubmitTransaction(pool, id, job))
+	result := c.commitSubmission(ctx, flow.SubmitTransaction(pool, id, account, job), account)
 	if result.Status == endive.SubmitAccepted && !result.AlreadyStored {
 		// A workflow that was stored earlier isn't notified again: it may have ended, and
 		// the current holder may not know that.
@@ -64,13 +64,15 @@
 }
 
 // relaySubmission sends a submission to another entry, which stores it.
-func (c *Cell) relaySubmission(ctx context.Context, queue endive.Queue, id endive.JobID, job []byte) endive.SubmitResult {
-	ask := newRelayAsk(wire.RelayKind_RELAY_SUBMIT, queue, id)
+func (c *Cell) relaySubmission(ctx context.Context, match endive.QueueMatch, id endive.JobID, job []byte) endive.SubmitResult {
+	ask := newRelayAsk(wire.RelayKind_RELAY_SUBMIT, match.Queue, match.Caller, id)
 	ask.Submission = job
 	answer := c.relayClient.forward(ctx, ask)
 	switch answer.GetStatus() {
 	case wire.RelayStatus_RELAY_DONE:
 		return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: answer.GetReason()}
+	case wire.RelayStatus_RELAY_NOT_OWNER:
+		return endive.SubmitResult{Status: endive.SubmitNotOwner, Reason: answer.GetReason()}
 	case wire.RelayStatus_RELAY_UNAVAILABLE:
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: callerRetryAfter, Reason: answer.GetReason()}
 	default:
@@ -80,7 +82,7 @@
 
 // commitSubmission writes a submission. Once the answer to a try was lost, the submission may
 // be stored: then the result is SubmitAccepted or SubmitUnknown, never SubmitUnavailable.
-func (c *Cell) commitSubmission(ctx context.Context, txn endive.Transaction) endive.SubmitResult {
+func (c *Cell) commitSubmission(ctx context.Context, txn endive.Transaction, account endive.AccountName) endive.SubmitResult {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	answerLost := false
@@ -90,7 +92,7 @@
 		case err == nil:
 			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "stored"}
 		case endive.ErrConflict.Has(err):
-			return endive.SubmitResult{Status: endive.SubmitAccepted, AlreadyStored: true, Reason: "is stored already"}
+			return alreadyStored(err, account)
 		case endive.ErrUnknown.Has(err):
 			answerLost = true
 		}
@@ -104,6 +106,17 @@
 	}
 }
 
+// alreadyStored returns the result of a submission whose id was accepted earlier.
+func alreadyStored(conflict error, account endive.AccountName) endive.SubmitResult {
+	for _, row := range conflictingRows(conflict) {
+		acceptance, err := flow.DecodeAcceptance(row)
+		if err == nil && acceptance.Account != "" && acceptance.Account != account {
+			return endive.SubmitResult{Status: endive.SubmitNotOwner, Reason: "the id belongs to a workflow of another account"}
+		}
+	}
+	return endive.SubmitResult{Status: endive.SubmitAccepted, AlreadyStored: true, Reason: "is stored already"}
+}
+
 // commit writes a transaction within the configured store time-out.
 func (c *Cell) commit(ctx context.Context, txn endive.Transaction) error {
 	return c.commitWithin(ctx, txn, time.Duration(c.Settings.Timings.StoreTimeout))
--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -47,6 +47,12 @@
 	// poll is the period in which entries added from now on poll the leases and the workers;
 	// zero for the default.
 	poll endive.Interval
+	// directory, if set, replaces the directory of the entries added from now on.
+	directory func(endive.Directory) endive.Directory
+	// settings, if set, changes the settings of the entries added from now on.
+	settings func(*setup.CellSettings)
+	// key is the key of the calls of submit and state.
+	key string
 }
 
 // logBuffer collects the log output of all entries.
@@ -85,27 +91,37 @@
 	}
 	r.address = r.serve(r.store)
 	r.advice = r.serve(stand.AdviceService{ValidityMillis: 2000})
-	r.putRow("op", "config", map[string]any{
-		"version": 3,
+	r.putConfig(3, nil)
+	for i := range workers {
+		r.addWorker(fmt.Sprintf("i-%d", i))
+	}
+	for i := range entries {
+		r.addEntry(fmt.Sprintf("entry-%d", i))
+	}
+	return r
+}
+
+// putConfig writes a version of the operators' configuration; without accounts if they are nil.
+func (r *testCluster) putConfig(version int, accounts []map[string]any) {
+	config := map[string]any{
+		"version": version,
 		"routes": []map[string]any{
 			{
 				"name": "quick", "host": "a.example", "prefix": "/quick/", "service": "svc", "max_attempts": 2, "slack_factor": 1.5,
 				"target_latency_ms": 600,
 			},
+			{"name": "public", "host": "a.example", "prefix": "/public/", "service": "svc", "max_attempts": 2, "slack_factor": 1.5, "public": true},
 			{
 				"name": "slow", "host": "a.example", "prefix": "/slow/", "service": "svc", "priority": 1, "max_attempts": 3, "slack_factor": 2,
 				"target_latency_ms": 600, "hint": map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000},
 			},
 		},
 		"services": []map[string]any{{"name": "svc"}},
-	})
-	for i := range workers {
-		r.addWorker(fmt.Sprintf("i-%d", i))
 	}
-	for i := range entries {
-		r.addEntry(fmt.Sprintf("entry-%d", i))
+	if accounts != nil {
+		config["tenants"] = accounts
 	}
-	return r
+	r.putRow("op", "config", config)
 }
 
 // serve starts a server and returns its address. Its client connections are closed when the
@@ -148,6 +164,9 @@
 	if r.poll > 0 {
 		settings.Timings.Poll = r.poll
 	}
+	if r.settings != nil {
+		r.settings(&settings)
+	}
 	clock := endive.NewBootClock()
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Output: r.log, JSONFormat: true, Level: hclog.Info})
 	counters := NewCounters(tally.NoopScope)
@@ -156,9 +175,13 @@
 	client := plat.NewClient(guarded, clock, counters)
 	platform := plat.NewStoreClock(clock)
 	rows := NewStore(plat.NewStore(client, r.address, platform), clock, log)
+	directory := endive.Directory(plat.NewDirectory(rows))
+	if r.directory != nil {
+		directory = r.directory(directory)
+	}
 	c := New(Deps{
 		Settings: settings, Incarnation: endive.Incarnation(fmt.Sprintf("%s-%d", name, len(r.cells))), Clock: clock, Platform: platform,
-		Log: log, Counters: counters, Store: rows, Directory: plat.NewDirectory(rows), Fleet: plat.NewFleet(client),
+		Log: log, Counters: counters, Store: rows, Directory: directory, Fleet: plat.NewFleet(client),
 		Advisor: plat.NewAdvisor(client, r.advice),
 	})
 	c.Start(listener)
@@ -250,7 +273,7 @@
 		step.After = []int{0}
 		workflow.Steps = append(workflow.Steps, step)
 	}
-	return c.Submit(r.t.Context(), c.Match("a.example", path+id), workflow)
+	return c.Submit(r.t.Context(), c.Match("a.example", path+id, r.key), workflow)
 }
 
 // submitAccepted submits a workflow until it is accepted. Like a client it retries after a
@@ -268,7 +291,8 @@
 
 // state returns the state of a workflow as reported by an entry, or the text of the error.
 func (r *testCluster) state(c *Cell, path, id string) endive.WorkflowState {
-	state, err := c.State(r.t.Context(), c.Match("a.example", path).Queue, endive.JobID(id))
+	match := c.Match("a.example", path, r.key)
+	state, err := c.State(r.t.Context(), match.Queue, match.Caller, endive.JobID(id))
 	if err != nil {
 		return endive.WorkflowState(err.Error())
 	}
--- a/entry/cell/unconfirmedsubmissions.go
+++ b/entry/cell/unconfirmedsubmissions.go
@@ -38,6 +38,8 @@
 		delete(u.lastTryAt, id)
 	case result.Status == endive.SubmitUnknown:
 		u.add(now, id)
+	case result.Status == endive.SubmitNotOwner:
+		// The store has answered: no try of this account was stored.
 	case unconfirmed && now.Sub(at) < unconfirmedRetention:
 		result.Status = endive.SubmitUnknown
 		result.Reason += "; an earlier try may have been stored"
--- a/entry/cell/workflowstates.go
+++ b/entry/cell/workflowstates.go
@@ -32,7 +32,7 @@
 // answers clients. It is safe for concurrent use.
 type workflowStates struct {
 	mu     sync.Mutex
-	states map[endive.JobID]endive.WorkflowState
+	states map[endive.JobID]publishedState
 	// ending has a channel for each workflow whose end isn't recorded yet. The channel is
 	// closed when it is recorded.
 	ending map[endive.JobID]chan struct{}
@@ -41,6 +41,12 @@
 	expiry time.Time
 }
 
+// publishedState is the state of a workflow and the account that the workflow belongs to.
+type publishedState struct {
+	state endive.WorkflowState
+	owner endive.AccountName
+}
+
 // setExpiry sets the end of the pool's lease after a renewal.
 func (s *workflowStates) setExpiry(expiry time.Time) {
 	s.mu.Lock()
@@ -53,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.states == nil {
-		s.states = make(map[endive.JobID]endive.WorkflowState)
+		s.states = make(map[endive.JobID]publishedState)
 		s.ending = make(map[endive.JobID]chan struct{})
 	}
 	if recorded := s.ending[change.Job]; recorded != nil {
@@ -67,7 +73,7 @@
 		delete(s.states, change.Job)
 		return
 	}
-	s.states[change.Job] = change.State
+	s.states[change.Job] = publishedState{state: change.State, owner: change.Account}
 }
 
 // clear removes all states at the end of a tenure.
@@ -82,7 +88,7 @@
 
 // awaitState returns the published state of a workflow. If the workflow has ended and its end
 // isn't recorded yet, awaitState waits up to endRecordWait until it is recorded.
-func (s *workflowStates) awaitState(ctx context.Context, clock endive.Clock, id endive.JobID) (endive.WorkflowState, bool) {
+func (s *workflowStates) awaitState(ctx context.Context, clock endive.Clock, id endive.JobID) (publishedState, bool) {
 	s.mu.Lock()
 	recorded := s.ending[id]
 	s.mu.Unlock()
@@ -100,7 +106,7 @@
 
 // stateAt returns the published state of a workflow, and whether the state is known and the
 // pool's lease hasn't expired.
-func (s *workflowStates) stateAt(now time.Time, id endive.JobID) (endive.WorkflowState, bool) {
+func (s *workflowStates) stateAt(now time.Time, id endive.JobID) (publishedState, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state, ok := s.states[id]
@@ -108,15 +114,16 @@
 }
 
 // stateFromHolder requests the state of a workflow from the pool's holder. It reports whether
-// the holder returned one.
-func (c *Cell) stateFromHolder(ctx context.Context, queue endive.Queue, id endive.JobID) (endive.WorkflowState, bool) {
+// the holder returned one. The store decides whether a workflow of another account exists.
+func (c *Cell) stateFromHolder(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) (endive.WorkflowState, bool) {
 	p := c.poolNamed(queue.Pool)
 	if p == nil {
 		return "", false
 	}
 	now := c.Clock.Now()
 	if p.holding.Load() {
-		return p.states.awaitState(ctx, c.Clock, id)
+		published, ok := p.states.awaitState(ctx, c.Clock, id)
+		return published.state, ok && caller.MayAccess(published.owner)
 	}
 	holder := p.currentHolder()
 	if holder == "" || holder == c.Settings.Name || now.Before(*p.holderBackoffUntil.Load()) {
@@ -126,7 +133,7 @@
 	if c.peers.inOwnRegion(holder) {
 		timeout = sameRegionTimeout
 	}
-	answer := c.relayClient.send(ctx, holder, newRelayAsk(wire.RelayKind_RELAY_HELD_STATE, queue, id), timeout)
+	answer := c.relayClient.send(ctx, holder, newRelayAsk(wire.RelayKind_RELAY_HELD_STATE, queue, caller, id), timeout)
 	if answer == nil && ctx.Err() == nil {
 		until := c.Clock.Now().Add(holderBackoff)
 		p.holderBackoffUntil.Store(&until)
@@ -136,14 +143,14 @@
 }
 
 // answerStateRequest returns the answer to a state request of another entry.
-func (c *Cell) answerStateRequest(ctx context.Context, pool endive.PoolName, id endive.JobID) *wire.RelayAnswer {
+func (c *Cell) answerStateRequest(ctx context.Context, pool endive.PoolName, caller endive.Caller, id endive.JobID) *wire.RelayAnswer {
 	p := c.poolNamed(pool)
 	if p == nil || !p.holding.Load() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "this entry doesn't hold the pool"}
 	}
-	state, ok := p.states.awaitState(ctx, c.Clock, id)
-	if !ok {
+	published, ok := p.states.awaitState(ctx, c.Clock, id)
+	if !ok || !caller.MayAccess(published.owner) {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the holder has no state of the workflow"}
 	}
-	return relayAnswer(nil, string(state), 0)
+	return relayAnswer(nil, string(published.state), 0)
 }
--- a/entry/cell/workflowstates_test.go
+++ b/entry/cell/workflowstates_test.go
@@ -34,7 +34,7 @@
 				states.apply(change)
 			}
 			state, known := states.stateAt(now, "a")
-			is.Equal(state, tt.want)
+			is.Equal(state.state, tt.want)
 			is.Equal(known, tt.known)
 			states.clear()
 			_, known = states.stateAt(now, "a")
@@ -64,7 +64,7 @@
 			go (&stateFeeder{states: &states, changes: tt.next}).run()
 			state, known := states.awaitState(t.Context(), endive.SystemClock{}, "a")
 			is.True(known)
-			is.Equal(state, tt.want)
+			is.Equal(state.state, tt.want)
 		})
 	}
 }
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -40,8 +40,9 @@
 // final state is published only after it has been recorded. An empty state means that
 // the holder no longer keeps the workflow.
 type PublishState struct {
-	Job   endive.JobID
-	State endive.WorkflowState
+	Job     endive.JobID
+	Account endive.AccountName
+	State   endive.WorkflowState
 	// EndPending is true if the workflow has ended but that is not recorded yet.
 	EndPending bool
 }
--- a/flow/cleanup.go
+++ b/flow/cleanup.go
@@ -38,16 +38,20 @@
 
 // endedJob is a workflow that is to be archived or deleted at dueAt.
 type endedJob struct {
-	id    endive.JobID
-	state endive.WorkflowState
-	dueAt time.Time
+	id      endive.JobID
+	account endive.AccountName
+	state   endive.WorkflowState
+	dueAt   time.Time
 }
 
+// lastProgress returns the last progress row of the workflow.
+func (e endedJob) lastProgress() Progress { return Progress{State: e.state, Account: e.account} }
+
 // addEndedJob schedules the archival of a workflow whose end is recorded.
-func (m *Machine) addEndedJob(id endive.JobID, state endive.WorkflowState) {
+func (m *Machine) addEndedJob(id endive.JobID, last Progress) {
 	m.endedJobs.knownIDs[id] = true
-	m.emit(PublishState{Job: id, State: state})
-	m.endedJobs.toArchive = append(m.endedJobs.toArchive, endedJob{id: id, state: state, dueAt: m.now.Add(archiveDelay)})
+	m.emit(PublishState{Job: id, Account: last.Account, State: last.State})
+	m.endedJobs.toArchive = append(m.endedJobs.toArchive, endedJob{id: id, account: last.Account, state: last.State, dueAt: m.now.Add(archiveDelay)})
 }
 
 // addArchivedJob schedules the deletion of a workflow's last state after the retention period.
@@ -106,7 +110,7 @@
 			endive.Write{Key: JobKey(m.pool, ended.id), Delete: true},
 			endive.Write{Key: CancelKey(m.pool, ended.id), Delete: true},
 			endive.Write{Key: StateKey(m.pool, ended.id), Delete: true},
-			endive.Write{Key: EndedKey(m.pool, ended.id), Value: encodeRow(Progress{State: ended.state})},
+			endive.Write{Key: EndedKey(m.pool, ended.id), Value: encodeRow(ended.lastProgress())},
 		)
 	}
 	for _, ended := range m.endedJobs.archived {
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -31,7 +31,7 @@
 	}
 	for _, ended := range m.endedJobs.toArchive {
 		snapshot.WorkRows = append(snapshot.WorkRows, endive.Row{Key: JobKey(m.pool, ended.id)})
-		snapshot.StateRows = append(snapshot.StateRows, endive.Row{Key: StateKey(m.pool, ended.id), Value: encodeRow(Progress{State: ended.state})})
+		snapshot.StateRows = append(snapshot.StateRows, endive.Row{Key: StateKey(m.pool, ended.id), Value: encodeRow(ended.lastProgress())})
 	}
 	for _, ended := range m.endedJobs.archived {
 		snapshot.EndedJobs = append(snapshot.EndedJobs, ended.id)
--- a/flow/job.go
+++ b/flow/job.go
@@ -13,6 +13,7 @@
 type job struct {
 	id          endive.JobID
 	spec        endive.Workflow
+	account     endive.AccountName
 	policy      endive.Queue
 	accepted    time.Time
 	state       endive.WorkflowState
@@ -127,7 +128,7 @@
 // newJob returns a job without recorded progress.
 func (m *Machine) newJob(s endive.Submission) *job {
 	j := &job{
-		id: s.Workflow.ID, spec: s.Workflow, policy: s.Policy, accepted: m.now,
+		id: s.Workflow.ID, spec: s.Workflow, account: s.Account, policy: s.Policy, accepted: m.now,
 		state: endive.WorkflowQueued, occurrences: make(map[int]*occurrence),
 	}
 	if s.Accepted > 0 && m.clock.Known() {
--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -19,7 +19,7 @@
 		id := endive.JobID(name)
 		recorded, known := progress[id]
 		if known && recorded.State.Ended() {
-			m.addEndedJob(id, recorded.State)
+			m.addEndedJob(id, recorded)
 			continue
 		}
 		m.addJob(id, row.Value, recorded, true)
@@ -99,7 +99,7 @@
 // publishState publishes the state of a job that hasn't ended.
 func (m *Machine) publishState(j *job) {
 	if !j.state.Ended() {
-		m.emit(PublishState{Job: j.id, State: j.state})
+		m.emit(PublishState{Job: j.id, Account: j.account, State: j.state})
 	}
 }
 
@@ -167,7 +167,7 @@
 
 // progress returns a job's progress to be recorded.
 func (j *job) progress() Progress {
-	p := Progress{State: j.state}
+	p := Progress{State: j.state, Account: j.account}
 	if p.State.Ended() {
 		return p
 	}
@@ -216,7 +216,7 @@
 	if j.state.Ended() {
 		return
 	}
-	m.emit(PublishState{Job: j.id, State: j.state, EndPending: true})
+	m.emit(PublishState{Job: j.id, Account: j.account, State: j.state, EndPending: true})
 	j.state = state
 	m.markDirty(j, rowUrgent)
 	m.logDecision(Decision{Kind: DecisionJob, Job: j.id, Outcome: string(state), Reason: reason +
@@ -251,5 +251,5 @@
 	}
 	delete(m.jobs, j.id)
 	delete(m.scheduled, j.id)
-	m.addEndedJob(j.id, j.state)
+	m.addEndedJob(j.id, Progress{State: j.state, Account: j.account})
 }
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -101,14 +101,26 @@
 
 // SubmitTransaction returns the transaction that stores an encoded submission, on the condition
 // that it wasn't stored before.
-func SubmitTransaction(pool endive.PoolName, id endive.JobID, job []byte) endive.Transaction {
+func SubmitTransaction(pool endive.PoolName, id endive.JobID, account endive.AccountName, job []byte) endive.Transaction {
 	acceptedKey := AcceptedKey(pool, id)
 	return endive.Transaction{
 		Conditions: []endive.Condition{{Key: acceptedKey}},
-		Writes:     []endive.Write{{Key: acceptedKey, Value: []byte("{}")}, {Key: JobKey(pool, id), Value: job}},
+		Writes:     []endive.Write{{Key: acceptedKey, Value: encodeRow(Acceptance{Account: account})}, {Key: JobKey(pool, id), Value: job}},
 	}
 }
 
+// Acceptance is the row that marks a workflow as accepted.
+type Acceptance struct {
+	// Account is the client account that the workflow belongs to; empty for none.
+	Account endive.AccountName `json:"account,omitempty"`
+}
+
+// DecodeAcceptance decodes the row that marks a workflow as accepted.
+func DecodeAcceptance(row endive.Row) (Acceptance, error) {
+	var acceptance Acceptance
+	return acceptance, decodeRow(row.Value, &acceptance)
+}
+
 // StateKey returns the key of a workflow's progress.
 func StateKey(pool endive.PoolName, id endive.JobID) string {
 	return StatePrefix(pool) + string(id)
@@ -154,6 +166,8 @@
 // Progress is the row of a workflow's progress. A workflow that waits has none.
 type Progress struct {
 	State endive.WorkflowState `json:"state"`
+	// Account is the client account that the workflow belongs to; empty for none.
+	Account endive.AccountName `json:"account,omitempty"`
 	// Occurrences lists the occurrences that have recorded progress.
 	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
 }
--- a/ids.go
+++ b/ids.go
@@ -23,6 +23,8 @@
 	PoolName string
 	// TeamName names a team that submits jobs under a quota.
 	TeamName string
+	// AccountName names a client account; empty means none.
+	AccountName string
 	// QueueName names a queue that workflows are submitted to.
 	QueueName string
 	// Label is an attribute of a worker: its kind or its rack.
--- a/queue.go
+++ b/queue.go
@@ -18,6 +18,8 @@
 	// of its critical path times SlackFactor, plus Grace.
 	SlackFactor float64  `json:"slackFactor"`
 	Grace       Interval `json:"grace"`
+	// Public queues take calls without a key.
+	Public bool `json:"public,omitempty"`
 	// Advice is set if the tasks require a ticket of the advice service, which
 	// determines the workers that may run a step.
 	Advice AdvicePolicy `json:"advice,omitzero"`
@@ -47,6 +49,8 @@
 type Submission struct {
 	Workflow Workflow `json:"workflow"`
 	Policy   Queue    `json:"policy"`
+	// Account is the client account that the workflow belongs to; empty for none.
+	Account AccountName `json:"account,omitempty"`
 	// ConfigVersion is the version of the configuration that contained the policy.
 	ConfigVersion ConfigVersion `json:"configVersion"`
 	// Accepted is the platform's time when the workflow was accepted.
@@ -59,9 +63,10 @@
 // CellConfig is the operators' configuration: queues, pools of workers and limits of
 // client requests.
 type CellConfig struct {
-	Version ConfigVersion
-	Queues  []Queue
-	Pools   []WorkerPool
+	Version  ConfigVersion
+	Queues   []Queue
+	Pools    []WorkerPool
+	Accounts Accounts
 	// MaxBody is the maximum size of the body of a client's request.
 	MaxBody Bytes
 	// HeaderTimeout is the time limit for receiving the header of a request.
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -59,6 +59,10 @@
 	StopGrace endive.Interval `toml:"stopGrace" json:"stopGrace"`
 	// Retention is how long clients can read the state of a workflow after its end.
 	Retention endive.Interval `toml:"retention" json:"retention"`
+	// StrictKeys refuses calls with a key once the configuration hasn't been confirmed for
+	// MaxKeyAge, since the key may have been withdrawn.
+	StrictKeys bool            `toml:"strictKeys" json:"strictKeys"`
+	MaxKeyAge  endive.Interval `toml:"maxKeyAge" json:"maxKeyAge"`
 }
 
 // CellTimings are the entry's own leases, periods and timeouts.
@@ -79,6 +83,7 @@
 	DefaultMaxGrant     = endive.Interval(6 * time.Second)
 	DefaultStopGrace    = endive.Interval(6 * time.Second)
 	DefaultRetention    = endive.Interval(2 * time.Minute)
+	DefaultMaxKeyAge    = endive.Interval(5 * time.Second)
 )
 
 // LoadCell reads the settings from a TOML file of any name, sets the defaults and
@@ -103,6 +108,7 @@
 	c.Bounds.MaxGrant.Default(DefaultMaxGrant)
 	c.Bounds.StopGrace.Default(DefaultStopGrace)
 	c.Bounds.Retention.Default(DefaultRetention)
+	c.Bounds.MaxKeyAge.Default(DefaultMaxKeyAge)
 	c.Timings.PoolLease.Default(DefaultPoolLease)
 	c.Timings.Poll.Default(DefaultPoll)
 	c.Timings.StoreTimeout.Default(DefaultStoreTimeout)
@@ -131,7 +137,7 @@
 		value endive.Interval
 	}{
 		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.stopGrace", c.Bounds.StopGrace},
-		{"bounds.retention", c.Bounds.Retention},
+		{"bounds.retention", c.Bounds.Retention}, {"bounds.maxKeyAge", c.Bounds.MaxKeyAge},
 		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poll", c.Timings.Poll},
 		{"timings.storeTimeout", c.Timings.StoreTimeout},
 	} {
