Caps of accounts bind over all pools; their parts move between the pools' holders

Cause: nothing counted what an account runs.

The root's QuotaDivision divides the caps between the pools. Held back steps request no advice, reserve nothing and preempt nothing. A gang that can never fit is refused as such.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -9,6 +9,7 @@
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/entry/system"
+	"endiveroute.example/endive/flow"
 )
 
 // Cell runs one entry. It implements endive.Cell and is safe for concurrent use.
@@ -142,6 +143,10 @@
 		p.readLease()
 	}
 	c.workers.publishAll()
+	accounts := flow.AccountsChanged{Accounts: config.Accounts, Pools: len(config.Pools)}
+	for _, p := range c.allPools() {
+		p.sendToFlow(accounts)
+	}
 }
 
 // holders returns the entries that hold a pool.
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,9 +37,12 @@
 	if !c.Platform.Known() {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: callerRetryAfter, Reason: "the store is unreachable"}
 	}
+	if reason := c.exceedsCap(match, workflow); reason != "" {
+		return endive.SubmitResult{Status: endive.SubmitImpossible, Reason: reason}
+	}
 	job, err := json.Marshal(endive.Submission{
 		Workflow: workflow, Policy: match.Queue, Account: match.Caller.Account, ConfigVersion: match.ConfigVersion,
-		Accepted: c.Platform.AtLeast(c.Clock.Now()), Advised: c.Store.usable() && c.prefetchAdvice(match.Queue, workflow),
+		Accepted: c.Platform.AtLeast(c.Clock.Now()), Advised: c.Store.usable() && c.prefetchAdvice(match, workflow),
 	})
 	if err != nil {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, Reason: "the submission cannot be encoded: " + err.Error()}
@@ -134,12 +138,13 @@
 // written, so that the answers arrive at about the time it is stored. The service processes
 // the requests of different entries in parallel. prefetchAdvice reports whether it sent
 // requests for all first steps.
-func (c *Cell) prefetchAdvice(queue endive.Queue, workflow endive.Workflow) bool {
+func (c *Cell) prefetchAdvice(match endive.QueueMatch, workflow endive.Workflow) bool {
+	queue := match.Queue
 	if !queue.Advice.Required() || workflow.Schedule.Occurrences > 0 {
 		return false
 	}
 	p := c.poolNamed(queue.Pool)
-	if p == nil || p.currentHolder() == "" {
+	if p == nil || p.currentHolder() == "" || slices.Contains(p.status.Load().HeldBack, match.Caller.Account) {
 		return false
 	}
 	// In a saturated pool the tickets would expire before there is free capacity, except for
--- a/entry/cell/workfollower.go
+++ b/entry/cell/workfollower.go
@@ -41,6 +41,7 @@
 }
 
 func (f *workFollower) run() {
+	go (&quotaFollower{pool: f.pool, ctx: f.ctx}).run()
 	for f.ctx.Err() == nil {
 		loaded, err := f.load()
 		if err == nil {
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -69,6 +69,7 @@
 	}
 	w := newSimulation(t, seed, f)
 	w.trace = *followTasks
+	w.accounts = faultAccounts()
 	w.addWorkers(6)
 	current := w.startHolder()
 	var ids []endive.JobID
@@ -94,27 +95,37 @@
 	}
 }
 
+// faultAccounts returns two accounts: a's gang fits its cap only if little else runs, and b's
+// gang exceeds its cap, but not with the overage and one task more.
+func faultAccounts() endive.Accounts {
+	accounts, _ := endive.NewAccounts([]endive.Account{
+		{Name: "a", Cap: endive.Resources{Processors: 20_000}},
+		{Name: "b", Cap: endive.Resources{Processors: 14_000, Accelerators: 2}},
+	})
+	return accounts
+}
+
 // submitNth submits a workflow whose kind depends on the number.
 func (w *simulation) submitNth(i int) endive.JobID {
-	id := fmt.Sprintf("job%d", i)
+	id, account := fmt.Sprintf("job%d", i), []endive.AccountName{"", "a", "b"}[i/6%3]
 	switch i % 6 {
 	case 0:
-		return w.submit(id, adviceQueue, stepOfTasks(5, 800*time.Millisecond), stepOfTasks(3, 600*time.Millisecond, 0))
+		return w.submitFor(account, id, adviceQueue, stepOfTasks(5, 800*time.Millisecond), stepOfTasks(3, 600*time.Millisecond, 0))
 	case 1:
-		return w.submit(id, urgentQueue, endive.Step{
+		return w.submitFor(account, id, urgentQueue, endive.Step{
 			Tasks: 2, Gang: true, Need: endive.Resources{Processors: 9000, Accelerators: 2}, Estimate: endive.Interval(1500 * time.Millisecond),
 		})
 	case 2:
 		longRunning := stepOfTasks(2, time.Second)
 		longRunning.LongRunning = true
-		return w.submit(id, urgentQueue, longRunning)
+		return w.submitFor(account, id, urgentQueue, longRunning)
 	case 3:
 		large := stepOfTasks(3, 2500*time.Millisecond)
 		large.Need.Processors = 8000
 		large.MaxPerWorker = 1
-		return w.submit(id, adviceQueue, large)
+		return w.submitFor(account, id, adviceQueue, large)
 	default:
-		return w.submit(id, urgentQueue, stepOfTasks(6, 700*time.Millisecond), stepOfTasks(2, 400*time.Millisecond, 0), stepOfTasks(2, 400*time.Millisecond, 0, 1))
+		return w.submitFor(account, id, urgentQueue, stepOfTasks(6, 700*time.Millisecond), stepOfTasks(2, 400*time.Millisecond, 0), stepOfTasks(2, 400*time.Millisecond, 0, 1))
 	}
 }
 
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -30,12 +30,14 @@
 			return
 		}
 	}
+	s.heldBack = false
 	var chosen []*worker
 	if m.mightFit(s) {
 		chosen = m.chooseGang(s)
 	}
 	if chosen == nil {
 		m.prepareGang(s)
+		m.reserveAllowance(s)
 		return
 	}
 	s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
--- a/flow/handover_test.go
+++ b/flow/handover_test.go
@@ -96,3 +96,26 @@
 	is.Equal(restored.ineligible, original.ineligible)
 	is.Equal(restored.eligibleIDs, original.eligibleIDs)
 }
+
+// An unlisted worker lists the end of a run that isn't recorded yet. The pool changes its
+// holder: the next one must still ask this worker, or the task would run again.
+func TestHandOverKeepsUnlistedWorkerWithUnrecordedEnd(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 2)
+	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
+	w.run(1200 * time.Millisecond)
+	is.Equal(w.runningTasks(id), 1)
+	w.faults.lostWrite = 1
+	for _, worker := range w.workers {
+		worker.unlisted = len(worker.runs) > 0
+	}
+	w.publishWorkers()
+	w.run(1900 * time.Millisecond)
+	is.Equal(w.runningTasks(id), 0)
+	w.faults.lostWrite = 0
+	h.handOver()
+	w.run(12 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 1)
+}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/quota"
 )
 
 // kill ends a holder's process.
@@ -62,6 +63,7 @@
 		w.handedOver = &a.Snapshot
 	case LoadSnapshot:
 		w.after(w.loadTime(a.Epoch), func() { h.load(a.Epoch) })
+		w.after(quotaReadTime, func() { h.step(w.quotaRows()) })
 	case Commit:
 		h.commit(a.Transaction)
 	case RequestAdvice:
@@ -141,6 +143,20 @@
 	h.step(loaded)
 }
 
+// quotaReadTime is how long a new holder takes to read the pools' parts of the caps.
+const quotaReadTime = 8 * time.Millisecond
+
+// quotaRows returns the event with the pools' parts of the caps.
+func (w *simulation) quotaRows() QuotaRowsRead {
+	event := QuotaRowsRead{Complete: true}
+	for key, row := range w.rows {
+		if strings.HasPrefix(key, quota.Prefix) {
+			event.Rows = append(event.Rows, row)
+		}
+	}
+	return event
+}
+
 // loadTime returns how long a new holder takes to load the rows.
 func (w *simulation) loadTime(epoch endive.Epoch) time.Duration {
 	if w.handedOver != nil && w.handedOver.Epoch+1 == epoch {
@@ -210,10 +226,20 @@
 			continue
 		}
 		w.rows[write.Key] = endive.Row{Key: write.Key, Version: w.version, Value: write.Value}
+		if strings.HasPrefix(write.Key, quota.Prefix) {
+			w.publishQuotaRows()
+		}
 	}
 	return event
 }
 
+// publishQuotaRows sends the pools' parts of the caps to the holders.
+func (w *simulation) publishQuotaRows() {
+	for _, h := range w.holders {
+		h.send(w.quotaRows())
+	}
+}
+
 // answerAdvice answers an advice request, unless the answer is lost.
 func (h *holder) answerAdvice(a RequestAdvice) {
 	if h.sim.chance(h.sim.faults.lostAdvice) {
--- a/flow/invariants_test.go
+++ b/flow/invariants_test.go
@@ -45,11 +45,36 @@
 	if !f.executesLateOrder && !job.cancelledAt.IsZero() && w.now.Sub(job.cancelledAt) > 3*time.Second {
 		w.addViolation("cancel: %s starts %s after its cancellation", order.Task, w.now.Sub(job.cancelledAt))
 	}
+	w.checkCap(order, job, spec)
 	if order.Ticket == "" && job.policy.Advice.Required() {
 		w.addViolation("ticket: %s starts without a ticket", order.Task)
 	}
 }
 
+// testOverage is the share by which an account may exceed its cap.
+const testOverage = 0.1
+
+// checkCap records a violation if a start brings the account above its cap, the overage and one
+// task more.
+func (w *simulation) checkCap(order endive.StartOrder, job *fakeJob, spec endive.Step) {
+	account, ok := w.accounts.Named(job.account)
+	if !ok {
+		return
+	}
+	var running endive.Resources
+	for _, worker := range w.workers {
+		for task := range worker.runs {
+			if other, otherSpec := w.findStep(task); other.account == job.account {
+				running = running.Add(otherSpec.Need)
+			}
+		}
+	}
+	most := endive.QuotaAllowance{Cap: account.Cap, Limit: account.Cap.Scale(1 + testOverage).Add(spec.Need)}
+	if !most.Allows(running) {
+		w.addViolation("cap: %s brings account %s to %v of %v", order.Task, account.Name, running, account.Cap)
+	}
+}
+
 // findStep returns the job and the step of a task.
 func (w *simulation) findStep(task endive.TaskID) (*fakeJob, endive.Step) {
 	parts := strings.Split(string(task), ".")
--- a/flow/job.go
+++ b/flow/job.go
@@ -70,6 +70,9 @@
 	waiting    int
 	unfinished int
 	unrecorded int
+	// heldBack is true if tasks of the step waited for the account's allowance in the last
+	// scheduling pass.
+	heldBack bool
 	// startedAt is when the first task of the step was started.
 	startedAt time.Time
 	// runsPerWorker counts the runs on each worker.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -39,6 +39,7 @@
 	advice        adviceState
 	// earlyAdvice are the answers for steps whose workflow hasn't arrived yet.
 	earlyAdvice map[endive.StepID]ForwardedAdvice
+	quotas      quotas
 	status      statusReport
 	endedJobs   endedJobs
 	// passDue is true if a scheduling pass is needed; earliestPassAt is the earliest time
@@ -72,8 +73,9 @@
 }
 
 // New returns the machine of a pool that this entry doesn't hold yet.
-func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs) *Machine {
+func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs, division endive.QuotaDivision) *Machine {
 	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs, adviceClients: 1, forecasts: make(map[endive.QueueName]*Forecast)}
+	m.quotas.division = division
 	m.reset()
 	return m
 }
@@ -89,6 +91,8 @@
 	m.recorder = recorder{}
 	m.advice = adviceState{}
 	m.earlyAdvice = make(map[endive.StepID]ForwardedAdvice)
+	m.quotas = quotas{division: m.quotas.division, uses: make(map[endive.AccountName]*accountUse)}
+	m.quotas.division.Begin(0)
 	m.status = statusReport{}
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
 	m.changedWorkers, m.workersDueAt = nil, time.Time{}
@@ -123,6 +127,10 @@
 	case AdviceClientsChanged:
 		m.adviceClients = e.Count
 		return
+	case AccountsChanged:
+		m.quotas.division.SetAccounts(e.Accounts, e.Pools)
+		m.passDue = true
+		return
 	case endive.Wake:
 		m.wakeAt = time.Time{}
 		return
@@ -151,7 +159,14 @@
 		m.handleForwardedAdvice(e)
 	case EndedJobsLoaded:
 		m.handleEndedJobs(e)
+	case QuotaRowsRead:
+		m.quotas.division.HandleRows(e.Rows, e.Complete)
+		m.passDue = true
 	case endive.Committed:
+		if m.quotas.division.HandleCommitted(m.now, e) {
+			m.passDue = true
+			return
+		}
 		m.handleCommitted(e)
 	}
 }
@@ -159,11 +174,13 @@
 // runDueWork runs everything that is due. It is called after each event.
 func (m *Machine) runDueWork() {
 	if !m.tenure.loaded {
+		m.updateDivision(nil)
 		return
 	}
 	m.addDueOccurrences()
 	m.finishTakeover()
 	m.schedule()
+	m.updateQuotas()
 	m.sendAdviceRequests()
 	m.pollWorkers()
 	m.writeDue()
@@ -194,6 +211,7 @@
 		}
 		next = endive.Earliest(next, m.scheduledPassAt)
 	}
+	next = endive.Earliest(next, m.quotas.updateAt)
 	next = endive.Earliest(next, m.recorder.nextAt)
 	next = endive.Earliest(next, m.advice.nextAt)
 	if next.Before(m.now) {
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -36,7 +36,7 @@
 	if w.failedPolls > 0 && len(w.runs) > 0 && !leasesEnd.IsZero() && !m.now.Before(leasesEnd) {
 		m.dropRuns(w, "its leases have expired")
 	}
-	if !w.listed && m.tenure.takeoverDone && len(w.runs) == 0 {
+	if !w.listed && m.tenure.takeoverDone && len(w.runs) == 0 && len(w.unrecordedEnds) == 0 {
 		delete(m.workers, w.id)
 		return true
 	}
--- /dev/null
+++ b/flow/quota.go
@@ -0,0 +1,305 @@
+package flow
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// An account's cap limits what it runs in all pools together. The division of the caps gives
+// this pool a part of each. Tasks beyond it wait without holding up others: no advice is
+// requested for them, no capacity is reserved, and nothing is preempted. Hot accounts hand in
+// far more than they may run, so this must cost little.
+
+// AccountsChanged has the accounts of the newest configuration and the number of its pools.
+type AccountsChanged struct {
+	Accounts endive.Accounts
+	Pools    int
+}
+
+// IsEvent marks AccountsChanged as an event.
+func (AccountsChanged) IsEvent() {}
+
+// QuotaRowsRead has rows with the pools' parts of the caps.
+type QuotaRowsRead struct {
+	Rows []endive.Row
+	// Complete is true if there are no other rows.
+	Complete bool
+}
+
+// IsEvent marks QuotaRowsRead as an event.
+func (QuotaRowsRead) IsEvent() {}
+
+// quotaInterval is the time between two updates of the division of the caps while no event
+// requires one.
+const quotaInterval = 50 * time.Millisecond
+
+// quotas is what the accounts use and need in the pool.
+type quotas struct {
+	division endive.QuotaDivision
+	uses     map[endive.AccountName]*accountUse
+	// unknown is what runs use whose account isn't known. It counts for each account.
+	unknown endive.Resources
+	// due is true if the division has to be updated now, and updateAt when it has to be at the
+	// latest.
+	due      bool
+	updateAt time.Time
+}
+
+// accountUse is what one account uses and needs in the pool.
+type accountUse struct {
+	// running is what the account's runs use, from the order to start until the end.
+	running endive.Resources
+	// possible is what tasks use that may run on workers that haven't answered in this tenure.
+	possible endive.Resources
+	// reserved is what gangs of the account wait for in the current scheduling pass. Tasks of
+	// the account that come later must not use it.
+	reserved endive.Resources
+	// waiting, unit and task are the needs for the division, from the current pass.
+	waiting, unit, task endive.Resources
+}
+
+// total returns what counts against the account's allowance.
+func (u *accountUse) total(unknown endive.Resources) endive.Resources {
+	return u.running.Add(u.possible).Add(u.reserved).Add(unknown)
+}
+
+// use returns the record of an account.
+func (q *quotas) use(name endive.AccountName) *accountUse {
+	use := q.uses[name]
+	if use == nil {
+		use = &accountUse{}
+		q.uses[name] = use
+	}
+	return use
+}
+
+// addRun counts a run. The account of a run whose task isn't known isn't known either.
+func (q *quotas) addRun(r *run) {
+	if r.spec == nil {
+		q.unknown = q.unknown.Add(r.need)
+		return
+	}
+	if r.account != "" {
+		use := q.use(r.account)
+		use.running = use.running.Add(r.spec.Need)
+	}
+}
+
+// removeRun ends the count of a run.
+func (q *quotas) removeRun(r *run) {
+	q.due = true
+	if r.spec == nil {
+		q.unknown = q.unknown.Sub(r.need)
+		return
+	}
+	if r.account != "" {
+		use := q.use(r.account)
+		use.running = use.running.Sub(r.spec.Need)
+	}
+}
+
+// beginPass resets what a scheduling pass determines anew.
+func (q *quotas) beginPass() {
+	for name, use := range q.uses {
+		use.waiting, use.unit, use.task, use.reserved = endive.Resources{}, endive.Resources{}, endive.Resources{}, endive.Resources{}
+		if use.running == (endive.Resources{}) {
+			delete(q.uses, name)
+		}
+	}
+	q.due = true
+}
+
+// countPossibleRuns counts the tasks that an earlier holder may have started on workers that
+// haven't answered yet.
+func (m *Machine) countPossibleRuns() {
+	for _, use := range m.quotas.uses {
+		use.possible = endive.Resources{}
+	}
+	if m.tenure.takeoverDone {
+		return
+	}
+	var silent []*worker
+	for _, w := range m.sortedWorkers {
+		if !w.adopted {
+			silent = append(silent, w)
+		}
+	}
+	for _, j := range m.jobs {
+		if j.account == "" || !j.inherited {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			for _, s := range occ.steps {
+				if s.waiting > 0 && couldRunOnAny(s, silent) {
+					use := m.quotas.use(j.account)
+					use.possible = use.possible.Add(s.spec.Need.Times(int64(s.waiting)))
+				}
+			}
+		}
+	}
+}
+
+func couldRunOnAny(s *step, workers []*worker) bool {
+	for _, w := range workers {
+		if w.couldRun(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// allowedStarts returns how many of the given number of tasks of a step may start within the
+// allowance of the step's account. A gang may start only whole.
+func (m *Machine) allowedStarts(s *step, count int) int {
+	account := s.occ.job.account
+	if account == "" {
+		return count
+	}
+	allowance, limited := m.quotas.division.Allowance(account)
+	if !limited {
+		return count
+	}
+	running, unit := m.quotas.use(account).total(m.quotas.unknown), s.unit()
+	allowed := allowance.For(unit).Count(running, s.spec.Need, count)
+	if s.spec.Gang && allowed < s.spec.Tasks {
+		return 0
+	}
+	tolerated := endive.QuotaAllowance{Limit: allowance.Tolerated, Cap: allowance.Cap}
+	if allowed == 0 || tolerated.Allows(running.Add(s.spec.Need.Times(int64(allowed)))) {
+		return allowed
+	}
+	if within := tolerated.Count(running, s.spec.Need, allowed); within > 0 && !s.spec.Gang {
+		return within
+	}
+	// The last task may exceed what is tolerated.
+	oneMore := endive.QuotaAllowance{Limit: allowance.Tolerated.Add(s.spec.Need), Cap: allowance.Cap}
+	if !oneMore.Allows(running.Add(unit)) || m.hasUnconfirmedStarts(account) {
+		return 0
+	}
+	if s.spec.Gang {
+		return allowed
+	}
+	return 1
+}
+
+// hasUnconfirmedStarts reports whether a start of an account's run may still be carried out.
+func (m *Machine) hasUnconfirmedStarts(account endive.AccountName) bool {
+	for _, w := range m.sortedWorkers {
+		for _, r := range w.runs {
+			if r.account == account && (r.state == runStarting || r.inFlight || r.startUnconfirmed) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// unit returns what has to start at once: a task, or all tasks of a gang.
+func (s *step) unit() endive.Resources {
+	if s.spec.Gang {
+		return s.spec.Need.Times(int64(s.spec.Tasks))
+	}
+	return s.spec.Need
+}
+
+// reserveAllowance keeps the account's allowance for a gang that waits for tickets on workers
+// that are reserved for it.
+func (m *Machine) reserveAllowance(s *step) {
+	if s.gang.reservedWorkers == nil || s.occ.job.account == "" {
+		return
+	}
+	use := m.quotas.use(s.occ.job.account)
+	use.reserved = use.reserved.Add(s.unit())
+}
+
+// holdBack records that tasks of a step wait for the account's allowance. It counts as a need
+// for which the division should make room only if the pool has free capacity.
+func (m *Machine) holdBack(s *step, tasks int) {
+	use, unit := m.quotas.use(s.occ.job.account), s.unit()
+	if s.spec.Gang {
+		tasks = s.spec.Tasks
+		use.reserved = use.reserved.Add(unit)
+		s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
+	}
+	if !s.heldBack {
+		s.heldBack = true
+		m.logHeldBack(s)
+	}
+	places := placesFor(s.spec.Reserved(), m.advice.freeCapacity, tasks)
+	if places == 0 || s.spec.Gang && places < tasks {
+		return
+	}
+	use.waiting = use.waiting.Add(s.spec.Need.Times(int64(places)))
+	use.unit, use.task = use.unit.Max(unit), use.task.Max(s.spec.Need)
+}
+
+// placesFor returns how many tasks with a need fit into a capacity, at most limit.
+func placesFor(need, capacity endive.Resources, limit int) int {
+	count := int64(limit)
+	for _, pair := range inDimensions(need, capacity) {
+		if pair[0] > 0 {
+			count = min(count, pair[1]/pair[0])
+		}
+	}
+	return int(max(0, count))
+}
+
+func (m *Machine) logHeldBack(s *step) {
+	account := s.occ.job.account
+	allowance, _ := m.quotas.division.Allowance(account)
+	m.logDecision(Decision{Kind: DecisionJob, Job: s.occ.job.id, Outcome: "waits for its account's cap", Reason: "account " + string(account) +
+		" has " + m.quotas.use(account).running.String() + " running here, this pool's part is " + allowance.Limit.String() + ", the cap " +
+		allowance.Cap.String() + "; step " + string(s.id) + " needs " + s.spec.Need.String() + " for each of " + formatInt(int64(s.waiting)) + " tasks"})
+}
+
+// updateQuotas updates the division of the caps if that is due.
+func (m *Machine) updateQuotas() {
+	if !m.quotas.due && m.now.Before(m.quotas.updateAt) {
+		return
+	}
+	m.quotas.due, m.quotas.updateAt = false, m.now.Add(quotaInterval)
+	m.countPossibleRuns()
+	uses := make(map[endive.AccountName]endive.QuotaUse, len(m.quotas.uses))
+	for name, use := range m.quotas.uses {
+		uses[name] = endive.QuotaUse{
+			Running: use.running.Add(use.possible).Add(m.quotas.unknown), Waiting: use.waiting, Unit: use.unit, Task: use.task,
+		}
+	}
+	m.updateDivision(uses)
+}
+
+// updateDivision passes the uses to the division; nil while they aren't known.
+func (m *Machine) updateDivision(uses map[endive.AccountName]endive.QuotaUse) {
+	if txn, ok := m.quotas.division.Update(m.now, uses); ok {
+		m.emit(Commit{Transaction: txn})
+	}
+}
+
+// heldBackAccounts returns the accounts with tasks that wait for their allowance, sorted.
+func (m *Machine) heldBackAccounts() []endive.AccountName {
+	var names []endive.AccountName
+	for name, use := range m.quotas.uses {
+		if use.waiting != (endive.Resources{}) {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// maxLoggedAccounts limits the accounts in the log line about the pool.
+const maxLoggedAccounts = 5
+
+// usageOfAccounts formats what the accounts with held back tasks use, for the log.
+func (m *Machine) usageOfAccounts() string {
+	names := m.heldBackAccounts()
+	texts := make([]string, 0, maxLoggedAccounts)
+	for _, name := range names[:min(len(names), maxLoggedAccounts)] {
+		allowance, _ := m.quotas.division.Allowance(name)
+		texts = append(texts, string(name)+" runs "+m.quotas.use(name).running.String()+" of "+allowance.Limit.String())
+	}
+	return formatInt(int64(len(names))) + " accounts wait for their caps: " + strings.Join(texts, "; ")
+}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -157,6 +157,8 @@
 	Pending map[endive.QueueName]int `json:"pending"`
 	// Saturated is true if work waits for free capacity, so that new work won't start at once.
 	Saturated bool `json:"crowded,omitempty"`
+	// HeldBack are the accounts with tasks that wait for their caps.
+	HeldBack []endive.AccountName `json:"heldBack,omitempty"`
 	// Forecasts has the measured run times of each queue's work.
 	Forecasts map[endive.QueueName]*Forecast `json:"forecasts,omitempty"`
 	// At is when the holder wrote the row.
--- a/flow/run.go
+++ b/flow/run.go
@@ -16,7 +16,10 @@
 	number endive.RunNumber
 	worker *worker
 	need   endive.Resources
-	state  runState
+	// spec and account are those of the run's task; spec is nil if the task isn't known.
+	spec    *endive.Step
+	account endive.AccountName
+	state   runState
 	// inFlight is true from sending an order to start or stop the run until the order's answer.
 	inFlight bool
 	// startUnconfirmed is true if an order to start got no answer and may be carried out late.
@@ -66,6 +69,7 @@
 		r.need = w.info.Capacity
 	} else {
 		r.need = t.step.spec.Reserved()
+		r.spec, r.account = t.step.spec, t.step.occ.job.account
 		if t.state == taskWaiting {
 			t.state = taskPlaced
 			t.step.waiting--
@@ -83,6 +87,7 @@
 	}
 	w.used = w.used.Add(r.need)
 	w.runs[id] = r
+	m.quotas.addRun(r)
 	return r
 }
 
@@ -102,6 +107,7 @@
 	w := r.worker
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
+	m.quotas.removeRun(r)
 	m.passDue = true
 	t := r.task
 	if t == nil {
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -32,6 +32,8 @@
 			m.advice.freeCapacity = m.advice.freeCapacity.Add(w.free()).Add(w.freeingSoon)
 		}
 	}
+	m.quotas.beginPass()
+	m.countPossibleRuns()
 	for _, j := range m.rankedJobs() {
 		for _, occ := range j.sortedOccurrences() {
 			m.placeOccurrence(occ)
@@ -72,8 +74,15 @@
 		if s.unrecorded == 0 || s.waiting == 0 {
 			continue
 		}
+		allowed := m.allowedStarts(s, s.waiting)
 		if !s.ready() {
-			m.requestAdviceEarly(s)
+			if allowed > 0 {
+				m.requestAdviceEarly(s)
+			}
+			continue
+		}
+		if allowed == 0 {
+			m.holdBack(s, s.waiting)
 			continue
 		}
 		if s.occ.job.awaitsTakeover(m) {
@@ -82,14 +91,15 @@
 		if s.spec.Gang {
 			m.placeGang(s)
 		} else {
-			m.placeTasks(s)
+			m.placeTasks(s, allowed)
 		}
 	}
 }
 
-// placeTasks starts the waiting tasks of a step for which there is free capacity.
-func (m *Machine) placeTasks(s *step) {
-	unplaced := 0
+// placeTasks starts the waiting tasks of a step for which there is free capacity, up to the
+// number that the account's allowance permits.
+func (m *Machine) placeTasks(s *step, allowed int) {
+	unplaced, heldBack := 0, 0
 	var suitable []*worker
 	if m.mightFit(s) {
 		suitable = m.suitableWorkers(s)
@@ -98,11 +108,16 @@
 		if !m.startable(t) {
 			continue
 		}
+		if unplaced >= allowed {
+			heldBack++
+			continue
+		}
 		w := m.chooseWorker(s, t, suitable)
 		if w == nil {
 			unplaced++
 			continue
 		}
+		allowed--
 		m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
 		m.advice.freeCapacity = m.advice.freeCapacity.Sub(s.spec.Reserved())
 	}
@@ -112,6 +127,11 @@
 			m.addUnplaced(s, unplaced)
 		}
 	}
+	if heldBack > 0 {
+		m.holdBack(s, heldBack)
+	} else {
+		s.heldBack = false
+	}
 }
 
 // mightFit is a cheap check that rules out most steps in a backlog: it reports whether a task
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/quota"
 )
 
 // simulation is a pool in virtual time: its workers, the store and a sequence of holders. It
@@ -57,6 +58,8 @@
 	// forwardsAdvice is true if entries request advice on the workflows that they accept, and
 	// forward it.
 	forwardsAdvice bool
+	// accounts are the client accounts of the configuration.
+	accounts endive.Accounts
 }
 
 // faults are the probabilities of faults of orders, writes, tasks and advice requests.
@@ -73,6 +76,7 @@
 type fakeJob struct {
 	workflow    endive.Workflow
 	policy      endive.Queue
+	account     endive.AccountName
 	cancelledAt time.Time
 	// durationFactor is the ratio of the tasks' run times to their estimates; 0 counts as 1.
 	durationFactor float64
@@ -233,10 +237,15 @@
 
 // submit stores a submission and returns its id.
 func (w *simulation) submit(id string, policy endive.Queue, steps ...endive.Step) endive.JobID {
+	return w.submitFor("", id, policy, steps...)
+}
+
+// submitFor stores a submission of an account and returns its id.
+func (w *simulation) submitFor(account endive.AccountName, id string, policy endive.Queue, steps ...endive.Step) endive.JobID {
 	workflow := endive.Workflow{ID: endive.JobID(id), Queue: policy.Name, Steps: steps}
-	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: policy}
+	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: policy, account: account}
 	w.put(JobKey(testPool, workflow.ID), endive.Submission{
-		Workflow: workflow, Policy: policy, Accepted: simulationClock{w.start}.AtLeast(w.now), Advised: w.forwardsAdvice,
+		Workflow: workflow, Policy: policy, Account: account, Accepted: simulationClock{w.start}.AtLeast(w.now), Advised: w.forwardsAdvice,
 	})
 	return workflow.ID
 }
@@ -274,12 +283,13 @@
 		LeaseDuration: endive.Interval(testLeaseDuration), MaxLeaseDuration: endive.Interval(testMaxLeaseDuration), Retention: endive.Interval(time.Minute),
 	}
 	ids := endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "flow")
-	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids), epoch: w.epoch}
+	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids, quota.NewStored(testPool, endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "quota"), 0.1)), epoch: w.epoch}
 	w.holders = append(w.holders, h)
 	w.version++
 	fence := FenceWrite(testPool, w.epoch)
 	w.rows[fence.Key] = endive.Row{Key: fence.Key, Version: w.version, Value: fence.Value}
 	h.send(w.workersListed())
+	h.send(AccountsChanged{Accounts: w.accounts, Pools: 1})
 	h.send(TenureBegan{Epoch: w.epoch, FenceVersion: w.version, LeaseEnd: w.now.Add(time.Hour)})
 	return h
 }
--- a/flow/status.go
+++ b/flow/status.go
@@ -48,6 +48,7 @@
 		At:        m.clock.AtLeast(m.now),
 	}
 	r.current.Forecasts = m.copyForecasts()
+	r.current.HeldBack = m.heldBackAccounts()
 	for _, j := range m.jobs {
 		if !j.started && !j.state.Ended() && j.spec.Schedule.Occurrences == 0 {
 			r.current.Pending[j.policy.Name]++
@@ -80,7 +81,7 @@
 	}
 	m.logDecision(Decision{Kind: DecisionPool, Outcome: "in use", Reason: used.String() + " of " + capacity.String() + " on " +
 		formatInt(int64(usable)) + " of " + formatInt(int64(len(m.sortedWorkers))) + " workers; " + formatInt(int64(waiting)) + " of " +
-		formatInt(int64(len(m.jobs))) + " workflows wait; " + m.reservedTotals.String() + ", advice requests of " +
+		formatInt(int64(len(m.jobs))) + " workflows wait; " + m.usageOfAccounts() + "; " + m.reservedTotals.String() + ", advice requests of " +
 		m.advice.inFlightCost.String() + " in flight"})
 }
 
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -31,6 +31,7 @@
 	m.tenure = tenure{active: true, epoch: e.Epoch, leaseEnd: e.LeaseEnd, previousLeaseEnd: e.PreviousLeaseEnd}
 	// The previous holder may renew leases for as long as it may start tasks.
 	m.tenure.takeoverDeadline = endive.Latest(m.now, e.PreviousLeaseEnd).Add(longestDuration(time.Duration(m.settings.LeaseDuration)) + clockErrorMargin + leaseMargin)
+	m.quotas.division.Begin(e.Epoch)
 	m.mergeForecasts(e.Forecasts)
 	m.recorder.fence = Fence{Epoch: e.Epoch}
 	m.recorder.fenceVersion = e.FenceVersion
--- a/flow/unknownrun.go
+++ b/flow/unknownrun.go
@@ -35,8 +35,10 @@
 	r.need = w.info.Capacity
 	if t != nil {
 		r.need = t.step.spec.Reserved()
+		r.spec, r.account = t.step.spec, t.step.occ.job.account
 	}
 	w.used = w.used.Add(r.need)
 	w.runs[report.Task] = r
+	m.quotas.addRun(r)
 	return r
 }
--- /dev/null
+++ b/quota/rows.go
@@ -0,0 +1,80 @@
+package quota
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+
+	"endiveroute.example/endive"
+)
+
+// Prefix is the key prefix of the rows with the pools' parts. They are in one partition of the
+// store, so that one transaction can read and write several of them.
+const Prefix = "quota/parts/"
+
+const (
+	// poolPrefix is the prefix of the rows of pools.
+	poolPrefix = Prefix + "pool."
+	// growthKey is the key of the row that each transaction with a larger part replaces, on the
+	// condition that no other has done so since the parts were read.
+	growthKey = Prefix + "growth"
+)
+
+// partsKey returns the key of the row with a pool's parts.
+func partsKey(pool endive.PoolName) string { return poolPrefix + string(pool) }
+
+// parts is the row of a pool.
+type parts struct {
+	// Epoch is the epoch of the holder that wrote the row.
+	Epoch endive.Epoch `json:"epoch"`
+	// Parts is what each account may use in the pool. Needs is what the account uses and would
+	// use there, for the accounts whose part is too small.
+	Parts map[endive.AccountName]amounts `json:"parts,omitempty"`
+	Needs map[endive.AccountName]amounts `json:"needs,omitempty"`
+}
+
+// equals reports whether two rows are the same.
+func (p parts) equals(other parts) bool {
+	return p.Epoch == other.Epoch && maps.Equal(p.Parts, other.Parts) && maps.Equal(p.Needs, other.Needs)
+}
+
+// exceeds reports whether the part of any account is larger than in the other row.
+func (p parts) exceeds(other parts) bool {
+	for name, part := range p.Parts {
+		if part != part.atMost(other.Parts[name]) {
+			return true
+		}
+	}
+	return false
+}
+
+// partsRow is a row with the version at which it was read; version 0 means that there is none.
+type partsRow struct {
+	parts
+	version endive.Version
+}
+
+// decodeRow decodes a row with a pool's parts. A row that can't be decoded counts as one without
+// parts, but its version is known, so that the pool's holder can replace it.
+func decodeRow(row endive.Row) (endive.PoolName, partsRow, bool) {
+	pool, ok := strings.CutPrefix(row.Key, poolPrefix)
+	if !ok {
+		return "", partsRow{}, false
+	}
+	decoded := partsRow{version: row.Version}
+	if row.Deleted {
+		return endive.PoolName(pool), partsRow{}, true
+	}
+	if err := json.Unmarshal(row.Value, &decoded.parts); err != nil {
+		decoded.parts = parts{}
+	}
+	return endive.PoolName(pool), decoded, true
+}
+
+func encodeParts(p parts) []byte {
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic("quota: a row can't be encoded: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/quota/stored.go
@@ -0,0 +1,309 @@
+package quota
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Stored keeps each pool's parts of the caps in a row of the store, which only the pool's
+// holder writes. Transactions in which a part grows follow one another: each is conditional on
+// having read the one before, so the parts never sum to more than the cap. A smaller part is in force here before it is
+// written, a larger one only once it has been. A holder that needs more than its part writes
+// that into its row; the other holders then give up what they don't need, or what exceeds their
+// share of the total need. Stored implements endive.QuotaDivision.
+type Stored struct {
+	pool     endive.PoolName
+	writeIDs *endive.WriteIDs
+	// overage is the share of a cap by which a large task or gang may exceed it.
+	overage  float64
+	accounts endive.Accounts
+	pools    int
+
+	epoch endive.Epoch
+	// begun is true once this holder's epoch is in the pool's row: then no earlier holder can
+	// change the row any more.
+	begun bool
+	// known is true once all pools' rows have been read in this tenure.
+	known bool
+	rows  map[endive.PoolName]partsRow
+	// growth is the version of the growth row up to which rows is complete. No part grows
+	// before it has reached growthSeen, the newest version that the store has reported.
+	growth, growthSeen endive.Version
+	// ceilings are the parts that this pool should shrink to; its runs start within them
+	// before they are written.
+	ceilings map[endive.AccountName]amounts
+	inFlight *pendingParts
+	// lowest is the smallest of the parts in this pool's row and in the transactions without a
+	// definite result; nil if there are none. answerLost is true if the answer to one of them
+	// was lost, so that it may still be applied.
+	lowest     map[endive.AccountName]amounts
+	answerLost bool
+	// writeAt is the earliest time of the next write.
+	writeAt time.Time
+}
+
+// pendingParts is a transaction that has no answer yet.
+type pendingParts struct {
+	writeID endive.WriteID
+	parts   parts
+}
+
+const (
+	// writeInterval is the minimum time between two writes, so that one write has the changes
+	// of many accounts.
+	writeInterval = 40 * time.Millisecond
+	// retryDelay is the pause after a failed write.
+	retryDelay = 150 * time.Millisecond
+	// headroomShare is the divisor that gives, from a cap, how much more than it needs a pool
+	// takes, and the unit in which needs are written.
+	headroomShare = 16
+)
+
+// NewStored returns the division of a pool that isn't held yet.
+func NewStored(pool endive.PoolName, writeIDs *endive.WriteIDs, overage float64) *Stored {
+	s := &Stored{pool: pool, writeIDs: writeIDs, overage: overage, pools: 1}
+	s.Begin(0)
+	return s
+}
+
+// Begin implements endive.QuotaDivision.
+func (s *Stored) Begin(epoch endive.Epoch) {
+	s.epoch, s.begun, s.known = epoch, false, false
+	s.rows, s.growth, s.growthSeen = make(map[endive.PoolName]partsRow), 0, 0
+	s.ceilings = make(map[endive.AccountName]amounts)
+	s.inFlight, s.lowest, s.answerLost, s.writeAt = nil, nil, false, time.Time{}
+}
+
+// SetAccounts implements endive.QuotaDivision.
+func (s *Stored) SetAccounts(accounts endive.Accounts, pools int) {
+	s.accounts, s.pools = accounts, max(1, pools)
+}
+
+// Allowance implements endive.QuotaDivision.
+func (s *Stored) Allowance(name endive.AccountName) (endive.QuotaAllowance, bool) {
+	account, ok := s.accounts.Named(name)
+	if !ok || account.Cap == (endive.Resources{}) {
+		return endive.QuotaAllowance{}, false
+	}
+	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Cap.Scale(1 + s.overage)}
+	if !s.begun {
+		return allowance, true
+	}
+	limit := s.rows[s.pool].Parts[name]
+	if s.lowest != nil {
+		limit = limit.atMost(s.lowest[name])
+	}
+	if ceiling, ok := s.ceilings[name]; ok {
+		limit = limit.atMost(ceiling)
+	}
+	allowance.Limit = limit.resources()
+	return allowance, true
+}
+
+// HandleRows implements endive.QuotaDivision.
+func (s *Stored) HandleRows(rows []endive.Row, complete bool) {
+	for _, row := range rows {
+		if row.Key == growthKey {
+			s.growth = max(s.growth, row.Version)
+		}
+		pool, decoded, ok := decodeRow(row)
+		// An answer of the store may be older than what is known.
+		if ok && decoded.version > s.rows[pool].version {
+			s.rows[pool] = decoded
+		}
+	}
+	s.known = s.known || complete
+	own := s.rows[s.pool]
+	if s.begun && own.Epoch > s.epoch {
+		// Another holder has the pool now.
+		s.begun = false
+	}
+}
+
+// Update implements endive.QuotaDivision.
+func (s *Stored) Update(now time.Time, uses map[endive.AccountName]endive.QuotaUse) (endive.Transaction, bool) {
+	if !s.known || s.rows[s.pool].Epoch > s.epoch {
+		return endive.Transaction{}, false
+	}
+	next := s.nextParts(uses)
+	if s.inFlight != nil || now.Before(s.writeAt) {
+		return endive.Transaction{}, false
+	}
+	grows := next.exceeds(s.rows[s.pool].parts)
+	if grows && s.growth < s.growthSeen {
+		return endive.Transaction{}, false
+	}
+	if s.begun && !s.answerLost && next.equals(s.rows[s.pool].parts) {
+		return endive.Transaction{}, false
+	}
+	s.inFlight = &pendingParts{writeID: s.writeIDs.Next(), parts: next}
+	s.lowerTo(next)
+	s.writeAt = now.Add(writeInterval)
+	return s.transaction(next, grows), true
+}
+
+// lowerTo includes a transaction in lowest.
+func (s *Stored) lowerTo(next parts) {
+	lowest := make(map[endive.AccountName]amounts)
+	for name, part := range s.rows[s.pool].Parts {
+		lowest[name] = part.atMost(next.Parts[name])
+		if s.lowest != nil {
+			lowest[name] = lowest[name].atMost(s.lowest[name])
+		}
+	}
+	s.lowest = lowest
+}
+
+// transaction returns the write of this pool's row.
+func (s *Stored) transaction(next parts, grows bool) endive.Transaction {
+	txn := endive.Transaction{
+		WriteID:    s.inFlight.writeID,
+		Conditions: []endive.Condition{{Key: partsKey(s.pool), Version: s.rows[s.pool].version}},
+		Writes:     []endive.Write{{Key: partsKey(s.pool), Value: encodeParts(next)}},
+	}
+	if grows {
+		txn.Conditions = append(txn.Conditions, endive.Condition{Key: growthKey, Version: s.growth})
+		txn.Writes = append(txn.Writes, endive.Write{Key: growthKey, Value: []byte("{}")})
+	}
+	return txn
+}
+
+// HandleCommitted implements endive.QuotaDivision.
+func (s *Stored) HandleCommitted(now time.Time, result endive.Committed) bool {
+	if s.inFlight == nil || s.inFlight.writeID != result.WriteID {
+		return false
+	}
+	switch result.Status {
+	case endive.CommitApplied:
+		s.rows[s.pool] = partsRow{parts: s.inFlight.parts, version: result.Result.Versions[0]}
+		if len(result.Result.Versions) > 1 {
+			s.growth = max(s.growth, result.Result.Versions[1])
+		}
+		s.begun = true
+		s.settle()
+	case endive.CommitConflict:
+		// The conflicting rows show whether an earlier write whose answer was lost was applied.
+		// They don't have the other pools' rows, so a newer growth row is only noted.
+		s.handleConflict(result.Conflicts)
+		s.writeAt = now
+	default:
+		s.answerLost = s.answerLost || result.Status == endive.CommitUnknown
+		s.drop()
+		s.writeAt = now.Add(retryDelay)
+	}
+	return true
+}
+
+// handleConflict takes the rows that a transaction conflicted with.
+func (s *Stored) handleConflict(rows []endive.Row) {
+	before := s.rows[s.pool].version
+	for _, row := range rows {
+		if row.Key == growthKey {
+			s.growthSeen = max(s.growthSeen, row.Version)
+		} else {
+			s.HandleRows([]endive.Row{row}, false)
+		}
+	}
+	if s.rows[s.pool].version == before {
+		s.drop()
+		return
+	}
+	s.begun = s.epoch > 0 && s.rows[s.pool].Epoch == s.epoch
+	s.settle()
+}
+
+// drop ends the wait for the answer to a transaction that wasn't applied or may not have been.
+func (s *Stored) drop() {
+	s.inFlight = nil
+	if !s.answerLost {
+		s.lowest = nil
+	}
+}
+
+// settle records that no transaction without a result can be applied any more, since they all
+// had the same condition on this pool's row as the one that was answered.
+func (s *Stored) settle() { s.inFlight, s.lowest, s.answerLost = nil, nil, false }
+
+// nextParts returns the row that this pool should have.
+func (s *Stored) nextParts(uses map[endive.AccountName]endive.QuotaUse) parts {
+	next := parts{Epoch: s.epoch, Parts: make(map[endive.AccountName]amounts), Needs: make(map[endive.AccountName]amounts)}
+	if uses == nil {
+		// Only the epoch is written: what earlier holders have started is part of what they were
+		// allowed.
+		next.Parts, next.Needs = s.rows[s.pool].Parts, s.rows[s.pool].Needs
+		return next
+	}
+	clear(s.ceilings)
+	for _, account := range s.accounts.All() {
+		if account.Cap == (endive.Resources{}) {
+			continue
+		}
+		part, need := s.nextPart(account, uses[account.Name])
+		if part != (amounts{}) {
+			next.Parts[account.Name] = part
+		}
+		if need != (amounts{}) {
+			next.Needs[account.Name] = need
+		}
+	}
+	return next
+}
+
+// nextPart returns the part of an account that this pool should have, and what to write as its
+// need.
+func (s *Stored) nextPart(account endive.Account, use endive.QuotaUse) (part, need amounts) {
+	own := s.rows[s.pool]
+	others, othersNeed, othersWant := s.others(account.Name)
+	caps, running, waiting := amountsOf(account.Cap), amountsOf(use.Running), amountsOf(use.Waiting)
+	unit, task := amountsOf(use.Unit), amountsOf(use.Task)
+	ceiling, limited := amounts{}, false
+	for i := range caps {
+		if caps[i] == 0 {
+			continue
+		}
+		d := dimension{
+			limit: caps[i], part: own.Parts[account.Name][i], others: others[i], othersNeed: othersNeed[i], othersWant: othersWant[i],
+			running: running[i], need: running[i] + waiting[i], pools: int64(s.pools),
+		}
+		if endive.MayExceed(caps[i], unit[i]) {
+			d.limit = caps[i] + int64(s.overage*float64(caps[i]))
+			if others[i] == 0 {
+				d.limit += task[i]
+			}
+		}
+		part[i] = d.next()
+		ceiling[i] = d.ceiling()
+		limited = limited || ceiling[i] < part[i]
+		if d.need > part[i] {
+			step := max(1, caps[i]/headroomShare)
+			need[i] = (d.need + step - 1) / step * step
+		}
+	}
+	if limited {
+		for i := range caps {
+			if caps[i] == 0 {
+				ceiling[i] = part[i]
+			}
+		}
+		s.ceilings[account.Name] = ceiling
+	}
+	return part, need
+}
+
+// others returns the sums, over the other pools, of an account's parts, of what it needs there,
+// and of how much more that is than the parts.
+func (s *Stored) others(name endive.AccountName) (held, needed, wanted amounts) {
+	for pool, row := range s.rows {
+		if pool == s.pool {
+			continue
+		}
+		part, need := row.Parts[name], row.Needs[name]
+		held = held.add(part)
+		for i := range need {
+			needed[i] += max(need[i], 0)
+			wanted[i] += max(0, need[i]-part[i])
+		}
+	}
+	return held, needed, wanted
+}
--- a/resources.go
+++ b/resources.go
@@ -47,6 +47,18 @@
 	return Resources{r.Processors * MilliProcessors(n), r.Memory * Bytes(n), r.Accelerators * Accelerators(n)}
 }
 
+// Scale returns the Resources multiplied by a factor, rounded down.
+func (r Resources) Scale(factor float64) Resources {
+	return Resources{
+		MilliProcessors(factor * float64(r.Processors)), Bytes(factor * float64(r.Memory)), Accelerators(factor * float64(r.Accelerators)),
+	}
+}
+
+// Max returns the larger amount in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.Processors, o.Processors), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
 // Negative reports whether any dimension is below zero.
 func (r Resources) Negative() bool {
 	return r.Processors < 0 || r.Memory < 0 || r.Accelerators < 0
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -63,6 +63,9 @@
 	// MaxKeyAge, since the key may have been withdrawn.
 	StrictKeys bool            `toml:"strictKeys" json:"strictKeys"`
 	MaxKeyAge  endive.Interval `toml:"maxKeyAge" json:"maxKeyAge"`
+	// QuotaOverage is the share of an account's cap by which a task or gang that is larger than
+	// the cap may exceed it.
+	QuotaOverage float64 `toml:"quotaOverage" json:"quotaOverage"`
 }
 
 // CellTimings are the entry's own leases, periods and timeouts.
@@ -145,6 +148,9 @@
 			f.Add(one.path, "is %s; it must be from %s to %s", one.value, MinTiming, MaxTiming)
 		}
 	}
+	if c.Bounds.QuotaOverage < 0 {
+		f.Add("bounds.quotaOverage", "is %g; it must not be negative", c.Bounds.QuotaOverage)
+	}
 	if c.Limits.Cores < 0 {
 		f.Add("limits.cores", "is %g; it must not be negative", c.Limits.Cores)
 	}
