model/quota.pml: how the parts of a cap move between pools; a change of parts is logged

spin accepts the specification (2,124,775 states) and rejects eight mutants, by hand. It showed that a cap that was just lowered isn't in force until each holder has read the rows once more (more than once a second); and that scaling the parts down in proportion would not be safe while another pool's part isn't known yet: it counts in full now.

--- a/flow/actions.go
+++ b/flow/actions.go
@@ -87,6 +87,7 @@
 	DecisionAdvice DecisionKind = "advice"
 	DecisionRecord DecisionKind = "record"
 	DecisionPool   DecisionKind = "pool"
+	DecisionQuota  DecisionKind = "quota"
 )
 
 // IsAction marks LoadSnapshot as an action.
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -273,8 +273,9 @@
 
 // updateDivision passes the uses to the division; nil while they aren't known.
 func (m *Machine) updateDivision(uses map[endive.AccountName]endive.QuotaUse) {
-	if txn, ok := m.quotas.division.Update(m.now, uses); ok {
-		m.emit(Commit{Transaction: txn})
+	if change, ok := m.quotas.division.Update(m.now, uses); ok {
+		m.logDecision(Decision{Kind: DecisionQuota, Outcome: "changed", Reason: change.Reason})
+		m.emit(Commit{Transaction: change.Transaction})
 	}
 }
 
--- a/model/check.sh
+++ b/model/check.sh
@@ -18,6 +18,7 @@
 accepted force GRANTS
 accepted force REMOVALS
 accepted ticket
+accepted quota
 rejected lease NO_CLOCK
 rejected lease NO_WAIT
 rejected lease HAND_EARLY
@@ -45,7 +46,15 @@
 rejected ticket NO_ORDER
 rejected ticket ANY_ROW
 rejected ticket NOTICE_CONFIRMS
-rejected ticket LOST_IS_NO'
+rejected ticket LOST_IS_NO
+rejected quota GROW_BEFORE_SHRINK
+rejected quota GROWTH_UNCONDITIONAL
+rejected quota UNANSWERED_NOT_COUNTED
+rejected quota START_BEFORE_READ
+rejected quota KEEP_OLD_WRITES
+rejected quota LOST_IS_REFUSED
+rejected quota LOWERED_IN_ONE_POOL
+rejected quota NO_CEILING'
 
 # check runs one case and prints its row of the table.
 check() {
--- a/quota.go
+++ b/quota.go
@@ -17,7 +17,7 @@
 	Allowance(account AccountName) (allowance QuotaAllowance, ok bool)
 	// Update takes what each account uses and needs in this pool; nil while that isn't known. If
 	// the part of an account should change, it returns a transaction. Its result must be passed to HandleCommitted.
-	Update(now time.Time, uses map[AccountName]QuotaUse) (Transaction, bool)
+	Update(now time.Time, uses map[AccountName]QuotaUse) (QuotaChange, bool)
 	// HandleCommitted takes the result of a transaction and reports whether it was one of this
 	// division's.
 	HandleCommitted(now time.Time, result Committed) bool
@@ -26,6 +26,13 @@
 	HandleRows(rows []Row, complete bool)
 }
 
+// QuotaChange is a change of a pool's parts of the caps.
+type QuotaChange struct {
+	Transaction Transaction
+	// Reason describes the change for the log.
+	Reason string
+}
+
 // QuotaUse is what one account uses and needs in a pool.
 type QuotaUse struct {
 	// Running is what the account's runs use, with those that may still start or run.
--- a/quota/dimension.go
+++ b/quota/dimension.go
@@ -32,8 +32,9 @@
 	if d.othersWant > 0 {
 		ceiling = min(ceiling, max(min(d.need, d.fairShare()), d.limit-d.others-d.othersWant))
 	}
-	if d.part+d.others > d.limit && d.part > 0 {
-		ceiling = min(ceiling, int64(float64(d.limit)*float64(d.part)/float64(d.part+d.others)))
+	if d.part+d.others > d.limit {
+		// The other pools may not know of this pool's part yet, so they count in full.
+		ceiling = min(ceiling, max(0, d.limit-d.others))
 	}
 	return ceiling
 }
--- a/quota/fixed.go
+++ b/quota/fixed.go
@@ -38,8 +38,8 @@
 }
 
 // Update implements endive.QuotaDivision.
-func (f *Fixed) Update(time.Time, map[endive.AccountName]endive.QuotaUse) (endive.Transaction, bool) {
-	return endive.Transaction{}, false
+func (f *Fixed) Update(time.Time, map[endive.AccountName]endive.QuotaUse) (endive.QuotaChange, bool) {
+	return endive.QuotaChange{}, false
 }
 
 // HandleCommitted implements endive.QuotaDivision.
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
+	"slices"
+	"strconv"
 	"strings"
 
 	"endiveroute.example/endive"
@@ -48,6 +51,34 @@
 	return false
 }
 
+// maxNamedAccounts limits the accounts that are named in the description of a change.
+const maxNamedAccounts = 6
+
+// changeFrom describes in which accounts a row differs from an earlier one.
+func (p parts) changeFrom(old parts) string {
+	var changes []string
+	if p.Epoch != old.Epoch {
+		changes = append(changes, "epoch "+strconv.FormatUint(uint64(p.Epoch), 10))
+	}
+	names := maps.Clone(p.Parts)
+	maps.Copy(names, old.Parts)
+	maps.Copy(names, p.Needs)
+	maps.Copy(names, old.Needs)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		from, to := old.Parts[name], p.Parts[name]
+		switch {
+		case from != to:
+			changes = append(changes, fmt.Sprintf("%s from %v to %v", name, from, to))
+		case old.Needs[name] != p.Needs[name]:
+			changes = append(changes, fmt.Sprintf("%s needs %v", name, p.Needs[name]))
+		}
+	}
+	if len(changes) > maxNamedAccounts {
+		changes = append(changes[:maxNamedAccounts], fmt.Sprintf("%d more", len(changes)-maxNamedAccounts))
+	}
+	return strings.Join(changes, "; ")
+}
+
 // partsRow is a row with the version at which it was read; version 0 means that there is none.
 type partsRow struct {
 	parts
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -122,25 +122,25 @@
 }
 
 // Update implements endive.QuotaDivision.
-func (s *Stored) Update(now time.Time, uses map[endive.AccountName]endive.QuotaUse) (endive.Transaction, bool) {
+func (s *Stored) Update(now time.Time, uses map[endive.AccountName]endive.QuotaUse) (endive.QuotaChange, bool) {
 	if !s.known || s.rows[s.pool].Epoch > s.epoch {
-		return endive.Transaction{}, false
+		return endive.QuotaChange{}, false
 	}
 	next := s.nextParts(uses)
 	if s.inFlight != nil || now.Before(s.writeAt) {
-		return endive.Transaction{}, false
+		return endive.QuotaChange{}, false
 	}
 	grows := next.exceeds(s.rows[s.pool].parts)
 	if grows && s.growth < s.growthSeen {
-		return endive.Transaction{}, false
+		return endive.QuotaChange{}, false
 	}
 	if s.begun && !s.answerLost && next.equals(s.rows[s.pool].parts) {
-		return endive.Transaction{}, false
+		return endive.QuotaChange{}, false
 	}
 	s.inFlight = &pendingParts{writeID: s.writeIDs.Next(), parts: next}
 	s.lowerTo(next)
 	s.writeAt = now.Add(writeInterval)
-	return s.transaction(next, grows), true
+	return endive.QuotaChange{Transaction: s.transaction(next, grows), Reason: next.changeFrom(s.rows[s.pool].parts)}, true
 }
 
 // lowerTo includes a transaction in lowest.
--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -76,8 +76,8 @@
 		now := store.now
 		for s, use := range uses {
 			s.HandleRows(store.all(), true)
-			if txn, ok := s.Update(now, map[endive.AccountName]endive.QuotaUse{"a": use}); ok {
-				s.HandleCommitted(now, store.commit(txn))
+			if change, ok := s.Update(now, map[endive.AccountName]endive.QuotaUse{"a": use}); ok {
+				s.HandleCommitted(now, store.commit(change.Transaction))
 			}
 		}
 	}
@@ -214,10 +214,11 @@
 func (w *world) update(i int) {
 	s := w.pools[i]
 	use := endive.QuotaUse{Running: processors(w.running[i]), Waiting: processors(w.waiting[i])}
-	txn, ok := s.Update(w.now, map[endive.AccountName]endive.QuotaUse{"a": use})
+	change, ok := s.Update(w.now, map[endive.AccountName]endive.QuotaUse{"a": use})
 	if !ok {
 		return
 	}
+	txn := change.Transaction
 	switch w.rng.IntN(6) {
 	case 0:
 		w.late = append(w.late, txn)
