--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -88,11 +88,22 @@
 func (l *workersLoop) pollPeriod() time.Duration {
 	period := time.Duration(l.cell.Settings.Timings.Poll)
 	if l.cell.HoldsNoPool() {
-		return idlePollFactor * period * time.Duration((l.cell.peers.pollSlowdown()+1)/2)
+		return idlePollFactor * period * time.Duration((l.cell.peers.pollSlowdown()+1)/2) * time.Duration(1+l.size()/workersPerIdlePoll)
 	}
 	return period
 }
 
+// workersPerIdlePoll is the number of workers for which an entry that holds no pool lengthens
+// the poll period once more. It reads the whole list each time, and a new holder reads it anew.
+const workersPerIdlePoll = 500
+
+// size returns the number of workers in the list.
+func (l *workersLoop) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.workers)
+}
+
 func (l *workersLoop) fetch(after endive.Revision) (endive.WorkersResponse, error) {
 	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -33,6 +33,7 @@
 	// is when the next poll or timeout of any worker is due.
 	changedWorkers []*worker
 	workersDueAt   time.Time
+	probes        probes
 	// adviceClients is the number of advice requests that can be processed at the same time.
 	adviceClients int
 	recorder      recorder
@@ -96,6 +97,7 @@
 	m.status = statusReport{}
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
 	m.changedWorkers, m.workersDueAt = nil, time.Time{}
+	m.probes = probes{inFlight: make(map[endive.WorkerID]bool)}
 	m.startCount = 0
 }
 
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -10,7 +10,7 @@
 // expired. It processes the changed workers, or all workers once workersDueAt is reached.
 func (m *Machine) pollWorkers() {
 	if !m.now.Before(m.workersDueAt) {
-		m.workersDueAt = m.now.Add(idlePollInterval)
+		m.workersDueAt = m.now.Add(minIdlePollInterval)
 		m.changedWorkers = append(m.changedWorkers[:0], m.sortedWorkers...)
 	}
 	removed := false
@@ -59,6 +59,9 @@
 		w.dueAt = due
 		return
 	}
+	if w.needsProbe() && !m.admitProbe(w) {
+		return
+	}
 	maxWait := pollWait
 	switch {
 	case !w.adopted || w.failedPolls > 0 || len(w.unrecordedEnds) > 0 || len(w.runs) == 0:
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -10,6 +10,7 @@
 
 // handlePollResult applies a worker's answer to a poll, or counts a failed poll.
 func (m *Machine) handlePollResult(e PollResult) {
+	m.endProbe(e.Worker)
 	w := m.workers[e.Worker]
 	if w == nil || !w.poll.inFlight {
 		return
@@ -51,7 +52,7 @@
 	case len(w.unrecordedEnds) > 0:
 		w.poll.nextAt = m.now.Add(time.Duration(pollWait))
 	case len(w.runs) == 0 && w.recordedEnd() == w.lastEnd:
-		w.poll.nextAt = m.now.Add(idlePollInterval)
+		w.poll.nextAt = m.now.Add(m.idlePollInterval())
 	}
 	m.checkLatency(w)
 	m.checkProgress(w)
@@ -99,9 +100,6 @@
 	t := m.tasks[end.Task]
 	r := w.runs[end.Task]
 	current := r != nil && r.number == end.Run
-	// The end of a run that was dropped before is ignored, unless the run may have been
-	// started before this tenure.
-	accepted := current || t != nil && t.run == nil && t.state == taskWaiting && !w.adopted
 	if t == nil {
 		if current {
 			m.removeRun(r)
@@ -116,7 +114,9 @@
 	m.logDecision(Decision{Kind: DecisionEnd, Job: j.id, Task: t.id, Run: end.Run, Worker: w.id, Outcome: string(end.Kind), Reason: m.endReason(r, current)})
 	switch end.Kind {
 	case endive.EndSucceeded:
-		if accepted && !t.step.spec.LongRunning {
+		// A success counts also if the run was given up before: the worker was only silent.
+		// Otherwise work that has been done would be done again.
+		if !t.step.spec.LongRunning {
 			if current && r.firstPercent == 0 {
 				t.step.succeededRuns++
 				t.step.succeededTime += endive.Interval(m.now.Sub(r.startedAt))
@@ -135,6 +135,9 @@
 	if current {
 		m.removeRun(r)
 	}
+	if t.state >= taskSucceeded && t.run != nil {
+		m.stopRun(t.run, "an earlier run of the task has succeeded")
+	}
 	if end.Kind != endive.EndSucceeded {
 		m.abortGang(t.step, "a member of the gang ended: "+string(end.Kind))
 	}
--- /dev/null
+++ b/flow/probe_test.go
@@ -0,0 +1,84 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// countPolls returns the polls among actions.
+func countPolls(actions []endive.Action) []endive.WorkerID {
+	var ids []endive.WorkerID
+	for _, action := range actions {
+		if poll, ok := action.(PollWorker); ok {
+			ids = append(ids, poll.Order.Worker.ID)
+		}
+	}
+	return ids
+}
+
+// A new holder of a pool of 3,000 workers must not poll all of them at once, and must have
+// probed each of them in the end, also if half of them fail to answer or are removed meanwhile.
+func TestProbesAreLimited(t *testing.T) {
+	is := is.New(t)
+	const workers = 3000
+	w := newSimulation(t, 1, faults{})
+	h := w.startHolder()
+	m := h.machine
+	now := w.start
+	listed := WorkersListed{}
+	for i := range workers {
+		listed.Workers = append(listed.Workers, endive.FleetWorker{ID: endive.WorkerID(fmt.Sprintf("w%04d", i)), Capacity: endive.Resources{Processors: 1000}})
+	}
+	m.Step(now, listed)
+	m.Step(now, TenureBegan{Epoch: 1, LeaseEnd: now.Add(time.Hour)})
+	pending := countPolls(m.Step(now, PoolSnapshot{Epoch: 1}))
+	is.Equal(len(pending), maxProbes)
+	answered := make(map[endive.WorkerID]bool)
+	for i := 0; len(pending) > 0 && len(answered) < workers; i++ {
+		now = now.Add(time.Millisecond)
+		id := pending[0]
+		pending = pending[1:]
+		result := PollResult{Worker: id, Result: OrderAnswered, Report: endive.PollReport{Clock: endive.WorkerTime(i + 1)}}
+		if i%2 == 0 && !answered[id] && i < 2*workers {
+			result = PollResult{Worker: id, Result: OrderUnknown}
+		} else {
+			answered[id] = true
+		}
+		pending = append(pending, countPolls(m.Step(now, result))...)
+		is.True(len(m.probes.inFlight) <= maxProbes)
+		if len(pending) == 0 {
+			now = now.Add(time.Second)
+			pending = countPolls(m.Step(now, endive.Wake{}))
+		}
+	}
+	is.Equal(len(answered), workers)
+	is.True(m.tenure.takeoverDone)
+}
+
+// A holder that is short of processor time misses a worker's answers until the leases there
+// have expired. The run had succeeded before. Its success must count as soon as the worker
+// answers, and the task must not run again.
+func TestSuccessOfRunOnSilentWorkerCounts(t *testing.T) {
+	is := is.New(t)
+	w, _ := newSimulationWithHolder(t, faults{}, 1)
+	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
+	w.run(1200 * time.Millisecond)
+	is.Equal(w.runningTasks(id), 1)
+	worker := w.workers["w0"]
+	// Only the answers are missing: the run goes on, and ends.
+	w.faults.lostAnswer = 1
+	w.run(8 * time.Second)
+	is.True(w.starts >= 1)
+	starts := w.starts
+	w.faults.lostAnswer = 0
+	worker.unreachable = false
+	w.run(20 * time.Second)
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, starts)
+	is.Equal(w.successCount["job.0.0.0"], 1)
+}
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -26,9 +26,12 @@
 	// ends of runs that aren't recorded yet. Such a worker answers polls at once, so the
 	// holder has to wait instead.
 	unrecordedPollInterval = 100 * time.Millisecond
-	// idlePollInterval is the time between two polls of a worker without tasks. These polls
-	// read the worker's clock.
-	idlePollInterval = 3 * time.Second
+	// minIdlePollInterval is the minimum time between two polls of a worker without tasks.
+	// These polls read the worker's clock. idlePollPerWorker is the time for each worker of
+	// the pool if that is longer: in a large pool these polls would take most of the holder's
+	// processor time.
+	minIdlePollInterval = 3 * time.Second
+	idlePollPerWorker   = 6 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 150 * time.Millisecond
 	// minClockRate is the assumed minimum rate of a worker's monotonic clock.
--- a/flow/terminatedworkers.go
+++ b/flow/terminatedworkers.go
@@ -32,7 +32,7 @@
 		}
 		w.adopted = true
 		w.failedPolls++
-		w.poll.nextAt = m.now.Add(idlePollInterval)
+		w.poll.nextAt = m.now.Add(m.idlePollInterval())
 		return
 	}
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "gone", Reason: "it isn't listed, and a poll failed: " + reason})
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -64,6 +64,8 @@
 	sentStep  uint64
 	// nextAt is when the next poll is due.
 	nextAt time.Time
+	// queued is true while the worker waits to be probed.
+	queued bool
 }
 
 // clockReading relates a worker's clock to the local one: the worker's clock showed
@@ -73,9 +75,15 @@
 	receivedAt time.Time
 }
 
-// estimate returns the worker's time at now, on the assumption that its clock isn't slow.
+// estimate returns the worker's time at now, on the assumption that its clock isn't slow. If the
+// reading is old, it returns the earliest time that the clock can show, so that the error stays
+// within clockErrorMargin.
 func (c clockReading) estimate(now time.Time) endive.WorkerTime {
-	return c.workerTime + endive.WorkerTime(now.Sub(c.receivedAt).Milliseconds())
+	age := now.Sub(c.receivedAt)
+	if age > minIdlePollInterval {
+		age = minIdlePollInterval + time.Duration(minClockRate*float64(age-minIdlePollInterval))
+	}
+	return c.workerTime + endive.WorkerTime(age.Milliseconds())
 }
 
 // reachedBy returns the local time at which the worker's clock has surely reached the given
