--- a/entry/cell/handover.go
+++ b/entry/cell/handover.go
@@ -43,7 +43,10 @@
 	}
 	for _, worker := range state.Roster {
 		message.Roster = append(message.Roster,
-			&wire.PoolWorker{Id: string(worker.ID), Address: string(worker.Address), Draining: worker.Draining, Gone: worker.Terminated})
+			&wire.PoolWorker{Id: string(worker.ID), Address: string(worker.Address), Draining: worker.Draining, Gone: worker.Terminated, Capacity: resourcesToWire(worker.Capacity)})
+	}
+	for account, part := range state.QuotaParts {
+		message.QuotaParts = append(message.QuotaParts, &wire.QuotaPart{Account: string(account), Part: resourcesToWire(part)})
 	}
 	for _, advice := range state.Advice {
 		message.Advice = append(message.Advice, &wire.AdviceNote{
@@ -71,8 +74,13 @@
 	for _, worker := range m.GetRoster() {
 		state.Roster = append(state.Roster, flow.RosterWorker{
 			ID: endive.WorkerID(worker.GetId()), Address: endive.Address(worker.GetAddress()), Draining: worker.GetDraining(), Terminated: worker.GetGone(),
+			Capacity: resourcesFromWire(worker.GetCapacity()),
 		})
 	}
+	state.QuotaParts = make(map[endive.AccountName]endive.Resources)
+	for _, part := range m.GetQuotaParts() {
+		state.QuotaParts[endive.AccountName(part.GetAccount())] = resourcesFromWire(part.GetPart())
+	}
 	now := c.Clock.Now()
 	for _, advice := range m.GetAdvice() {
 		state.Advice = append(state.Advice, adviceFromWire(advice, now))
@@ -92,6 +100,18 @@
 	return loaded, nil
 }
 
+// resourcesToWire encodes Resources for a message to another entry.
+func resourcesToWire(r endive.Resources) *wire.ResourceCount {
+	return &wire.ResourceCount{Processors: int64(r.Processors), Memory: int64(r.Memory), Accelerators: int64(r.Accelerators)}
+}
+
+// resourcesFromWire decodes Resources from a message of another entry.
+func resourcesFromWire(r *wire.ResourceCount) endive.Resources {
+	return endive.Resources{
+		Processors: endive.MilliProcessors(r.GetProcessors()), Memory: endive.Bytes(r.GetMemory()), Accelerators: endive.Accelerators(r.GetAccelerators()),
+	}
+}
+
 // rowsToWire encodes rows for a message to another entry.
 func rowsToWire(rows []endive.Row) []*wire.PoolRow {
 	encoded := make([]*wire.PoolRow, 0, len(rows))
--- a/flow/events.go
+++ b/flow/events.go
@@ -41,6 +41,9 @@
 	// EndedJobs are workflows that have ended and whose submissions are deleted. The
 	// change feed may deliver their rows once more.
 	EndedJobs []endive.JobID
+	// QuotaParts are the parts of the accounts' caps that the previous holder handed over; nil
+	// if it didn't.
+	QuotaParts map[endive.AccountName]endive.Resources
 	// Advice is the advice that the previous holder had for steps.
 	Advice []ForwardedAdvice
 }
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -20,7 +20,7 @@
 // snapshot returns the rows of the pool as they are stored, and the advice on the steps that
 // aren't finished.
 func (m *Machine) snapshot() PoolSnapshot {
-	snapshot := PoolSnapshot{Epoch: m.tenure.epoch, Revision: m.tenure.revision, Roster: m.recordedRoster()}
+	snapshot := PoolSnapshot{Epoch: m.tenure.epoch, Revision: m.tenure.revision, Roster: m.recordedRoster(), QuotaParts: m.quotas.division.HandOver()}
 	ids := make([]endive.JobID, 0, len(m.jobs))
 	for id := range m.jobs {
 		ids = append(ids, id)
@@ -85,7 +85,7 @@
 	for id, status := range m.recorder.roster {
 		entry := RosterWorker{ID: id, Draining: status == rosterDraining, Terminated: true}
 		if w := m.workers[id]; w != nil {
-			entry.Address, entry.Terminated = w.info.Address, false
+			entry.Address, entry.Capacity, entry.Terminated = w.info.Address, w.info.Capacity, false
 		}
 		roster = append(roster, entry)
 	}
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -33,7 +33,7 @@
 	// is when the next poll or timeout of any worker is due.
 	changedWorkers []*worker
 	workersDueAt   time.Time
-	probes        probes
+	probes         probes
 	// adviceClients is the number of advice requests that can be processed at the same time.
 	adviceClients int
 	recorder      recorder
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -121,11 +121,9 @@
 	if m.tenure.takeoverDone {
 		return
 	}
-	var silent []*worker
-	for _, w := range m.sortedWorkers {
-		if !w.adopted {
-			silent = append(silent, w)
-		}
+	silent, capacity := m.silentWorkers()
+	if len(silent) == 0 {
+		return
 	}
 	for _, j := range m.jobs {
 		if j.account == "" || !j.inherited {
@@ -135,13 +133,30 @@
 			for _, s := range occ.steps {
 				if s.waiting > 0 && couldRunOnAny(s, silent) {
 					use := m.quotas.use(j.account)
-					use.possible = use.possible.Add(s.spec.Need.Times(int64(s.waiting)))
+					use.possible = use.possible.Add(s.spec.Reserved().Times(int64(s.waiting))).Min(capacity).Add(s.beyondCapacity())
 				}
 			}
 		}
 	}
 }
 
+// beyondCapacity returns what the waiting tasks of a step use beside a worker's capacity.
+func (s *step) beyondCapacity() endive.Resources {
+	return s.spec.Need.Sub(s.spec.Reserved()).Times(int64(s.waiting))
+}
+
+// silentWorkers returns the workers that haven't answered in this tenure, and their capacity,
+// which limits what an earlier holder can have started there.
+func (m *Machine) silentWorkers() (silent []*worker, capacity endive.Resources) {
+	for _, w := range m.sortedWorkers {
+		if !w.adopted {
+			silent = append(silent, w)
+			capacity = capacity.Add(w.info.Capacity)
+		}
+	}
+	return silent, capacity
+}
+
 func couldRunOnAny(s *step, workers []*worker) bool {
 	for _, w := range workers {
 		if w.couldRun(s) {
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -76,7 +76,7 @@
 	for id, status := range roster {
 		partition := &rows[rosterPartition(id)]
 		partition.Workers = append(partition.Workers, RosterWorker{
-			ID: id, Address: m.workers[id].info.Address, Draining: status == rosterDraining,
+			ID: id, Address: m.workers[id].info.Address, Capacity: m.workers[id].info.Capacity, Draining: status == rosterDraining,
 		})
 	}
 	changed := differingPartitions(m.recorder.roster, roster)
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -145,6 +145,8 @@
 type RosterWorker struct {
 	ID      endive.WorkerID `json:"id"`
 	Address endive.Address  `json:"address"`
+	// Capacity limits what runs on the worker.
+	Capacity endive.Resources `json:"capacity,omitzero"`
 	// Draining is true if the worker had announced that it would leave.
 	Draining bool `json:"draining,omitempty"`
 	// Terminated is true if the worker is known to have terminated. It isn't stored.
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -74,6 +74,7 @@
 	}
 	m.tenure.loaded = true
 	m.tenure.revision = e.Revision
+	m.quotas.division.TakeOver(e.QuotaParts)
 	progress := make(map[endive.JobID]Progress)
 	for _, row := range e.StateRows {
 		id, decoded, ok := m.decodeProgress(row)
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -146,7 +146,7 @@
 // aren't recorded.
 func (m *Machine) addUnlisted(rosterWorker RosterWorker) {
 	w := newWorker(rosterWorker.ID)
-	w.info.Address = rosterWorker.Address
+	w.info.Address, w.info.Capacity = rosterWorker.Address, rosterWorker.Capacity
 	m.workers[rosterWorker.ID] = w
 	m.sortWorkers()
 }
--- a/quota.go
+++ b/quota.go
@@ -10,6 +10,10 @@
 	// Begin begins a tenure of the pool. Until the division knows what an earlier holder was
 	// allowed, no account with a cap may use anything.
 	Begin(epoch Epoch)
+	// HandOver returns, at the end of a tenure, the parts that the next holder may use at once.
+	HandOver() map[AccountName]Resources
+	// TakeOver takes the parts that the holder of the epoch just before has handed over.
+	TakeOver(parts map[AccountName]Resources)
 	// SetAccounts sets the accounts of the newest configuration and the number of pools.
 	SetAccounts(accounts Accounts, pools int)
 	// Allowance returns what the runs of an account in this pool may use together. ok is false
--- a/quota/dimension.go
+++ b/quota/dimension.go
@@ -17,9 +17,11 @@
 // next returns the part that this pool should have. What runs is always part of it, also where
 // it exceeds the limit: the other pools must know of it.
 func (d dimension) next() int64 {
-	part := d.part
+	// Each pool takes its equal part before it is needed: the first tasks of an account then
+	// need not wait for a write.
+	part := max(d.part, d.limit/d.pools)
 	if d.need > part {
-		part = max(d.need+d.limit/headroomShare, d.limit/d.pools)
+		part = d.need + d.limit/headroomShare
 	}
 	part = min(part, d.limit-d.others)
 	return max(d.running, min(part, d.ceiling()))
--- a/quota/fixed.go
+++ b/quota/fixed.go
@@ -19,6 +19,12 @@
 // Begin implements endive.QuotaDivision.
 func (f *Fixed) Begin(endive.Epoch) {}
 
+// HandOver implements endive.QuotaDivision.
+func (f *Fixed) HandOver() map[endive.AccountName]endive.Resources { return nil }
+
+// TakeOver implements endive.QuotaDivision.
+func (f *Fixed) TakeOver(map[endive.AccountName]endive.Resources) {}
+
 // SetAccounts implements endive.QuotaDivision.
 func (f *Fixed) SetAccounts(accounts endive.Accounts, pools int) {
 	f.accounts, f.pools = accounts, max(1, pools)
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -21,6 +21,8 @@
 	pools    int
 
 	epoch endive.Epoch
+	// handedOver are the parts that the previous holder handed over.
+	handedOver map[endive.AccountName]amounts
 	// begun is true once this holder's epoch is in the pool's row: then no earlier holder can
 	// change the row any more.
 	begun bool
@@ -69,12 +71,46 @@
 
 // Begin implements endive.QuotaDivision.
 func (s *Stored) Begin(epoch endive.Epoch) {
-	s.epoch, s.begun, s.known = epoch, false, false
+	s.epoch, s.begun, s.known, s.handedOver = epoch, false, false, nil
 	s.rows, s.growth, s.growthSeen = make(map[endive.PoolName]partsRow), 0, 0
 	s.ceilings = make(map[endive.AccountName]amounts)
 	s.inFlight, s.lowest, s.answerLost, s.writeAt = nil, nil, false, time.Time{}
 }
 
+// HandOver implements endive.QuotaDivision. A transaction that may still be applied can leave
+// less in the row than is known.
+func (s *Stored) HandOver() map[endive.AccountName]endive.Resources {
+	if !s.begun {
+		return nil
+	}
+	handedOver := make(map[endive.AccountName]endive.Resources)
+	for name := range s.rows[s.pool].Parts {
+		handedOver[name] = s.part(name).resources()
+	}
+	return handedOver
+}
+
+// TakeOver implements endive.QuotaDivision. The previous holder writes nothing more, so its parts
+// hold until this holder's epoch is in the row.
+func (s *Stored) TakeOver(handedOver map[endive.AccountName]endive.Resources) {
+	s.handedOver = make(map[endive.AccountName]amounts)
+	for name, part := range handedOver {
+		s.handedOver[name] = amountsOf(part)
+	}
+}
+
+// part returns the part that this pool surely has.
+func (s *Stored) part(name endive.AccountName) amounts {
+	part := s.handedOver[name]
+	if s.begun {
+		part = s.rows[s.pool].Parts[name]
+	}
+	if s.lowest != nil {
+		part = part.atMost(s.lowest[name])
+	}
+	return part
+}
+
 // SetAccounts implements endive.QuotaDivision.
 func (s *Stored) SetAccounts(accounts endive.Accounts, pools int) {
 	s.accounts, s.pools = accounts, max(1, pools)
@@ -87,13 +123,7 @@
 		return endive.QuotaAllowance{}, false
 	}
 	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Cap.Scale(1 + s.overage)}
-	if !s.begun {
-		return allowance, true
-	}
-	limit := s.rows[s.pool].Parts[name]
-	if s.lowest != nil {
-		limit = limit.atMost(s.lowest[name])
-	}
+	limit := s.part(name)
 	if ceiling, ok := s.ceilings[name]; ok {
 		limit = limit.atMost(ceiling)
 	}
--- a/resources.go
+++ b/resources.go
@@ -59,6 +59,11 @@
 	return Resources{max(r.Processors, o.Processors), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller amount in each dimension.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.Processors, o.Processors), min(r.Memory, o.Memory), min(r.Accelerators, o.Accelerators)}
+}
+
 // Negative reports whether any dimension is below zero.
 func (r Resources) Negative() bool {
 	return r.Processors < 0 || r.Memory < 0 || r.Accelerators < 0
