--- a/flow/gang.go
+++ b/flow/gang.go
@@ -38,6 +38,7 @@
 	if chosen == nil {
 		m.prepareGang(s)
 		m.reserveAllowance(s)
+		m.countWaiting(s, s.spec.Tasks)
 		return
 	}
 	s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -59,6 +59,8 @@
 	reserved endive.Resources
 	// waiting, unit and task are the needs for the division, from the current pass.
 	waiting, unit, task endive.Resources
+	// heldBack is true if tasks wait for the account's allowance.
+	heldBack bool
 }
 
 // total returns what counts against the account's allowance.
@@ -104,7 +106,7 @@
 // beginPass resets what a scheduling pass determines anew.
 func (q *quotas) beginPass() {
 	for name, use := range q.uses {
-		use.waiting, use.unit, use.task, use.reserved = endive.Resources{}, endive.Resources{}, endive.Resources{}, endive.Resources{}
+		*use = accountUse{running: use.running, possible: use.possible}
 		if use.running == (endive.Resources{}) {
 			delete(q.uses, name)
 		}
@@ -233,22 +235,35 @@
 // holdBack records that tasks of a step wait for the account's allowance. It counts as a need
 // for which the division should make room only if the pool has free capacity.
 func (m *Machine) holdBack(s *step, tasks int) {
-	use, unit := m.quotas.use(s.occ.job.account), s.unit()
+	use := m.quotas.use(s.occ.job.account)
+	use.heldBack = true
 	if s.spec.Gang {
-		tasks = s.spec.Tasks
-		use.reserved = use.reserved.Add(unit)
+		use.reserved = use.reserved.Add(s.unit())
 		s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
 	}
 	if !s.heldBack {
 		s.heldBack = true
 		m.logHeldBack(s)
 	}
+	m.countWaiting(s, tasks)
+}
+
+// countWaiting counts tasks of a step that could start now, but for the account's allowance or
+// for tickets. The part of the account must not be given up while they wait for tickets.
+func (m *Machine) countWaiting(s *step, tasks int) {
+	if s.occ.job.account == "" {
+		return
+	}
+	if s.spec.Gang {
+		tasks = s.spec.Tasks
+	}
 	places := placesFor(s.spec.Reserved(), m.advice.freeCapacity, tasks)
 	if places == 0 || s.spec.Gang && places < tasks {
 		return
 	}
+	use := m.quotas.use(s.occ.job.account)
 	use.waiting = use.waiting.Add(s.spec.Need.Times(int64(places)))
-	use.unit, use.task = use.unit.Max(unit), use.task.Max(s.spec.Need)
+	use.unit, use.task = use.unit.Max(s.unit()), use.task.Max(s.spec.Need)
 }
 
 // placesFor returns how many tasks with a need fit into a capacity, at most limit.
@@ -298,7 +313,7 @@
 func (m *Machine) heldBackAccounts() []endive.AccountName {
 	var names []endive.AccountName
 	for name, use := range m.quotas.uses {
-		if use.waiting != (endive.Resources{}) {
+		if use.heldBack {
 			names = append(names, name)
 		}
 	}
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -123,6 +123,7 @@
 	}
 	if unplaced > 0 {
 		m.updateLowSlack(s.occ.job)
+		m.countWaiting(s, unplaced)
 		if !m.planAdvice(s, unplaced) {
 			m.addUnplaced(s, unplaced)
 		}
--- a/quota.go
+++ b/quota.go
@@ -53,22 +53,23 @@
 	// Limit is the amount in each dimension, and Cap the account's cap over all pools. A
 	// dimension whose Cap is 0 is unlimited.
 	Limit, Cap Resources
+	// Large is the limit for what MayExceed the cap.
+	Large Resources
 	// Tolerated is the cap with the overage. Nothing may be started beyond it but one task or
 	// gang while no other start of the account is unconfirmed.
 	Tolerated Resources
 }
 
-// For returns the allowance for starting something of the given size. The limit exceeds the cap
-// only for what MayExceed the cap.
+// For returns the allowance for starting something of the given size.
 func (a QuotaAllowance) For(unit Resources) QuotaAllowance {
-	if !MayExceed(int64(a.Cap.Processors), int64(unit.Processors)) {
-		a.Limit.Processors = min(a.Limit.Processors, a.Cap.Processors)
+	if MayExceed(int64(a.Cap.Processors), int64(unit.Processors)) {
+		a.Limit.Processors = a.Large.Processors
 	}
-	if !MayExceed(int64(a.Cap.Memory), int64(unit.Memory)) {
-		a.Limit.Memory = min(a.Limit.Memory, a.Cap.Memory)
+	if MayExceed(int64(a.Cap.Memory), int64(unit.Memory)) {
+		a.Limit.Memory = a.Large.Memory
 	}
-	if !MayExceed(int64(a.Cap.Accelerators), int64(unit.Accelerators)) {
-		a.Limit.Accelerators = min(a.Limit.Accelerators, a.Cap.Accelerators)
+	if MayExceed(int64(a.Cap.Accelerators), int64(unit.Accelerators)) {
+		a.Limit.Accelerators = a.Large.Accelerators
 	}
 	return a
 }
--- a/quota/dimension.go
+++ b/quota/dimension.go
@@ -28,16 +28,12 @@
 }
 
 // ceiling returns the limit up to which this pool may start runs now. It is below the pool's
-// part if other pools want more than is left, or if the limit was lowered.
+// part if other pools want more than is left.
 func (d dimension) ceiling() int64 {
 	ceiling := max(d.part, d.limit)
 	if d.othersWant > 0 {
 		ceiling = min(ceiling, max(min(d.need, d.fairShare()), d.limit-d.others-d.othersWant))
 	}
-	if d.part+d.others > d.limit {
-		// The other pools may not know of this pool's part yet, so they count in full.
-		ceiling = min(ceiling, max(0, d.limit-d.others))
-	}
 	return ceiling
 }
 
--- a/quota/fixed.go
+++ b/quota/fixed.go
@@ -40,7 +40,7 @@
 	for i := range part {
 		part[i] /= int64(f.pools)
 	}
-	return endive.QuotaAllowance{Limit: part.resources(), Cap: account.Cap, Tolerated: account.Cap}, true
+	return endive.QuotaAllowance{Limit: part.resources(), Large: part.resources(), Cap: account.Cap, Tolerated: account.Cap}, true
 }
 
 // Update implements endive.QuotaDivision.
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -41,8 +41,8 @@
 	// was lost, so that it may still be applied.
 	lowest     map[endive.AccountName]amounts
 	answerLost bool
-	// writeAt is the earliest time of the next write.
-	writeAt time.Time
+	// writeAt is the earliest time of the next write, and growAt that of the next larger part.
+	writeAt, growAt time.Time
 }
 
 // pendingParts is a transaction that has no answer yet.
@@ -55,6 +55,9 @@
 	// writeInterval is the minimum time between two writes, so that one write has the changes
 	// of many accounts.
 	writeInterval = 40 * time.Millisecond
+	// growInterval is the minimum time between two writes of larger parts. It leaves the holders
+	// of other pools time to read the last one and to write theirs, also from another region.
+	growInterval = 120 * time.Millisecond
 	// retryDelay is the pause after a failed write.
 	retryDelay = 150 * time.Millisecond
 	// headroomShare is the divisor that gives, from a cap, how much more than it needs a pool
@@ -74,7 +77,8 @@
 	s.epoch, s.begun, s.known, s.handedOver = epoch, false, false, nil
 	s.rows, s.growth, s.growthSeen = make(map[endive.PoolName]partsRow), 0, 0
 	s.ceilings = make(map[endive.AccountName]amounts)
-	s.inFlight, s.lowest, s.answerLost, s.writeAt = nil, nil, false, time.Time{}
+	s.inFlight, s.lowest, s.answerLost = nil, nil, false
+	s.writeAt, s.growAt = time.Time{}, time.Time{}
 }
 
 // HandOver implements endive.QuotaDivision. A transaction that may still be applied can leave
@@ -123,11 +127,21 @@
 		return endive.QuotaAllowance{}, false
 	}
 	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Cap.Scale(1 + s.overage)}
+	caps, tolerated := amountsOf(account.Cap), amountsOf(allowance.Tolerated)
+	others, _, _ := s.others(name)
 	limit := s.part(name)
 	if ceiling, ok := s.ceilings[name]; ok {
 		limit = limit.atMost(ceiling)
 	}
-	allowance.Limit = limit.resources()
+	large := limit
+	for i := range caps {
+		// The other pools may not know of this pool's part yet, so they count in full.
+		limit[i] = min(limit[i], max(0, caps[i]-others[i]))
+		if others[i] > 0 {
+			large[i] = min(large[i], max(0, tolerated[i]-others[i]))
+		}
+	}
+	allowance.Limit, allowance.Large = limit.resources(), large.resources()
 	return allowance, true
 }
 
@@ -161,13 +175,16 @@
 		return endive.QuotaChange{}, false
 	}
 	grows := next.exceeds(s.rows[s.pool].parts)
-	if grows && s.growth < s.growthSeen {
+	if grows && (s.growth < s.growthSeen || now.Before(s.growAt)) {
 		return endive.QuotaChange{}, false
 	}
 	if s.begun && !s.answerLost && next.equals(s.rows[s.pool].parts) {
 		return endive.QuotaChange{}, false
 	}
 	s.inFlight = &pendingParts{writeID: s.writeIDs.Next(), parts: next}
+	if grows {
+		s.growAt = now.Add(growInterval)
+	}
 	s.lowerTo(next)
 	s.writeAt = now.Add(writeInterval)
 	return endive.QuotaChange{Transaction: s.transaction(next, grows), Reason: next.changeFrom(s.rows[s.pool].parts)}, true
@@ -287,7 +304,7 @@
 	others, othersNeed, othersWant := s.others(account.Name)
 	caps, running, waiting := amountsOf(account.Cap), amountsOf(use.Running), amountsOf(use.Waiting)
 	unit, task := amountsOf(use.Unit), amountsOf(use.Task)
-	ceiling, limited := amounts{}, false
+	var ceiling amounts
 	for i := range caps {
 		if caps[i] == 0 {
 			continue
@@ -304,20 +321,12 @@
 		}
 		part[i] = d.next()
 		ceiling[i] = d.ceiling()
-		limited = limited || ceiling[i] < part[i]
 		if d.need > part[i] {
 			step := max(1, caps[i]/headroomShare)
 			need[i] = (d.need + step - 1) / step * step
 		}
 	}
-	if limited {
-		for i := range caps {
-			if caps[i] == 0 {
-				ceiling[i] = part[i]
-			}
-		}
-		s.ceilings[account.Name] = ceiling
-	}
+	s.ceilings[account.Name] = ceiling
 	return part, need
 }
 
--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -72,7 +72,7 @@
 // run lets the pools update their parts several times, with all messages delivered at once.
 func run(store *testStore, uses map[*Stored]endive.QuotaUse, rounds int) {
 	for range rounds {
-		store.now = store.now.Add(writeInterval)
+		store.now = store.now.Add(growInterval)
 		now := store.now
 		for s, use := range uses {
 			s.HandleRows(store.all(), true)
@@ -131,10 +131,13 @@
 	run(store, map[*Stored]endive.QuotaUse{p: {Waiting: processors(100)}, q: {Waiting: processors(100)}}, 3)
 	gang := endive.QuotaUse{Waiting: processors(1300), Unit: processors(1300), Task: processors(260)}
 	run(store, map[*Stored]endive.QuotaUse{p: gang, q: {Running: processors(100)}}, 6)
-	is.True(limitOf(p) < 1300) // the other pool still runs something
+	allowance, _ := p.Allowance("a")
+	is.True(allowance.Large.Processors < 1300) // the other pool still runs something
 	run(store, map[*Stored]endive.QuotaUse{p: gang, q: {}}, 6)
-	is.True(limitOf(p) >= 1300)
-	is.True(limitOf(p) <= capOfA*11/10+260)
+	allowance, _ = p.Allowance("a")
+	is.True(allowance.Large.Processors >= 1300)
+	is.True(allowance.Large.Processors <= capOfA*11/10+260)
+	is.Equal(limitOf(p), int64(capOfA)) // nothing else may exceed the cap
 }
 
 // A lowered cap binds all pools: what runs goes on, and nothing is started beyond it.
@@ -162,6 +165,8 @@
 	epochs  [2]endive.Epoch
 	running [2]int64
 	waiting [2]int64
+	// phantom is what a holder still counts of what an earlier one may have started.
+	phantom [2]int64
 	late    []endive.Transaction
 }
 
@@ -170,14 +175,17 @@
 	i := w.rng.IntN(2)
 	s := w.pools[i]
 	w.now = w.now.Add(time.Duration(w.rng.IntN(60)) * time.Millisecond)
-	switch w.rng.IntN(10) {
+	switch w.rng.IntN(11) {
 	case 0:
 		w.epochs[i]++
 		w.pools[i] = NewStored([]endive.PoolName{"p", "q"}[i], endive.NewWriteIDs("e", "1", fmt.Sprint(i, w.epochs[i])), 0.1)
 		w.pools[i].SetAccounts(accountA(w.cap), 2)
 		w.pools[i].Begin(w.epochs[i])
+		w.phantom[i] = w.rng.Int64N(2 * capOfA)
 	case 1:
 		s.HandleRows(w.store.all(), true)
+	case 10:
+		w.phantom[i] = 0
 	case 2:
 		w.waiting[i] = w.rng.Int64N(3 * capOfA)
 	case 3:
@@ -198,7 +206,7 @@
 // startRuns starts what the pool's allowance permits.
 func (w *world) startRuns(i int) {
 	allowance, _ := w.pools[i].Allowance("a")
-	start := min(w.waiting[i], int64(allowance.Limit.Processors)-w.running[i])
+	start := min(w.waiting[i], int64(allowance.Limit.Processors)-w.running[i]-w.phantom[i])
 	if start <= 0 {
 		return
 	}
@@ -213,7 +221,7 @@
 // update sends a transaction. Its answer may be lost, and then it may be applied later.
 func (w *world) update(i int) {
 	s := w.pools[i]
-	use := endive.QuotaUse{Running: processors(w.running[i]), Waiting: processors(w.waiting[i])}
+	use := endive.QuotaUse{Running: processors(w.running[i] + w.phantom[i]), Waiting: processors(w.waiting[i])}
 	change, ok := s.Update(w.now, map[endive.AccountName]endive.QuotaUse{"a": use})
 	if !ok {
 		return
