--- a/entry/cell/handover.go
+++ b/entry/cell/handover.go
@@ -42,8 +42,7 @@
 		message.Ended = append(message.Ended, string(id))
 	}
 	for _, worker := range state.Roster {
-		message.Roster = append(message.Roster,
-			&wire.PoolWorker{Id: string(worker.ID), Address: string(worker.Address), Draining: worker.Draining, Gone: worker.Terminated, Capacity: resourcesToWire(worker.Capacity)})
+		message.Roster = append(message.Roster, workerToWire(worker))
 	}
 	for account, part := range state.QuotaParts {
 		message.QuotaParts = append(message.QuotaParts, &wire.QuotaPart{Account: string(account), Part: resourcesToWire(part)})
@@ -72,10 +71,7 @@
 		state.EndedJobs = append(state.EndedJobs, endive.JobID(id))
 	}
 	for _, worker := range m.GetRoster() {
-		state.Roster = append(state.Roster, flow.RosterWorker{
-			ID: endive.WorkerID(worker.GetId()), Address: endive.Address(worker.GetAddress()), Draining: worker.GetDraining(), Terminated: worker.GetGone(),
-			Capacity: resourcesFromWire(worker.GetCapacity()),
-		})
+		state.Roster = append(state.Roster, workerFromWire(worker))
 	}
 	state.QuotaParts = make(map[endive.AccountName]endive.Resources)
 	for _, part := range m.GetQuotaParts() {
@@ -100,6 +96,29 @@
 	return loaded, nil
 }
 
+// workerToWire encodes a worker of the roster for a message to another entry.
+func workerToWire(w flow.RosterWorker) *wire.PoolWorker {
+	encoded := &wire.PoolWorker{
+		Id: string(w.ID), Address: string(w.Address), Draining: w.Draining, Gone: w.Terminated, Capacity: resourcesToWire(w.Capacity), TasksKnown: w.TasksKnown,
+	}
+	for _, task := range w.Tasks {
+		encoded.Tasks = append(encoded.Tasks, string(task))
+	}
+	return encoded
+}
+
+// workerFromWire decodes a worker of the roster from a message of another entry.
+func workerFromWire(w *wire.PoolWorker) flow.RosterWorker {
+	decoded := flow.RosterWorker{
+		ID: endive.WorkerID(w.GetId()), Address: endive.Address(w.GetAddress()), Draining: w.GetDraining(), Terminated: w.GetGone(),
+		Capacity: resourcesFromWire(w.GetCapacity()), TasksKnown: w.GetTasksKnown(),
+	}
+	for _, task := range w.GetTasks() {
+		decoded.Tasks = append(decoded.Tasks, endive.TaskID(task))
+	}
+	return decoded
+}
+
 // resourcesToWire encodes Resources for a message to another entry.
 func resourcesToWire(r endive.Resources) *wire.ResourceCount {
 	return &wire.ResourceCount{Processors: int64(r.Processors), Memory: int64(r.Memory), Accelerators: int64(r.Accelerators)}
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -30,9 +30,19 @@
 
 func (m *Machine) needsTicket(s *step) bool { return s.occ.job.policy.Advice.Required() }
 
-// awaitsTakeover reports whether tasks of the job may still run on workers that haven't
+// awaitsTakeover reports whether tasks of a step may still run on workers that haven't
 // answered in this tenure. Tickets for them are useless until the takeover is done.
-func (j *job) awaitsTakeover(m *Machine) bool { return j.inherited && !m.tenure.takeoverDone }
+func (m *Machine) awaitsTakeover(s *step) bool {
+	if m.tenure.takeoverDone || !s.occ.job.inherited {
+		return false
+	}
+	for _, t := range s.tasks {
+		if t.state == taskWaiting && m.mayRunOnSilentWorker(t) {
+			return true
+		}
+	}
+	return false
+}
 
 // adviceCost returns the response time of the largest advice request about a step of a job.
 func (m *Machine) adviceCost(j *job) time.Duration {
--- a/flow/gangreserve.go
+++ b/flow/gangreserve.go
@@ -51,7 +51,7 @@
 	case !m.needsTicket(s):
 		m.delayGangSearch(s)
 		m.drainForGang(s)
-	case s.occ.job.awaitsTakeover(m):
+	case m.awaitsTakeover(s):
 	case s.tickets.requestInFlight(m.now):
 		m.schedulePass(s.tickets.requestedAt.Add(adviceTimeout))
 		m.applyReservation(s)
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -86,6 +86,7 @@
 		entry := RosterWorker{ID: id, Draining: status == rosterDraining, Terminated: true}
 		if w := m.workers[id]; w != nil {
 			entry.Address, entry.Capacity, entry.Terminated = w.info.Address, w.info.Capacity, false
+			entry.Tasks, entry.TasksKnown = w.tasksToRecord()
 		}
 		roster = append(roster, entry)
 	}
--- a/flow/handover_test.go
+++ b/flow/handover_test.go
@@ -119,3 +119,24 @@
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 	is.Equal(w.starts, 1)
 }
+
+// After a hand-over the next holder uses the parts of the accounts' caps at once, before it has
+// read them in the store.
+func TestHandOverPassesPartsOfCaps(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.accounts = faultAccounts()
+	w.addWorkers(4)
+	h := w.startHolder()
+	w.run(time.Second)
+	w.submitFor("a", "first", urgentQueue, stepOfTasks(2, 700*time.Millisecond))
+	w.run(1500 * time.Millisecond)
+	w.quotaReadTime = time.Minute
+	next := h.handOver()
+	w.submitFor("a", "second", urgentQueue, stepOfTasks(2, 700*time.Millisecond))
+	w.run(1600 * time.Millisecond)
+	is.Equal(w.runningTasks("second"), 2)
+	is.True(!next.machine.quotas.use("a").heldBack)
+	w.run(5 * time.Second)
+	w.checkViolations()
+}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -63,7 +63,7 @@
 		w.handedOver = &a.Snapshot
 	case LoadSnapshot:
 		w.after(w.loadTime(a.Epoch), func() { h.load(a.Epoch) })
-		w.after(quotaReadTime, func() { h.step(w.quotaRows()) })
+		w.after(max(w.quotaReadTime, 8*time.Millisecond), func() { h.step(w.quotaRows()) })
 	case Commit:
 		h.commit(a.Transaction)
 	case RequestAdvice:
@@ -143,9 +143,6 @@
 	h.step(loaded)
 }
 
-// quotaReadTime is how long a new holder takes to read the pools' parts of the caps.
-const quotaReadTime = 8 * time.Millisecond
-
 // quotaRows returns the event with the pools' parts of the caps.
 func (w *simulation) quotaRows() QuotaRowsRead {
 	event := QuotaRowsRead{Complete: true}
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	leasesEnd := w.leasesExpireAt()
-	if w.failedPolls > 0 && len(w.runs) > 0 && !leasesEnd.IsZero() && !m.now.Before(leasesEnd) {
+	if w.failedPolls > 0 && len(w.runs) > 0 && !leasesEnd.IsZero() && !m.now.Before(leasesEnd) && m.surelySilent(w, leasesEnd) {
 		m.dropRuns(w, "its leases have expired")
 	}
 	if !w.listed && m.tenure.takeoverDone && len(w.runs) == 0 && len(w.unrecordedEnds) == 0 {
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// surelySilent reports whether a worker with expired leases is taken as silent. While more workers
+// don't answer than can be probed, it is this holder that is slow: then the worker must have
+// failed to answer a probe that was sent after the leases had expired. What its runs achieved
+// would be done again otherwise, before the worker could list it.
+func (m *Machine) surelySilent(w *worker, leasesEnd time.Time) bool {
+	if len(m.probes.inFlight) < maxProbes {
+		return true
+	}
+	return !w.poll.inFlight && !w.poll.queued && w.poll.sentAt.After(leasesEnd)
+}
+
 // idlePollInterval returns the time between two polls of a worker without tasks.
 func (m *Machine) idlePollInterval() time.Duration {
 	return max(minIdlePollInterval, time.Duration(len(m.workers))*idlePollPerWorker)
--- a/flow/probe_test.go
+++ b/flow/probe_test.go
@@ -82,3 +82,26 @@
 	is.Equal(w.starts, starts)
 	is.Equal(w.successCount["job.0.0.0"], 1)
 }
+
+// While the holder can't probe all workers that don't answer, an expired lease alone doesn't end
+// the wait for a worker's report.
+func TestOverloadedHolderAsksBeforeItGivesRunsUp(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
+	w.run(1200 * time.Millisecond)
+	is.Equal(w.runningTasks(id), 1)
+	m := h.machine
+	for i := range maxProbes {
+		m.probes.inFlight[endive.WorkerID(fmt.Sprintf("slow%d", i))] = true
+	}
+	w.faults.lostAnswer = 1
+	w.run(9 * time.Second) // the leases have expired, and the worker waits for a probe
+	w.faults.lostAnswer = 0
+	m.probes.inFlight = make(map[endive.WorkerID]bool)
+	m.probes.inFlight["slow"] = true
+	h.step(PollResult{Worker: "slow", Result: OrderUnknown})
+	w.run(12 * time.Second)
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, 1)
+}
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -52,8 +52,9 @@
 type accountUse struct {
 	// running is what the account's runs use, from the order to start until the end.
 	running endive.Resources
-	// possible is what tasks use that may run on workers that haven't answered in this tenure.
-	possible endive.Resources
+	// possible is what tasks use that may run on workers that haven't answered in this tenure;
+	// unrecorded is that on workers whose tasks aren't known.
+	possible, unrecorded endive.Resources
 	// reserved is what gangs of the account wait for in the current scheduling pass. Tasks of
 	// the account that come later must not use it.
 	reserved endive.Resources
@@ -65,7 +66,7 @@
 
 // total returns what counts against the account's allowance.
 func (u *accountUse) total(unknown endive.Resources) endive.Resources {
-	return u.running.Add(u.possible).Add(u.reserved).Add(unknown)
+	return u.running.Add(u.possible).Add(u.unrecorded).Add(u.reserved).Add(unknown)
 }
 
 // use returns the record of an account.
@@ -106,7 +107,7 @@
 // beginPass resets what a scheduling pass determines anew.
 func (q *quotas) beginPass() {
 	for name, use := range q.uses {
-		*use = accountUse{running: use.running, possible: use.possible}
+		*use = accountUse{running: use.running}
 		if use.running == (endive.Resources{}) {
 			delete(q.uses, name)
 		}
@@ -118,11 +119,12 @@
 // haven't answered yet.
 func (m *Machine) countPossibleRuns() {
 	for _, use := range m.quotas.uses {
-		use.possible = endive.Resources{}
+		use.possible, use.unrecorded = endive.Resources{}, endive.Resources{}
 	}
 	if m.tenure.takeoverDone {
 		return
 	}
+	m.countRecordedTasks()
 	silent, capacity := m.silentWorkers()
 	if len(silent) == 0 {
 		return
@@ -135,7 +137,8 @@
 			for _, s := range occ.steps {
 				if s.waiting > 0 && couldRunOnAny(s, silent) {
 					use := m.quotas.use(j.account)
-					use.possible = use.possible.Add(s.spec.Reserved().Times(int64(s.waiting))).Min(capacity).Add(s.beyondCapacity())
+					use.unrecorded = use.unrecorded.Add(s.spec.Reserved().Times(int64(s.waiting))).Min(capacity)
+					use.possible = use.possible.Add(s.beyondCapacity())
 				}
 			}
 		}
@@ -147,11 +150,26 @@
 	return s.spec.Need.Sub(s.spec.Reserved()).Times(int64(s.waiting))
 }
 
-// silentWorkers returns the workers that haven't answered in this tenure, and their capacity,
-// which limits what an earlier holder can have started there.
+// countRecordedTasks counts the tasks that may run on draining workers according to the roster.
+func (m *Machine) countRecordedTasks() {
+	for _, w := range m.sortedWorkers {
+		if w.adopted {
+			continue
+		}
+		for id := range w.recordedTasks {
+			if t := m.tasks[id]; t != nil && t.state == taskWaiting && t.step.occ.job.account != "" {
+				use := m.quotas.use(t.step.occ.job.account)
+				use.possible = use.possible.Add(t.step.spec.Need)
+			}
+		}
+	}
+}
+
+// silentWorkers returns the workers that haven't answered in this tenure and whose tasks aren't
+// known, and their capacity, which limits what an earlier holder can have started there.
 func (m *Machine) silentWorkers() (silent []*worker, capacity endive.Resources) {
 	for _, w := range m.sortedWorkers {
-		if !w.adopted {
+		if !w.adopted && w.recordedTasks == nil {
 			silent = append(silent, w)
 			capacity = capacity.Add(w.info.Capacity)
 		}
@@ -295,7 +313,7 @@
 	uses := make(map[endive.AccountName]endive.QuotaUse, len(m.quotas.uses))
 	for name, use := range m.quotas.uses {
 		uses[name] = endive.QuotaUse{
-			Running: use.running.Add(use.possible).Add(m.quotas.unknown), Waiting: use.waiting, Unit: use.unit, Task: use.task,
+			Running: use.running.Add(use.possible).Add(use.unrecorded).Add(m.quotas.unknown), Waiting: use.waiting, Unit: use.unit, Task: use.task,
 		}
 	}
 	m.updateDivision(uses)
--- a/flow/reservations.go
+++ b/flow/reservations.go
@@ -34,7 +34,7 @@
 		m.advice.shortOfCapacity = true
 		return false
 	}
-	if s.occ.job.awaitsTakeover(m) {
+	if m.awaitsTakeover(s) {
 		return true
 	}
 	places := m.reservePlaces(s, unplaced)
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -23,6 +23,27 @@
 	return rosterPresent
 }
 
+// restoreTasks sets the tasks that may run on a worker according to the roster. w is nil if the
+// worker is known to have terminated.
+func (w *worker) restoreTasks(r RosterWorker) {
+	if w == nil || !r.Draining || !r.TasksKnown {
+		return
+	}
+	w.recordedTasks = make(map[endive.TaskID]bool, len(r.Tasks))
+	for _, id := range r.Tasks {
+		w.recordedTasks[id] = true
+	}
+}
+
+// forgetDraining makes the roster's row of a worker be written again before anything is started
+// there: while the row says that the worker is draining, it lists all tasks that may run there.
+func (m *Machine) forgetDraining(w *worker) {
+	if m.recorder.roster[w.id] == rosterDraining {
+		delete(m.recorder.roster, w.id)
+		m.recorder.rosterStale = true
+	}
+}
+
 // rosterStatus returns the status to be recorded of a worker.
 func (w *worker) rosterStatus() rosterStatus {
 	if w.info.Draining {
@@ -78,6 +99,8 @@
 		partition.Workers = append(partition.Workers, RosterWorker{
 			ID: id, Address: m.workers[id].info.Address, Capacity: m.workers[id].info.Capacity, Draining: status == rosterDraining,
 		})
+		last := &partition.Workers[len(partition.Workers)-1]
+		last.Tasks, last.TasksKnown = m.workers[id].tasksToRecord()
 	}
 	changed := differingPartitions(m.recorder.roster, roster)
 	var writes []endive.Write
--- a/flow/roster_test.go
+++ b/flow/roster_test.go
@@ -46,3 +46,59 @@
 	w.run(10 * time.Second)
 	is.Equal(len(second.machine.recorder.roster), workers+1)
 }
+
+// A holder fails while workers that were about to leave are silent. The roster lists the tasks
+// there: only these wait until their leases have expired, and other work goes on, also of an
+// account with a cap.
+func TestTakeoverKnowsTasksOfDrainingWorkers(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.accounts = faultAccounts()
+	w.addWorkers(4)
+	h := w.startHolder()
+	w.run(time.Second)
+	long := stepOfTasks(4, 20*time.Second)
+	long.Checkpoints = true
+	long.Need.Processors = 500
+	w.submitFor("a", "long", urgentQueue, long)
+	w.run(1500 * time.Millisecond)
+	is.Equal(w.runningTasks("long"), 4)
+	leaving := w.workers["w0"]
+	leaving.info.Draining, leaving.info.LeavesIn = true, endive.Interval(time.Minute)
+	w.publishWorkers()
+	w.run(1700 * time.Millisecond)
+	leaving.unreachable = true
+	h.kill()
+	w.submitFor("a", "waiting", urgentQueue, stepOfTasks(3, 700*time.Millisecond))
+	w.run(1800 * time.Millisecond)
+	w.startHolder()
+	w.submitFor("a", "later", urgentQueue, stepOfTasks(3, 700*time.Millisecond))
+	w.run(2100 * time.Millisecond)
+	is.Equal(w.runningTasks("waiting"), 3)
+	is.Equal(w.runningTasks("later"), 3)
+	w.run(40 * time.Second)
+	w.checkViolations()
+	for _, id := range []endive.JobID{"long", "waiting", "later"} {
+		is.Equal(w.state(id), endive.WorkflowSucceeded)
+	}
+}
+
+// A worker that was draining is used again, after a restart under the same id. The roster must
+// say so before anything is started there.
+func TestRosterOfRestartedDrainingWorker(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	worker := w.workers["w0"]
+	worker.info.Draining = true
+	w.publishWorkers()
+	w.run(1500 * time.Millisecond)
+	is.Equal(h.machine.recorder.roster["w0"], rosterDraining)
+	worker.restart()
+	worker.info.Draining = false
+	w.publishWorkers()
+	w.run(2 * time.Second)
+	is.Equal(h.machine.recorder.roster["w0"], rosterPresent)
+	w.submit("job", urgentQueue, stepOfTasks(1, 300*time.Millisecond))
+	w.run(4 * time.Second)
+	is.Equal(w.state("job"), endive.WorkflowSucceeded)
+}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -149,6 +149,10 @@
 	Capacity endive.Resources `json:"capacity,omitzero"`
 	// Draining is true if the worker had announced that it would leave.
 	Draining bool `json:"draining,omitempty"`
+	// Tasks are the tasks that may run on a draining worker, to which no others are sent, if
+	// TasksKnown is true.
+	Tasks      []endive.TaskID `json:"tasks,omitempty"`
+	TasksKnown bool            `json:"tasksKnown,omitempty"`
 	// Terminated is true if the worker is known to have terminated. It isn't stored.
 	Terminated bool `json:"-"`
 }
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -85,7 +85,7 @@
 			m.holdBack(s, s.waiting)
 			continue
 		}
-		if s.occ.job.awaitsTakeover(m) {
+		if m.awaitsTakeover(s) {
 			m.surveyDuringTakeover(s)
 		}
 		if s.spec.Gang {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -60,6 +60,9 @@
 	forwardsAdvice bool
 	// accounts are the client accounts of the configuration.
 	accounts endive.Accounts
+	// quotaReadTime is how long a new holder takes to read the pools' parts of the caps; 0 for the
+	// usual 8 ms.
+	quotaReadTime time.Duration
 }
 
 // faults are the probabilities of faults of orders, writes, tasks and advice requests.
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -88,6 +88,7 @@
 		if m.workers[rosterWorker.ID] == nil && !rosterWorker.Terminated {
 			m.addUnlisted(rosterWorker)
 		}
+		m.workers[rosterWorker.ID].restoreTasks(rosterWorker)
 	}
 	for _, id := range e.EndedJobs {
 		m.addArchivedJob(id)
@@ -136,7 +137,7 @@
 		return false
 	}
 	for _, w := range m.sortedWorkers {
-		if !w.adopted && w.couldRun(t.step) {
+		if !w.adopted && w.mayRun(t) {
 			return true
 		}
 	}
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"endiveroute.example/endive"
@@ -19,7 +20,10 @@
 	addressReused bool
 
 	runs map[endive.TaskID]*run
-	used endive.Resources
+	// recordedTasks are the tasks that may run on the worker according to the roster; nil if that
+	// isn't known.
+	recordedTasks map[endive.TaskID]bool
+	used          endive.Resources
 	// serving counts the runs that serve users, and opportunistic the opportunistic ones,
 	// which may slow the serving ones down.
 	serving       int
@@ -119,6 +123,32 @@
 	return !s.tickets.ineligible[w.id]
 }
 
+// mayRun reports whether a waiting task may run on the worker, which hasn't answered yet.
+func (w *worker) mayRun(t *task) bool {
+	if w.recordedTasks != nil {
+		return w.recordedTasks[t.id]
+	}
+	return w.couldRun(t.step)
+}
+
+// tasksToRecord returns the tasks that may run on a draining worker, and whether they are known.
+func (w *worker) tasksToRecord() ([]endive.TaskID, bool) {
+	if !w.info.Draining || !w.adopted && w.recordedTasks == nil {
+		return nil, false
+	}
+	var tasks []endive.TaskID
+	for id := range w.runs {
+		tasks = append(tasks, id)
+	}
+	if !w.adopted {
+		for id := range w.recordedTasks {
+			tasks = append(tasks, id)
+		}
+	}
+	slices.Sort(tasks)
+	return tasks, true
+}
+
 // leasesExpireAt returns when all leases granted to the worker have surely expired.
 func (w *worker) leasesExpireAt() time.Time {
 	if w.clock.receivedAt.IsZero() {
@@ -137,6 +167,8 @@
 	w.info.StartTime = startTime
 	w.incarnations++
 	w.adopted, w.addressReused = false, false
+	w.recordedTasks = nil
+	m.forgetDraining(w)
 	w.lastEnd, w.leaseEnd, w.clock = 0, 0, clockReading{}
 	w.unrecordedEnds = make(map[endive.EndNumber]bool)
 	w.poll.nextAt = m.now
@@ -194,6 +226,9 @@
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "listed", Reason: info.Capacity.String()})
 	}
 	startedDraining := info.Draining && !w.info.Draining
+	if !info.Draining {
+		m.forgetDraining(w)
+	}
 	if w.addressReused && w.info.Address != info.Address {
 		w.addressReused = false
 	}
