--- a/flow/poll.go
+++ b/flow/poll.go
@@ -42,7 +42,7 @@
 	}
 	m.sendPoll(w)
 	m.retryStops(w)
-	if w.failedPolls > 0 && len(w.runs) > 0 {
+	if w.failedPolls > 0 && len(w.runs) > 0 && leasesEnd.After(m.now) {
 		w.dueAt = endive.Earliest(w.dueAt, leasesEnd)
 	}
 	return false
