--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -12,6 +12,7 @@
 	"endiveroute.example/endive/elect"
 	"endiveroute.example/endive/flow"
 	"endiveroute.example/endive/quota"
+	"endiveroute.example/endive/speed"
 )
 
 // pool is the actor that owns the two state machines of a pool: elect decides which entry
@@ -75,7 +76,7 @@
 		LeaseDuration:    min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
 		MaxLeaseDuration: c.Settings.Bounds.MaxGrant,
 		Retention:        c.Settings.Bounds.Retention,
-	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage))
+	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage), speed.NewByWorker())
 	p.pid = c.system.Spawn(p)
 	return p
 }
--- a/flow/advice.go
+++ b/flow/advice.go
@@ -178,15 +178,29 @@
 		return nil
 	}
 	withCapacity = RotateByStep(withCapacity, s.id)
-	sort.SliceStable(withCapacity, func(i, j int) bool {
-		return s.prefersWorker(m.workers[withCapacity[i]]) && !s.prefersWorker(m.workers[withCapacity[j]])
-	})
+	m.sortByPreference(s, withCapacity)
 	workers := append(withCapacity, others...)
 	perWorker := max(1, places/len(withCapacity))
 	limit := max(minAdviceWorkers, workersPerPlace*(s.waiting/perWorker+1))
 	return workers[:min(len(workers), MaxAdviceWorkers, limit)]
 }
 
+// preferenceStep is the difference in score from which on a worker is named before another.
+const preferenceStep = 1.0
+
+// sortByPreference sorts workers by how well they suit a step, without regard to what runs there.
+func (m *Machine) sortByPreference(s *step, ids []endive.WorkerID) {
+	preference := make(map[endive.WorkerID]int, len(ids))
+	for _, id := range ids {
+		score := m.speedScore(s, m.workers[id])
+		if s.prefersWorker(m.workers[id]) {
+			score += scoreLocality
+		}
+		preference[id] = int(score / preferenceStep)
+	}
+	sort.SliceStable(ids, func(i, j int) bool { return preference[ids[i]] > preference[ids[j]] })
+}
+
 // RotateByStep rotates a list of workers by an offset that depends on the step, so that not
 // all steps compete for the same workers.
 func RotateByStep(workers []endive.WorkerID, id endive.StepID) []endive.WorkerID {
--- a/flow/forecast.go
+++ b/flow/forecast.go
@@ -98,6 +98,10 @@
 	if s.succeededRuns == 0 {
 		return
 	}
+	if !s.spec.Gang {
+		m.speeds.Record(s.timedRuns)
+	}
+	s.timedRuns = nil
 	queue := s.occ.job.policy.Name
 	if m.forecasts[queue] == nil {
 		m.forecasts[queue] = &Forecast{}
--- a/flow/job.go
+++ b/flow/job.go
@@ -86,6 +86,8 @@
 	// the sum of their run times.
 	succeededRuns int
 	succeededTime endive.Interval
+	// timedRuns are these run times with their workers.
+	timedRuns []endive.TimedRun
 
 	tickets tickets
 	gang    gang
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -67,6 +67,8 @@
 	prevGangsWaiting, gangsWaiting bool
 	// forecasts are the run time forecasts of the queues, also from earlier tenures.
 	forecasts map[endive.QueueName]*Forecast
+	// speeds are the speeds of the workers, also from earlier tenures.
+	speeds endive.WorkerSpeeds
 	// reservedTotals are the reservations of the last scheduling pass.
 	reservedTotals reservedTotals
 	// startCount counts the runs started in this epoch; run numbers are derived from it.
@@ -74,9 +76,9 @@
 }
 
 // New returns the machine of a pool that this entry doesn't hold yet.
-func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs, division endive.QuotaDivision) *Machine {
+func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs, division endive.QuotaDivision, speeds endive.WorkerSpeeds) *Machine {
 	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs, adviceClients: 1, forecasts: make(map[endive.QueueName]*Forecast)}
-	m.quotas.division = division
+	m.quotas.division, m.speeds = division, speeds
 	m.reset()
 	return m
 }
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -119,7 +119,9 @@
 		if !t.step.spec.LongRunning {
 			if current && r.firstPercent == 0 {
 				t.step.succeededRuns++
-				t.step.succeededTime += endive.Interval(m.now.Sub(r.startedAt))
+				duration := endive.Interval(m.now.Sub(r.startedAt))
+				t.step.succeededTime += duration
+				t.step.timedRuns = append(t.step.timedRuns, endive.TimedRun{Worker: w.info, Duration: duration})
 			}
 			m.markSucceeded(t)
 			m.queueEnd(w, end.Number, j)
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -213,6 +213,9 @@
 	scoreSuspect = 30
 	// scoreLocality prefers local workers for short steps and remote ones for others.
 	scoreLocality = 2
+	// scoreSpeed is the weight of the time that a task takes longer than on a usual worker, as a
+	// share of that time.
+	scoreSpeed = 10
 	// scorePacked prefers the worker that the task leaves with the least free capacity.
 	scorePacked = 1
 )
@@ -227,6 +230,7 @@
 	if s.prefersWorker(w) {
 		score += scoreLocality
 	}
+	score += m.speedScore(s, w)
 	remaining := w.free().Sub(s.spec.Reserved())
 	score -= scorePacked * freeShare(remaining, w.info.Capacity)
 	return score
--- /dev/null
+++ b/speed/doc.go
@@ -0,0 +1,2 @@
+// Package speed learns how fast workers are, from the run times of like tasks.
+package speed
