--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -76,7 +76,7 @@
 		LeaseDuration:    min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
 		MaxLeaseDuration: c.Settings.Bounds.MaxGrant,
 		Retention:        c.Settings.Bounds.Retention,
-	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage), speed.NewByWorker())
+	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage), speed.NewByLabel())
 	p.pid = c.system.Spawn(p)
 	return p
 }
