--- a/speed/bylabel.go
+++ b/speed/bylabel.go
@@ -11,8 +11,18 @@
 
 // Record implements endive.WorkerSpeeds.
 func (b *ByLabel) Record(runs []endive.TimedRun) {
+	frequency := make(map[endive.Label]int)
+	for _, run := range runs {
+		for _, label := range run.Worker.Labels {
+			frequency[label]++
+		}
+	}
 	for i, relative := range relativeTimes(runs, b.Factor) {
 		for _, label := range runs[i].Worker.Labels {
+			// A label that all workers of the step have can't be compared.
+			if frequency[label] == len(runs) {
+				continue
+			}
 			if b.means[label] == nil {
 				b.means[label] = &mean{}
 			}
