--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -12,6 +12,7 @@
 	"endiveroute.example/endive/elect"
 	"endiveroute.example/endive/flow"
 	"endiveroute.example/endive/quota"
+	"endiveroute.example/endive/share"
 	"endiveroute.example/endive/speed"
 )
 
@@ -76,7 +77,7 @@
 		LeaseDuration:    min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
 		MaxLeaseDuration: c.Settings.Bounds.MaxGrant,
 		Retention:        c.Settings.Bounds.Retention,
-	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage), speed.NewByLabel())
+	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage), speed.NewByLabel(), share.NewRate())
 	p.pid = c.system.Spawn(p)
 	return p
 }
--- a/flow/job.go
+++ b/flow/job.go
@@ -29,6 +29,8 @@
 	cancelled                   bool
 	// rowStatus is whether and how soon the state row has to be written.
 	rowStatus rowStatus
+	// beyondShare is true if the account has handed in more than its weight allows.
+	beyondShare bool
 	// rank is the job's position in the order of the last scheduling pass.
 	rank rank
 	// inherited is true if an earlier holder may have started tasks of the job.
--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -68,6 +68,9 @@
 	}
 	j := m.newJob(s)
 	j.inherited = inherited
+	if account, ok := m.accounts.Named(j.account); ok && !inherited {
+		j.beyondShare = m.order.BeyondShare(account, j.accepted)
+	}
 	j.submissionValue = value
 	defer m.publishState(j)
 	m.jobs[id] = j
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -67,6 +67,12 @@
 	prevGangsWaiting, gangsWaiting bool
 	// forecasts are the run time forecasts of the queues, also from earlier tenures.
 	forecasts map[endive.QueueName]*Forecast
+	// accounts are the accounts of the newest configuration. order is which work of them goes
+	// first.
+	accounts endive.Accounts
+	order    endive.AccountOrder
+	// levels are the positions of the accounts in the current scheduling pass.
+	levels map[endive.AccountName]int
 	// speeds are the speeds of the workers, also from earlier tenures.
 	speeds endive.WorkerSpeeds
 	// reservedTotals are the reservations of the last scheduling pass.
@@ -76,9 +82,9 @@
 }
 
 // New returns the machine of a pool that this entry doesn't hold yet.
-func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs, division endive.QuotaDivision, speeds endive.WorkerSpeeds) *Machine {
+func New(pool endive.PoolName, settings Settings, clock endive.PlatformClock, writeIDs *endive.WriteIDs, division endive.QuotaDivision, speeds endive.WorkerSpeeds, order endive.AccountOrder) *Machine {
 	m := &Machine{pool: pool, settings: settings, clock: clock, writeIDs: writeIDs, adviceClients: 1, forecasts: make(map[endive.QueueName]*Forecast)}
-	m.quotas.division, m.speeds = division, speeds
+	m.quotas.division, m.speeds, m.order = division, speeds, order
 	m.reset()
 	return m
 }
@@ -132,6 +138,7 @@
 		m.adviceClients = e.Count
 		return
 	case AccountsChanged:
+		m.accounts = e.Accounts
 		m.quotas.division.SetAccounts(e.Accounts, e.Pools)
 		m.passDue = true
 		return
--- a/flow/preempt.go
+++ b/flow/preempt.go
@@ -34,7 +34,7 @@
 // time.
 func (m *Machine) addUnplaced(s *step, tasks int) {
 	j := s.occ.job
-	if j.policy.Rank == preemptRank && j.rank.tier == tierOnTime {
+	if j.policy.Rank == preemptRank && j.rank.tier == tierOnTime && !j.beyondShare {
 		m.unplacedUrgent = append(m.unplacedUrgent, unplacedStep{step: s, tasks: tasks})
 	}
 }
--- a/flow/rank_test.go
+++ b/flow/rank_test.go
@@ -22,6 +22,7 @@
 		{tier: tierOnTime, queue: 1, objective: at.Add(time.Minute)},
 		{tier: tierOnTime, queue: batch, objective: at.Add(time.Second)},
 		{tier: tierLate, queue: batch, objective: at.Add(-time.Second)},
+		{tier: tierOnTime, queue: urgent, objective: at, beyondShare: true},
 		{tier: tierTooLate, queue: urgent, objective: at.Add(-time.Hour)},
 		{tier: tierTooLate, queue: batch, objective: at.Add(-time.Minute)},
 	}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/quota"
+	"endiveroute.example/endive/share"
 	"endiveroute.example/endive/speed"
 )
 
@@ -287,7 +288,7 @@
 		LeaseDuration: endive.Interval(testLeaseDuration), MaxLeaseDuration: endive.Interval(testMaxLeaseDuration), Retention: endive.Interval(time.Minute),
 	}
 	ids := endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "flow")
-	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids, quota.NewStored(testPool, endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "quota"), 0.1), speed.NewByLabel()), epoch: w.epoch}
+	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids, quota.NewStored(testPool, endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "quota"), 0.1), speed.NewByLabel(), share.NewRate()), epoch: w.epoch}
 	w.holders = append(w.holders, h)
 	w.version++
 	fence := FenceWrite(testPool, w.epoch)
--- /dev/null
+++ b/share/doc.go
@@ -0,0 +1,2 @@
+// Package share decides which work of the accounts goes first when a pool is full.
+package share
