Work beyond an account's weight goes last; the dominant share goes

Kept is the rate: where caps leave room, or there are none, an account that sends many times its weight made another's work late (TestHotAccount fails without it).

--- a/accountorder.go
+++ b/accountorder.go
@@ -8,7 +8,4 @@
 	// handed in more than its weight allows. Such work is served after all other work. The times
 	// of an account's workflows don't decrease, but for those that were accepted before.
 	BeyondShare(account Account, accepted time.Time) bool
-	// Level returns the position of an account's work within the same precedence, lowest first,
-	// by what the account uses of a pool's capacity.
-	Level(account Account, used, capacity Resources) int
 }
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -54,6 +54,8 @@
 	// unplacedUrgent are the urgent steps with tasks for which the current scheduling pass
 	// found no free capacity.
 	unplacedUrgent []unplacedStep
+	// heldBackUrgent are those that wait for the allowances of their accounts.
+	heldBackUrgent []unplacedStep
 	// gangDrains counts the workers that are drained for gangs in the current scheduling
 	// pass while tasks still run there.
 	gangDrains int
@@ -71,8 +73,6 @@
 	// first.
 	accounts endive.Accounts
 	order    endive.AccountOrder
-	// levels are the positions of the accounts in the current scheduling pass.
-	levels map[endive.AccountName]int
 	// speeds are the speeds of the workers, also from earlier tenures.
 	speeds endive.WorkerSpeeds
 	// reservedTotals are the reservations of the last scheduling pass.
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"endiveroute.example/endive"
 )
 
 // rank orders workflows when there is more work than capacity, in bursts and in the backlog
@@ -13,15 +11,13 @@
 // urgent queues still come before on-time workflows of other queues: they are small,
 // clients wait for them, and the others have slack. Work beyond its account's share comes
 // after all that is still worth running. Workflows with the same precedence are ordered by the
-// level of their account, the rank of their queue and then by their objective.
+// rank of their queue and then by their objective.
 type rank struct {
 	tier      tier
 	queue     int
 	objective time.Time
-	// beyondShare is true for work beyond its account's share. level is the account's position
-	// within the precedence.
+	// beyondShare is true for work beyond its account's share.
 	beyondShare bool
-	level       int
 }
 
 // tier says whether a workflow can still meet its objective, and if not, whether it is
@@ -69,9 +65,6 @@
 	if r.precedence() != other.precedence() {
 		return r.precedence() < other.precedence()
 	}
-	if r.level != other.level {
-		return r.level < other.level
-	}
 	if r.queue != other.queue {
 		return r.queue < other.queue
 	}
@@ -81,7 +74,7 @@
 // computeRank updates a job's objective, which is the time by which the job should be finished,
 // and returns the job's current rank.
 func (m *Machine) computeRank(j *job) rank {
-	r := rank{queue: j.policy.Rank, objective: j.objective, beyondShare: j.beyondShare && !j.isLongRunning(), level: m.levels[j.account]}
+	r := rank{queue: j.policy.Rank, objective: j.objective, beyondShare: j.beyondShare && !j.isLongRunning()}
 	if j.isLongRunning() || j.spec.Schedule.Occurrences > 0 {
 		return r
 	}
@@ -130,29 +123,12 @@
 	return longest
 }
 
-// updateLevels computes the positions of the accounts by what they use.
-func (m *Machine) updateLevels() {
-	m.levels = make(map[endive.AccountName]int, len(m.quotas.uses))
-	var capacity endive.Resources
-	for _, w := range m.sortedWorkers {
-		if w.usable() {
-			capacity = capacity.Add(w.info.Capacity)
-		}
-	}
-	for name, use := range m.quotas.uses {
-		if account, ok := m.accounts.Named(name); ok {
-			m.levels[name] = m.order.Level(account, use.running, capacity)
-		}
-	}
-}
-
 // slack returns the time until a job's objective minus the job's expected remaining time.
 func (m *Machine) slack(j *job) time.Duration { return j.objective.Sub(m.now) - m.jobRemaining(j) }
 
 // rankedJobs updates the ranks of the jobs that haven't ended and returns these jobs sorted
 // by rank.
 func (m *Machine) rankedJobs() []*job {
-	m.updateLevels()
 	live := make([]*job, 0, len(m.jobs))
 	for _, j := range m.jobs {
 		if j.state.Ended() {
--- a/share/rate.go
+++ b/share/rate.go
@@ -46,6 +46,3 @@
 	b.tokens--
 	return false
 }
-
-// Level implements endive.AccountOrder.
-func (r *Rate) Level(endive.Account, endive.Resources, endive.Resources) int { return 0 }
