--- a/flow/machine.go
+++ b/flow/machine.go
@@ -54,8 +54,6 @@
 	// unplacedUrgent are the urgent steps with tasks for which the current scheduling pass
 	// found no free capacity.
 	unplacedUrgent []unplacedStep
-	// heldBackUrgent are those that wait for the allowances of their accounts.
-	heldBackUrgent []unplacedStep
 	// gangDrains counts the workers that are drained for gangs in the current scheduling
 	// pass while tasks still run there.
 	gangDrains int
