--- a/flow/poll.go
+++ b/flow/poll.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// pollNow makes the next poll of a worker due. An idle worker is polled after it has answered the
+// first order to start and not beside it, since two calls at a time take two connections.
+func (m *Machine) pollNow(w *worker) {
+	if w.poll.nextAt.After(m.now) {
+		w.poll.nextAt = m.now
+	}
+	m.markChanged(w)
+}
+
 // markChanged adds a worker to those that pollWorkers processes in the current step.
 func (m *Machine) markChanged(w *worker) { m.changedWorkers = append(m.changedWorkers, w) }
 
--- a/flow/probe_test.go
+++ b/flow/probe_test.go
@@ -105,3 +105,30 @@
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 	is.Equal(w.starts, 1)
 }
+
+// A task starts on an idle worker. The worker must be polled once it has answered the order, not
+// beside it: with thousands of workers, a second connection to each is more than a holder can open
+// in time.
+func TestPollFollowsStart(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
+	m := h.machine
+	polls, starts := 0, 0
+	for range 100 {
+		w.run(w.now.Add(time.Millisecond).Sub(w.start))
+		if worker := m.workers["w0"]; len(worker.runs) > 0 {
+			for _, r := range worker.runs {
+				if r.state == runStarting {
+					starts++
+					if worker.poll.inFlight {
+						polls++
+					}
+				}
+			}
+		}
+	}
+	is.True(starts > 0)
+	is.Equal(polls, 0)
+	is.True(m.workers["w0"].poll.inFlight)
+}
--- a/flow/run.go
+++ b/flow/run.go
@@ -144,10 +144,9 @@
 	r := m.addRun(w, t, t.id, n, runStarting)
 	m.logDecision(Decision{Kind: DecisionStart, Job: t.step.occ.job.id, Task: t.id, Run: n, Worker: w.id, Outcome: "ordered", Reason: reason})
 	m.sendStart(r)
-	if w.poll.nextAt.After(m.now) {
-		w.poll.nextAt = m.now
+	if len(w.runs) > 1 {
+		m.pollNow(w)
 	}
-	m.markChanged(w)
 }
 
 func (m *Machine) sendStart(r *run) {
@@ -171,7 +170,7 @@
 		return
 	}
 	r.inFlight = false
-	m.markChanged(r.worker)
+	m.pollNow(r.worker)
 	r.worker.updateClock(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && r.attempts == 1 && r.state == runStarting {
 		r.worker.recordRoundTrip(m.now.Sub(r.startedAt))
