--- a/flow/quota.go
+++ b/flow/quota.go
@@ -1,8 +1,6 @@
 package flow
 
 import (
-	"sort"
-	"strings"
 	"time"
 
 	"endiveroute.example/endive"
@@ -115,77 +113,6 @@
 	q.due = true
 }
 
-// countPossibleRuns counts the tasks that an earlier holder may have started on workers that
-// haven't answered yet.
-func (m *Machine) countPossibleRuns() {
-	for _, use := range m.quotas.uses {
-		use.possible, use.unrecorded = endive.Resources{}, endive.Resources{}
-	}
-	if m.tenure.takeoverDone {
-		return
-	}
-	m.countRecordedTasks()
-	silent, capacity := m.silentWorkers()
-	if len(silent) == 0 {
-		return
-	}
-	for _, j := range m.jobs {
-		if j.account == "" || !j.inherited {
-			continue
-		}
-		for _, occ := range j.occurrences {
-			for _, s := range occ.steps {
-				if s.waiting > 0 && couldRunOnAny(s, silent) {
-					use := m.quotas.use(j.account)
-					use.unrecorded = use.unrecorded.Add(s.spec.Reserved().Times(int64(s.waiting))).Min(capacity)
-					use.possible = use.possible.Add(s.beyondCapacity())
-				}
-			}
-		}
-	}
-}
-
-// beyondCapacity returns what the waiting tasks of a step use beside a worker's capacity.
-func (s *step) beyondCapacity() endive.Resources {
-	return s.spec.Need.Sub(s.spec.Reserved()).Times(int64(s.waiting))
-}
-
-// countRecordedTasks counts the tasks that may run on draining workers according to the roster.
-func (m *Machine) countRecordedTasks() {
-	for _, w := range m.sortedWorkers {
-		if w.adopted {
-			continue
-		}
-		for id := range w.recordedTasks {
-			if t := m.tasks[id]; t != nil && t.state == taskWaiting && t.step.occ.job.account != "" {
-				use := m.quotas.use(t.step.occ.job.account)
-				use.possible = use.possible.Add(t.step.spec.Need)
-			}
-		}
-	}
-}
-
-// silentWorkers returns the workers that haven't answered in this tenure and whose tasks aren't
-// known, and their capacity, which limits what an earlier holder can have started there.
-func (m *Machine) silentWorkers() (silent []*worker, capacity endive.Resources) {
-	for _, w := range m.sortedWorkers {
-		if !w.adopted && w.recordedTasks == nil {
-			silent = append(silent, w)
-			capacity = capacity.Add(w.info.Capacity)
-		}
-	}
-	return silent, capacity
-}
-
-func couldRunOnAny(s *step, workers []*worker) bool {
-	for _, w := range workers {
-		if w.couldRun(s) {
-			return true
-		}
-	}
-	return false
-}
-
 // allowedStarts returns how many of the given number of tasks of a step may start within the
 // allowance of the step's account. A gang may start only whole.
 func (m *Machine) allowedStarts(s *step, count int) int {
@@ -295,14 +222,6 @@
 	return int(max(0, count))
 }
 
-func (m *Machine) logHeldBack(s *step) {
-	account := s.occ.job.account
-	allowance, _ := m.quotas.division.Allowance(account)
-	m.logDecision(Decision{Kind: DecisionJob, Job: s.occ.job.id, Outcome: "waits for its account's cap", Reason: "account " + string(account) +
-		" has " + m.quotas.use(account).running.String() + " running here, this pool's part is " + allowance.Limit.String() + ", the cap " +
-		allowance.Cap.String() + "; step " + string(s.id) + " needs " + s.spec.Need.String() + " for each of " + formatInt(int64(s.waiting)) + " tasks"})
-}
-
 // updateQuotas updates the division of the caps if that is due.
 func (m *Machine) updateQuotas() {
 	if !m.quotas.due && m.now.Before(m.quotas.updateAt) {
@@ -326,29 +245,3 @@
 		m.emit(Commit{Transaction: change.Transaction})
 	}
 }
-
-// heldBackAccounts returns the accounts with tasks that wait for their allowance, sorted.
-func (m *Machine) heldBackAccounts() []endive.AccountName {
-	var names []endive.AccountName
-	for name, use := range m.quotas.uses {
-		if use.heldBack {
-			names = append(names, name)
-		}
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
-}
-
-// maxLoggedAccounts limits the accounts in the log line about the pool.
-const maxLoggedAccounts = 5
-
-// usageOfAccounts formats what the accounts with held back tasks use, for the log.
-func (m *Machine) usageOfAccounts() string {
-	names := m.heldBackAccounts()
-	texts := make([]string, 0, maxLoggedAccounts)
-	for _, name := range names[:min(len(names), maxLoggedAccounts)] {
-		allowance, _ := m.quotas.division.Allowance(name)
-		texts = append(texts, string(name)+" runs "+m.quotas.use(name).running.String()+" of "+allowance.Limit.String())
-	}
-	return formatInt(int64(len(names))) + " accounts wait for their caps: " + strings.Join(texts, "; ")
-}
