--- a/endive/cmds/logreport.go
+++ b/endive/cmds/logreport.go
@@ -15,8 +15,13 @@
   holder   until the pool's holder accepted it
   advice   until the first advice on which workers may run it
   room     until its first task was started
-  work     from then until the workflow ended: running, repeated runs and waiting
-           later steps
+  work     from then until the workflow ended, and of that, summed over its steps:
+           work.spread  from a step's first task to the start of its last one
+           work.again   until the last task was started again, after a run that
+                        failed, was stopped or was lost
+           work.run     from the last start to the last end
+           work.next    from a step's end to the first start of the next one
+  held     from the first wait for the account's cap to the first start after it
   whole    from submission until the workflow ended
 
 Cancelled workflows are left out. Stages that aren't in the logs, such as advice
@@ -47,9 +52,13 @@
 	stageCapacity stage = "room"
 	stageWork     stage = "work"
 	stageTotal    stage = "whole"
+	// stageHeld is the wait for the account's cap; it is part of the others.
+	stageHeld stage = "held"
 )
 
-var stages = []stage{stageStore, stageHolder, stageAdvice, stageCapacity, stageWork, stageTotal}
+var stages = []stage{
+	stageStore, stageHolder, stageAdvice, stageCapacity, stageHeld, stageWork, stageSpread, stageAgain, stageRun, stageNext, stageTotal,
+}
 
 // workflowTimes holds the times of a workflow's logged events; zero for events that
 // aren't in the logs.
@@ -62,6 +71,14 @@
 	startedAt   time.Time
 	endedAt     time.Time
 	cancelled   bool
+	// heldSince is when the workflow began to wait for its account's cap; zero if it doesn't. held
+	// is the sum of these waits.
+	heldSince time.Time
+	held      time.Duration
+	// steps are the times of the steps by their ids, and stepOrder the ids in the order of their
+	// first starts.
+	steps     map[string]*stepTimes
+	stepOrder []string
 }
 
 // stageRow is a row of the report.
@@ -124,13 +141,41 @@
 		setOnce(&w.acceptedAt, l.Time)
 	case "advice taken":
 		setOnce(&w.advisedAt, l.Time)
+	case "job waits for its account's cap":
+		setOnce(&w.heldSince, l.Time)
 	case "start ordered":
 		setOnce(&w.startedAt, l.Time)
+		w.endWait(l.Time)
+		w.step(l.Task).apply(l)
 	case "job succeeded", "job failed":
 		setOnce(&w.endedAt, l.Time)
 	case "job cancelled":
 		w.cancelled = true
 	}
+	if l.Kind == "end" {
+		w.step(l.Task).apply(l)
+	}
+}
+
+// endWait ends a wait for the account's cap.
+func (w *workflowTimes) endWait(at time.Time) {
+	if !w.heldSince.IsZero() {
+		w.held += at.Sub(w.heldSince)
+		w.heldSince = time.Time{}
+	}
+}
+
+// step returns the times of a task's step.
+func (w *workflowTimes) step(task string) *stepTimes {
+	id := stepOf(task)
+	if w.steps[id] == nil {
+		if w.steps == nil {
+			w.steps = make(map[string]*stepTimes)
+		}
+		w.steps[id] = &stepTimes{started: make(map[string]bool)}
+		w.stepOrder = append(w.stepOrder, id)
+	}
+	return w.steps[id]
 }
 
 // setOnce sets target to value unless it is already set.
@@ -160,6 +205,10 @@
 	}
 	if !w.endedAt.IsZero() {
 		spent[stageTotal] = w.endedAt.Sub(w.submittedAt)
+		w.addWork(spent)
+	}
+	if w.held > 0 {
+		spent[stageHeld] = w.held
 	}
 	return spent
 }
--- a/endive/cmds/logreport_test.go
+++ b/endive/cmds/logreport_test.go
@@ -21,6 +21,12 @@
 {"@message":"decision","@timestamp":"2026-12-04T05:00:00.100000Z","kind":"advice","job":"aa","outcome":"taken"}
 {"@message":"decision","@timestamp":"2026-12-04T05:00:00.300000Z","kind":"start","job":"aa","task":"aa.0.0.0","outcome":"ordered"}
 {"@message":"decision","@timestamp":"2026-12-04T05:00:00.900000Z","kind":"start","job":"aa","task":"aa.0.0.1","outcome":"ordered"}
+{"@message":"decision","@timestamp":"2026-12-04T05:00:01.000000Z","kind":"end","job":"aa","task":"aa.0.0.0","outcome":"failed"}
+{"@message":"decision","@timestamp":"2026-12-04T05:00:01.050000Z","kind":"start","job":"aa","task":"aa.0.0.0","outcome":"ordered"}
+{"@message":"decision","@timestamp":"2026-12-04T05:00:01.400000Z","kind":"end","job":"aa","task":"aa.0.0.0","outcome":"succeeded"}
+{"@message":"decision","@timestamp":"2026-12-04T05:00:01.410000Z","kind":"job","job":"aa","outcome":"waits for its account's cap"}
+{"@message":"decision","@timestamp":"2026-12-04T05:00:01.600000Z","kind":"start","job":"aa","task":"aa.0.1.0","outcome":"ordered"}
+{"@message":"decision","@timestamp":"2026-12-04T05:00:01.950000Z","kind":"end","job":"aa","task":"aa.0.1.0","outcome":"succeeded"}
 {"@message":"decision","@timestamp":"2026-12-04T05:00:02.000000Z","kind":"job","job":"aa","outcome":"succeeded"}
 {"@message":"decision","@timestamp":"2026-12-04T05:00:07.010000Z","kind":"submit","job":"bb","queue":"quick","outcome":"accepted","millis":10}
 {"@message":"decision","@timestamp":"2026-12-04T05:00:07.000000Z","kind":"job","job":"bb","outcome":"taken up"}
@@ -41,7 +47,12 @@
 			"quick all holder 2 0 0 10",
 			"quick all advice 1 40 40 40",
 			"quick all room 2 100 100 200",
+			"quick all held 1 190 190 190",
 			"quick all work 1 1700 1700 1700",
+			"quick all work.spread 1 600 600 600",
+			"quick all work.again 1 150 150 150",
+			"quick all work.run 1 700 700 700",
+			"quick all work.next 1 200 200 200",
 			"quick all whole 1 2000 2000 2000",
 		}},
 		{"spans", []string{"--every", "5s"}, []string{
