--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -52,8 +52,8 @@
 
 const capOfA = 1000
 
-func accountA(cap int64) endive.Accounts {
-	accounts, _ := endive.NewAccounts([]endive.Account{{Name: "a", Cap: endive.Resources{Processors: endive.MilliProcessors(cap)}}})
+func accountA(most int64) endive.Accounts {
+	accounts, _ := endive.NewAccounts([]endive.Account{{Name: "a", Cap: endive.Resources{Processors: endive.MilliProcessors(most)}}})
 	return accounts
 }
 
