--- a/entry/cell/entryrows.go
+++ b/entry/cell/entryrows.go
@@ -122,5 +122,12 @@
 	return 1
 }
 
+// count returns the number of known entries.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.rows)
+}
+
 // manyEntriesSlowdown is the value of pollSlowdown above fullMeshSize entries.
 const manyEntriesSlowdown = 3
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -88,7 +88,7 @@
 func (l *workersLoop) pollPeriod() time.Duration {
 	period := time.Duration(l.cell.Settings.Timings.Poll)
 	if l.cell.HoldsNoPool() {
-		return idlePollFactor * period * time.Duration((l.cell.peers.pollSlowdown()+1)/2) * time.Duration(1+l.size()/workersPerIdlePoll)
+		return idlePollFactor * period * time.Duration((l.cell.peers.pollSlowdown()+1)/2) * time.Duration(1+l.size()/workersPerIdlePoll) * time.Duration(1+l.cell.peers.count()/entriesPerIdlePoll)
 	}
 	return period
 }
@@ -97,6 +97,10 @@
 // the poll period once more. It reads the whole list each time, and a new holder reads it anew.
 const workersPerIdlePoll = 500
 
+// entriesPerIdlePoll is the number of entries for which such an entry lengthens the poll period once
+// more: the lists of all entries together share the links between regions.
+const entriesPerIdlePoll = 100
+
 // size returns the number of workers in the list.
 func (l *workersLoop) size() int {
 	l.mu.Lock()
--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -30,6 +30,10 @@
 	cellDialTimeout    = endive.Interval(700 * time.Millisecond)
 	// cellIdleTimeout is how long an unused connection to a worker is kept open.
 	cellIdleTimeout = endive.Interval(time.Minute)
+	// idleShare is the divisor that gives the limit of idle connections from that of open files.
+	// With thousands of workers, connections that wait for the next order would leave none for
+	// calls and clients.
+	idleShare = 3
 	// handOverTimeout limits how long a planned stop waits until this entry holds no pool.
 	handOverTimeout = 1500 * time.Millisecond
 	// handOverPollInterval is the interval between two checks during that wait.
@@ -91,7 +95,9 @@
 }
 
 func (p *cellProgram) newCell(scope tally.Scope) *cell.Cell {
-	settings := guard.Settings{MaxConnections: cellMaxConnections, DialTimeout: cellDialTimeout, IdleTimeout: cellIdleTimeout}
+	settings := guard.Settings{
+		MaxConnections: cellMaxConnections, MaxIdle: p.settings.Limits.Descriptors / idleShare, DialTimeout: cellDialTimeout, IdleTimeout: cellIdleTimeout,
+	}
 	settings.Defaults()
 	counts := cell.NewCounters(scope)
 	p.client = plat.NewClient(settings, p.clock, counts)
--- a/guard/settings.go
+++ b/guard/settings.go
@@ -24,6 +24,9 @@
 type Settings struct {
 	// MaxConnections is the maximum number of open connections to one address.
 	MaxConnections int `toml:"connections"`
+	// MaxIdle is the maximum number of idle connections to all addresses together; 0 means no
+	// limit. The least recently used ones are closed.
+	MaxIdle int `toml:"idleConnections"`
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout endive.Interval `toml:"idle"`
 	// MaxAge is how long after its opening a connection is used for new requests.
--- a/guard/transport.go
+++ b/guard/transport.go
@@ -32,6 +32,7 @@
 	return &http.Transport{
 		DialContext:            d.dial,
 		DisableCompression:     true,
+		MaxIdleConns:           s.MaxIdle,
 		MaxIdleConnsPerHost:    s.MaxConnections,
 		MaxConnsPerHost:        s.MaxConnections,
 		IdleConnTimeout:        time.Duration(s.IdleTimeout),
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -30,6 +30,8 @@
 	// Cores is how many processor cores the entry may use. Entries with more cores are
 	// preferred as holders of pools.
 	Cores float64 `toml:"cores" json:"cores"`
+	// Descriptors is how many files and sockets the entry may have open; 0 means no limit.
+	Descriptors int `toml:"descriptors" json:"descriptors"`
 }
 
 // CellListen holds the addresses that the entry listens on.
@@ -151,6 +153,9 @@
 	if c.Bounds.QuotaOverage < 0 {
 		f.Add("bounds.quotaOverage", "is %g; it must not be negative", c.Bounds.QuotaOverage)
 	}
+	if c.Limits.Descriptors < 0 {
+		f.Add("limits.descriptors", "is %d; it must not be negative", c.Limits.Descriptors)
+	}
 	if c.Limits.Cores < 0 {
 		f.Add("limits.cores", "is %g; it must not be negative", c.Limits.Cores)
 	}
