--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -53,3 +53,56 @@
 	b.ReportMetric(float64(h.machine.stepCount)/seconds, "steps/s")
 	b.ReportMetric(float64(w.starts)/seconds, "starts/s")
 }
+
+// BenchmarkPassWithAccounts measures a scheduling pass over 13,000 waiting workflows, without
+// accounts and with 400 that have caps, a tenth of which are reached.
+func BenchmarkPassWithAccounts(b *testing.B) {
+	for _, accounts := range []int{0, 400} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			w, h := passWithAccounts(b, accounts)
+			for b.Loop() {
+				h.machine.passDue = true
+				h.machine.earliestPassAt = time.Time{}
+				h.machine.Step(w.now, endive.Wake{})
+			}
+		})
+	}
+}
+
+// passWithAccounts returns a full pool with 13,000 waiting workflows.
+func passWithAccounts(b *testing.B, accounts int) (*simulation, *holder) {
+	const workers, workflows = 252, 13_000
+	w := newSimulation(nil, 1, faults{})
+	var list []endive.Account
+	for i := range accounts {
+		account := endive.Account{Name: endive.AccountName(fmt.Sprintf("account-%d", i)), Cap: endive.Resources{Processors: 1_000_000}}
+		if i%10 == 0 {
+			account.Cap.Processors = 1
+		}
+		list = append(list, account)
+	}
+	w.accounts, _ = endive.NewAccounts(list)
+	for i := range workers {
+		worker := &fakeWorker{sim: w, id: endive.WorkerID(fmt.Sprintf("w%d", i))}
+		worker.startIncarnation(endive.Resources{Processors: 16000, Memory: 64 * endive.GiB}, nil)
+		w.workers[worker.id] = worker
+	}
+	w.publishWorkers()
+	h := w.startHolder()
+	w.run(500 * time.Millisecond)
+	for i := range workflows {
+		account := endive.AccountName("")
+		if accounts > 0 {
+			account = list[i%accounts].Name
+		}
+		w.submitFor(account, fmt.Sprintf("job%d", i), urgentQueue, stepOfTasks(4, time.Hour))
+		if i%100 == 0 {
+			w.run(w.now.Add(20 * time.Millisecond).Sub(w.start))
+		}
+	}
+	w.run(8 * time.Second)
+	if w.starts == 0 {
+		b.Fatal("nothing was started")
+	}
+	return w, h
+}
