--- a/flow/quota.go
+++ b/flow/quota.go
@@ -114,7 +114,8 @@
 }
 
 // allowedStarts returns how many of the given number of tasks of a step may start within the
-// allowance of the step's account. A gang may start only whole.
+// allowance of the step's account. A gang may start only whole. What is tolerated above the cap
+// may be exceeded by one task or gang, if no other start of the account can come after it.
 func (m *Machine) allowedStarts(s *step, count int) int {
 	account := s.occ.job.account
 	if account == "" {
@@ -136,7 +137,6 @@
 	if within := tolerated.Count(running, s.spec.Need, allowed); within > 0 && !s.spec.Gang {
 		return within
 	}
-	// The last task may exceed what is tolerated.
 	oneMore := endive.QuotaAllowance{Limit: allowance.Tolerated.Add(s.spec.Need), Cap: allowance.Cap}
 	if !oneMore.Allows(running.Add(unit)) || m.hasUnconfirmedStarts(account) {
 		return 0
--- a/quota.go
+++ b/quota.go
@@ -20,7 +20,8 @@
 	// if the account has no cap.
 	Allowance(account AccountName) (allowance QuotaAllowance, ok bool)
 	// Update takes what each account uses and needs in this pool; nil while that isn't known. If
-	// the part of an account should change, it returns a transaction. Its result must be passed to HandleCommitted.
+	// the part of an account should change, it returns the transaction to write. Its result must
+	// be passed to HandleCommitted.
 	Update(now time.Time, uses map[AccountName]QuotaUse) (QuotaChange, bool)
 	// HandleCommitted takes the result of a transaction and reports whether it was one of this
 	// division's.
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -8,10 +8,10 @@
 
 // Stored keeps each pool's parts of the caps in a row of the store, which only the pool's
 // holder writes. Transactions in which a part grows follow one another: each is conditional on
-// having read the one before, so the parts never sum to more than the cap. A smaller part is in force here before it is
-// written, a larger one only once it has been. A holder that needs more than its part writes
-// that into its row; the other holders then give up what they don't need, or what exceeds their
-// share of the total need. Stored implements endive.QuotaDivision.
+// having read the one before, so the parts never sum to more than the cap. A smaller part is in
+// force here before it is written, a larger one only once it has been. A holder that needs more
+// than its part writes that into its row; the other holders then give up what they don't need, or
+// what exceeds an equal share. Stored implements endive.QuotaDivision.
 type Stored struct {
 	pool     endive.PoolName
 	writeIDs *endive.WriteIDs
@@ -32,8 +32,8 @@
 	// growth is the version of the growth row up to which rows is complete. No part grows
 	// before it has reached growthSeen, the newest version that the store has reported.
 	growth, growthSeen endive.Version
-	// ceilings are the parts that this pool should shrink to; its runs start within them
-	// before they are written.
+	// ceilings are the limits for starts while other pools want more than is left; they are in
+	// force before the smaller parts are written.
 	ceilings map[endive.AccountName]amounts
 	inFlight *pendingParts
 	// lowest is the smallest of the parts in this pool's row and in the transactions without a
