--- a/entry/cell/candidates.go
+++ b/entry/cell/candidates.go
@@ -66,11 +66,9 @@
 	p.discovered = registeredBefore || now.Sub(p.discoveryBegan) > discoveryTime
 }
 
-// isLive reports whether a row was renewed within entryTimeout, or within a longer time if there are
-// many entries. The caller holds the lock.
-func (p *peers) isLive(r entryRow, now endive.PlatformTime) bool {
-	timeout := entryTimeout * time.Duration(p.renewalSlowdown())
-	return r.At+endive.PlatformTime(timeout.Milliseconds()) >= now
+// isLive reports whether a row was renewed within entryTimeout.
+func (r entryRow) isLive(now endive.PlatformTime) bool {
+	return r.At+endive.PlatformTime(entryTimeout.Milliseconds()) >= now
 }
 
 // rank returns this entry's candidate rank for a pool: the number of live entries that are
@@ -85,7 +83,7 @@
 	}
 	better := 0
 	for id, row := range p.rows {
-		if id == p.cell.Settings.Name || !p.isLive(row, own.At) {
+		if id == p.cell.Settings.Name || !row.isLive(own.At) {
 			continue
 		}
 		if row.betterHolderThan(own) || !own.betterHolderThan(row) && endive.Rendezvous(id, string(pool)) > hash {
@@ -101,7 +99,7 @@
 	now := p.cell.Platform.AtLeast(p.cell.Clock.Now())
 	var ids []endive.EntryID
 	for id, row := range p.rows {
-		if id != p.cell.Settings.Name && p.isLive(row, now) {
+		if id != p.cell.Settings.Name && row.isLive(now) {
 			ids = append(ids, id)
 		}
 	}
--- a/entry/cell/entryrows.go
+++ b/entry/cell/entryrows.go
@@ -122,20 +122,6 @@
 	return 1
 }
 
-// renewalSlowdown returns the factor by which entries renew their rows, and read those of the others,
-// more rarely: each entry reads the rows of all. The caller holds the lock.
-func (p *peers) renewalSlowdown() int { return 1 + len(p.rows)/entriesPerSlowdown }
-
-// entriesPerSlowdown is the number of entries for which renewalSlowdown grows by 1.
-const entriesPerSlowdown = 100
-
-// renewalFactor returns renewalSlowdown as a factor of periods.
-func (p *peers) renewalFactor() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Duration(p.renewalSlowdown())
-}
-
 // count returns the number of known entries.
 func (p *peers) count() int {
 	p.mu.Lock()
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -86,10 +86,10 @@
 		// whether an earlier run of this entry has registered.
 		after = p.readEntries(after)
 		if now := p.cell.Clock.Now(); after > 0 && !now.Before(registerAt) && p.register() {
-			registerAt = now.Add(registrationPeriod * p.renewalFactor())
+			registerAt = now.Add(registrationPeriod)
 		}
 		p.updateLinks()
-		p.cell.sleep(entriesPollPeriod * time.Duration(p.pollSlowdown()) * p.renewalFactor())
+		p.cell.sleep(entriesPollPeriod * time.Duration(p.pollSlowdown()))
 	}
 }
 
@@ -100,7 +100,7 @@
 	defer p.mu.Unlock()
 	var others endive.Peers
 	for id, row := range p.rows {
-		if id != p.cell.Settings.Name && p.isLive(row, p.cell.Platform.AtLeast(now)) {
+		if id != p.cell.Settings.Name && row.isLive(p.cell.Platform.AtLeast(now)) {
 			others = append(others, row.peer(id))
 		}
 	}
