A closed store client begins no operation: the data race in a planned stop

Cause: program.stop closes the store's client while the roles' actors still run; Do called Add while Close's Wait may have found zero. TestSubmitWhileClosing fails without.

--- a/store/client.go
+++ b/store/client.go
@@ -23,7 +23,9 @@
 	stop       context.CancelFunc
 	operations sync.WaitGroup
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// closed is true once Close was called: no operation is started any more.
+	closed      bool
 	random      *rand.Rand
 	freeMarkers []*marker
 	markerCount int
@@ -60,6 +62,9 @@
 // Close cancels all operations in flight and waits until they have ended. Their
 // results may stay unknown.
 func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.stop()
 	c.operations.Wait()
 }
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -101,3 +102,49 @@
 	is.True(counts.Retries <= maxRetryTokens)
 	is.True(counts.Rejected > 90)
 }
+
+// silentTable is a table that is unavailable. It is safe for concurrent use.
+type silentTable struct{}
+
+func (silentTable) Commit(context.Context, endive.Transaction) (endive.CommitResult, error) {
+	return endive.CommitResult{}, endive.ErrUnavailable.New("silent")
+}
+
+func (silentTable) Read(context.Context, ...string) ([]endive.Row, error) {
+	return nil, endive.ErrUnavailable.New("silent")
+}
+
+func (silentTable) Scan(context.Context, string, endive.Revision) (endive.Changes, error) {
+	return endive.Changes{}, endive.ErrUnavailable.New("silent")
+}
+
+// submitter submits some hundred transactions.
+type submitter struct {
+	client *Client
+	ended  chan struct{}
+}
+
+func (s *submitter) run() {
+	for i := range 400 {
+		s.client.Submit(endive.Transaction{WriteID: endive.WriteID(fmt.Sprint(i))}, func(endive.Committed) {})
+	}
+	close(s.ended)
+}
+
+// In a planned stop the roles of an entry still run while the client is closed. What they submit
+// then must not be begun, and Close must wait for all that was. The race detector sees a
+// violation.
+func TestSubmitWhileClosing(t *testing.T) {
+	is := is.New(t)
+	for range 100 {
+		client := newClient(silentTable{})
+		s := &submitter{client: client, ended: make(chan struct{})}
+		go s.run()
+		client.Close()
+		<-s.ended
+		delivered := false
+		client.Submit(endive.Transaction{WriteID: "late"}, func(endive.Committed) { delivered = true })
+		client.Close()
+		is.True(!delivered)
+	}
+}
