--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -97,6 +97,10 @@
 	m.passDue = true
 	m.logDecision(Decision{Kind: DecisionJob, Job: id, Outcome: "taken up", Reason: "queue " + string(j.policy.Name) +
 		", accepted " + m.now.Sub(j.accepted).Round(time.Millisecond).String() + " ago"})
+	if m.earlyCancels[id] {
+		delete(m.earlyCancels, id)
+		m.cancelJob(id)
+	}
 }
 
 // publishState publishes the state of a job that hasn't ended.
@@ -235,6 +239,7 @@
 func (m *Machine) cancelJob(id endive.JobID) {
 	j := m.jobs[id]
 	if j == nil {
+		m.keepEarlyCancel(id)
 		return
 	}
 	j.cancelled = true
@@ -244,6 +249,22 @@
 	m.finishJob(j, endive.WorkflowCancelled, "cancelled by its client")
 }
 
+// maxEarlyCancels limits the cancellations that are kept for unknown workflows.
+const maxEarlyCancels = 4096
+
+// keepEarlyCancel keeps the cancellation of a workflow whose submission hasn't arrived yet. After the
+// feed has lost its history, submissions come from a scan that may have read them before their
+// cancellation was written, while the feed delivers the cancellation first.
+func (m *Machine) keepEarlyCancel(id endive.JobID) {
+	if m.endedJobs.knownIDs[id] {
+		return
+	}
+	if len(m.earlyCancels) >= maxEarlyCancels {
+		clear(m.earlyCancels)
+	}
+	m.earlyCancels[id] = true
+}
+
 // removeIfEnded removes a job whose end is recorded and that has no runs.
 func (m *Machine) removeIfEnded(j *job) {
 	if m.jobs[j.id] != j || !j.state.Ended() || j.rowStatus != rowCurrent || len(j.runs()) > 0 {
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -38,6 +38,8 @@
 	adviceClients int
 	recorder      recorder
 	advice        adviceState
+	// earlyCancels are the workflows whose cancellations arrived before their submissions.
+	earlyCancels map[endive.JobID]bool
 	// earlyAdvice are the answers for steps whose workflow hasn't arrived yet.
 	earlyAdvice map[endive.StepID]ForwardedAdvice
 	quotas      quotas
@@ -97,6 +99,7 @@
 	m.sortedWorkers = nil
 	m.recorder = recorder{}
 	m.advice = adviceState{}
+	m.earlyCancels = make(map[endive.JobID]bool)
 	m.earlyAdvice = make(map[endive.StepID]ForwardedAdvice)
 	m.quotas = quotas{division: m.quotas.division, uses: make(map[endive.AccountName]*accountUse)}
 	m.quotas.division.Begin(0)
--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -200,3 +200,20 @@
 	is.Equal(w.state(second), endive.WorkflowSucceeded)
 	is.Equal(w.successCount["job2.0.0.0"], 1)
 }
+
+// After the feed has lost its history, a scan delivers a submission that it read before the
+// workflow was cancelled, later than the feed delivers the cancellation. The workflow must be
+// cancelled all the same.
+func TestCancellationBeforeSubmission(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 2)
+	workflow := endive.Workflow{ID: "job", Queue: urgentQueue.Name, Steps: []endive.Step{stepOfTasks(2, 700*time.Millisecond)}}
+	w.jobs["job"] = &fakeJob{workflow: workflow, policy: urgentQueue}
+	submission := endive.Row{Key: JobKey(testPool, "job"), Value: encodeRow(endive.Submission{Workflow: workflow, Policy: urgentQueue})}
+	h.send(WorkChanged{Rows: []endive.Row{{Key: CancelKey(testPool, "job"), Value: []byte("{}")}}})
+	w.run(1100 * time.Millisecond)
+	h.send(WorkChanged{Rows: []endive.Row{submission}})
+	w.run(3 * time.Second)
+	is.Equal(w.starts, 0)
+	is.Equal(w.state("job"), endive.WorkflowCancelled)
+}
