One count of the tasks that fit, and one check of a quota

The accounts' caps had brought a third copy of each: QuotaAllowance.Count and flow's placesFor beside placesIn and place's fitCount, QuotaAllowance.Allows beside place's withinQuota and intake's overQuota. Now Resources.FitCount and Resources.WithinQuota serve all of them. Behaviour is the same.

--- a/flow/quota.go
+++ b/flow/quota.go
@@ -126,7 +126,7 @@
 		return count
 	}
 	running, unit := m.quotas.use(account).total(m.quotas.unknown), s.unit()
-	allowed := allowance.For(unit).Count(running, s.spec.Need, count)
+	allowed := allowance.For(unit).FitCount(running, s.spec.Need, count)
 	if s.spec.Gang && allowed < s.spec.Tasks {
 		return 0
 	}
@@ -134,7 +134,7 @@
 	if allowed == 0 || tolerated.Allows(running.Add(s.spec.Need.Times(int64(allowed)))) {
 		return allowed
 	}
-	if within := tolerated.Count(running, s.spec.Need, allowed); within > 0 && !s.spec.Gang {
+	if within := tolerated.FitCount(running, s.spec.Need, allowed); within > 0 && !s.spec.Gang {
 		return within
 	}
 	oneMore := endive.QuotaAllowance{Limit: allowance.Tolerated.Add(s.spec.Need), Cap: allowance.Cap}
@@ -202,7 +202,7 @@
 	if s.spec.Gang {
 		tasks = s.spec.Tasks
 	}
-	places := placesFor(s.spec.Reserved(), m.advice.freeCapacity, tasks)
+	places := m.advice.freeCapacity.FitCount(s.spec.Reserved(), tasks)
 	if places == 0 || s.spec.Gang && places < tasks {
 		return
 	}
@@ -211,17 +211,6 @@
 	use.unit, use.task = use.unit.Max(s.unit()), use.task.Max(s.spec.Need)
 }
 
-// placesFor returns how many tasks with a need fit into a capacity, at most limit.
-func placesFor(need, capacity endive.Resources, limit int) int {
-	count := int64(limit)
-	for _, pair := range inDimensions(need, capacity) {
-		if pair[0] > 0 {
-			count = min(count, pair[1]/pair[0])
-		}
-	}
-	return int(max(0, count))
-}
-
 // updateQuotas updates the division of the caps if that is due.
 func (m *Machine) updateQuotas() {
 	if !m.quotas.due && m.now.Before(m.quotas.updateAt) {
--- a/flow/reservations.go
+++ b/flow/reservations.go
@@ -110,12 +110,7 @@
 	if s.spec.MaxPerWorker > 0 {
 		count = min(count, s.spec.MaxPerWorker-s.runsPerWorker[w.id])
 	}
-	for _, pair := range inDimensions(need, capacity) {
-		if pair[0] > 0 {
-			count = min(count, int(pair[1]/pair[0]))
-		}
-	}
-	return max(0, count)
+	return capacity.FitCount(need, count)
 }
 
 // inDimensions returns, for each dimension, the pair of its amounts in the two resources.
--- a/intake/validate.go
+++ b/intake/validate.go
@@ -14,7 +14,7 @@
 		f.Add("pool", "%q is not configured", j.Pool)
 		return f
 	}
-	if ok && overQuota(j.Need.Times(int64(concurrentTasks(j))), team.Quota) {
+	if ok && !j.Need.Times(int64(concurrentTasks(j))).WithinQuota(team.Quota) {
 		f.Add("need", "%d tasks of %s exceed the quota of team %s, %s", concurrentTasks(j), j.Need, j.Team, team.Quota)
 	}
 	if j.Need != (endive.Resources{}) && j.Tasks > 0 {
@@ -44,11 +44,3 @@
 		f.Add("tasks", "is a gang of %d; the largest slice of pool %s can run %d such tasks at the same time", j.Tasks, j.Pool, largest)
 	}
 }
-
-// overQuota reports whether need exceeds the quota. A quota dimension of zero
-// is unlimited.
-func overQuota(need, quota endive.Resources) bool {
-	return quota.Processors > 0 && need.Processors > quota.Processors ||
-		quota.Memory > 0 && need.Memory > quota.Memory ||
-		quota.Accelerators > 0 && need.Accelerators > quota.Accelerators
-}
--- a/place/gang.go
+++ b/place/gang.go
@@ -71,7 +71,7 @@
 		if !j.Need.Fits(w.free()) || !m.mayPlaceOn(w, j) {
 			continue
 		}
-		n := fitCount(j.Need, w.free().Sub(w.claimed).Add(j.claimedOn(w)), want)
+		n := w.free().Sub(w.claimed).Add(j.claimedOn(w)).FitCount(j.Need, want)
 		if n > 0 {
 			s := m.placer.Score(task, endive.PlacerWorker{Size: w.size, Free: w.free()})
 			capacities = append(capacities, workerCapacity{worker: w, tasks: n, score: s})
@@ -95,7 +95,7 @@
 	fits := 0
 	for _, w := range m.workers.list {
 		if w.state != endive.MemberGone {
-			fits += fitCount(j.Need, w.size, want)
+			fits += w.size.FitCount(j.Need, want)
 		}
 	}
 	if fits < want {
--- a/place/preempt.go
+++ b/place/preempt.go
@@ -44,7 +44,7 @@
 	available := len(j.claims)
 	for _, w := range m.workers.list {
 		if w.acceptsTasks(m.now) && m.reservedFor(w, j) {
-			available += fitCount(j.Need, m.freeAfterPreemption(j, w), want)
+			available += m.freeAfterPreemption(j, w).FitCount(j.Need, want)
 		}
 	}
 	if available < want {
--- a/place/reservation.go
+++ b/place/reservation.go
@@ -28,22 +28,6 @@
 	score  float64
 }
 
-// fitCount returns how many tasks that need the given resources fit into the
-// free resources, up to limit.
-func fitCount(need, free endive.Resources, limit int) int {
-	n := int64(limit)
-	if need.Processors > 0 {
-		n = min(n, int64(free.Processors/need.Processors))
-	}
-	if need.Memory > 0 {
-		n = min(n, int64(free.Memory/need.Memory))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int64(free.Accelerators/need.Accelerators))
-	}
-	return int(max(n, 0))
-}
-
 // reserveForGang reserves the workers that are expected to be free first.
 func (m *Machine) reserveForGang(j *job) {
 	want := j.waitingTasks()
@@ -98,7 +82,7 @@
 			at = a.expectedEnd
 		}
 	}
-	return workerCapacity{worker: w, tasks: fitCount(j.Need, free, want), freeAt: at}
+	return workerCapacity{worker: w, tasks: free.FitCount(j.Need, want), freeAt: at}
 }
 
 // dropReservation cancels the gang's reservation.
--- a/place/team.go
+++ b/place/team.go
@@ -64,8 +64,5 @@
 // withinQuota reports whether the quota allows the team more usage, counting
 // its usage of all slices.
 func (t *team) withinQuota(more endive.Resources) bool {
-	want := t.usage.Add(t.otherUsage).Add(more)
-	return (t.quota.Processors == 0 || want.Processors <= t.quota.Processors) &&
-		(t.quota.Memory == 0 || want.Memory <= t.quota.Memory) &&
-		(t.quota.Accelerators == 0 || want.Accelerators <= t.quota.Accelerators)
+	return t.usage.Add(t.otherUsage).Add(more).WithinQuota(t.quota)
 }
--- a/quota.go
+++ b/quota.go
@@ -81,22 +81,9 @@
 func MayExceed(quota, unit int64) bool { return unit > quota/2 }
 
 // Allows reports whether runs that use the given amount are within the allowance.
-func (a QuotaAllowance) Allows(use Resources) bool {
-	return (a.Cap.Processors == 0 || use.Processors <= a.Limit.Processors) &&
-		(a.Cap.Memory == 0 || use.Memory <= a.Limit.Memory) &&
-		(a.Cap.Accelerators == 0 || use.Accelerators <= a.Limit.Accelerators)
-}
+func (a QuotaAllowance) Allows(use Resources) bool { return use.limitedBy(a.Cap).Fits(a.Limit) }
 
-// Count returns how many tasks with a need may start beside what already runs, at most limit.
-func (a QuotaAllowance) Count(running, need Resources, limit int) int {
-	count := int64(limit)
-	dimension := func(quota, limit, running, need int64) {
-		if quota > 0 && need > 0 {
-			count = min(count, max(0, limit-running)/need)
-		}
-	}
-	dimension(int64(a.Cap.Processors), int64(a.Limit.Processors), int64(running.Processors), int64(need.Processors))
-	dimension(int64(a.Cap.Memory), int64(a.Limit.Memory), int64(running.Memory), int64(need.Memory))
-	dimension(int64(a.Cap.Accelerators), int64(a.Limit.Accelerators), int64(running.Accelerators), int64(need.Accelerators))
-	return int(count)
+// FitCount returns how many tasks with a need may start beside what already runs, at most limit.
+func (a QuotaAllowance) FitCount(running, need Resources, limit int) int {
+	return a.Limit.Sub(running).FitCount(need.limitedBy(a.Cap), limit)
 }
--- a/resources.go
+++ b/resources.go
@@ -31,6 +31,39 @@
 	return r.Processors <= free.Processors && r.Memory <= free.Memory && r.Accelerators <= free.Accelerators
 }
 
+// WithinQuota reports whether the Resources are at most a quota. A quota dimension of 0 is
+// unlimited.
+func (r Resources) WithinQuota(quota Resources) bool { return r.limitedBy(quota).Fits(quota) }
+
+// limitedBy returns the amounts in the dimensions that a quota limits, and 0 in the others.
+func (r Resources) limitedBy(quota Resources) Resources {
+	if quota.Processors == 0 {
+		r.Processors = 0
+	}
+	if quota.Memory == 0 {
+		r.Memory = 0
+	}
+	if quota.Accelerators == 0 {
+		r.Accelerators = 0
+	}
+	return r
+}
+
+// FitCount returns how many tasks with a need fit into the free capacity, from 0 to limit.
+func (r Resources) FitCount(need Resources, limit int) int {
+	count := int64(limit)
+	if need.Processors > 0 {
+		count = min(count, int64(r.Processors/need.Processors))
+	}
+	if need.Memory > 0 {
+		count = min(count, int64(r.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		count = min(count, int64(r.Accelerators/need.Accelerators))
+	}
+	return int(max(0, count))
+}
+
 // Add returns the sum of two Resources in each dimension.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{r.Processors + o.Processors, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
