Caps: one place each for whether there is one, what is tolerated and what starts at once

Account.HasCap and Tolerated, Accounts.HaveCap, Step.Unit and QuotaAllowance.WithTolerated replace copies in quota, flow and entry/cell; the quota package computed the tolerated amount in two ways. The check of a gang against its account's cap moves from the quota follower to the submission. A key is found by its digest alone: the comparison after the lookup could not fail.

--- a/account.go
+++ b/account.go
@@ -2,10 +2,10 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // Account is the configuration of a client account, in whose name clients submit jobs.
@@ -29,6 +29,12 @@
 	MaxAccountKey = 256
 )
 
+// HasCap reports whether the cap limits any dimension.
+func (a Account) HasCap() bool { return a.Cap != (Resources{}) }
+
+// Tolerated returns the cap with an overage, which is a share of the cap.
+func (a Account) Tolerated(overage float64) Resources { return a.Cap.Scale(1 + overage) }
+
 // Validate adds a finding for each invalid field of the account, prefixed with path.
 func (a Account) Validate(f *Findings, path string) {
 	if a.Name == "" || len(a.Name) > MaxAccountName {
@@ -50,8 +56,7 @@
 	if key == "" || len(key) > MaxAccountKey {
 		return KeyDigest{}, false
 	}
-	var buffer [MaxAccountKey]byte
-	return sha256.Sum256(buffer[:copy(buffer[:], key)]), true
+	return sha256.Sum256([]byte(key)), true
 }
 
 // MarshalText implements encoding.TextMarshaler.
@@ -125,6 +130,9 @@
 // All returns the accounts in the order of the configuration. Callers must not change it.
 func (a Accounts) All() []Account { return a.accounts }
 
+// HaveCap reports whether any of the accounts has a cap.
+func (a Accounts) HaveCap() bool { return slices.ContainsFunc(a.accounts, Account.HasCap) }
+
 // WithKey returns the account that a key belongs to.
 func (a Accounts) WithKey(key string) (Account, bool) {
 	digest, ok := NewKeyDigest(key)
@@ -135,13 +143,7 @@
 	if !ok || i == sharedKey {
 		return Account{}, false
 	}
-	account := a.accounts[i]
-	for n := range account.Keys {
-		if subtle.ConstantTimeCompare(account.Keys[n][:], digest[:]) == 1 {
-			return account, true
-		}
-	}
-	return Account{}, false
+	return a.accounts[i], true
 }
 
 // Named returns the account with a name.
--- a/entry/cell/quotafollower.go
+++ b/entry/cell/quotafollower.go
@@ -57,34 +57,5 @@
 // hasCaps reports whether any account has a cap.
 func (c *Cell) hasCaps() bool {
 	config := c.config.current()
-	if config == nil {
-		return false
-	}
-	for _, account := range config.Accounts.All() {
-		if account.Cap != (endive.Resources{}) {
-			return true
-		}
-	}
-	return false
-}
-
-// exceedsCap returns why a workflow can never run within its account's cap; empty if it can.
-// Only gangs can't be run in parts.
-func (c *Cell) exceedsCap(match endive.QueueMatch, workflow endive.Workflow) string {
-	config := c.config.current()
-	if config == nil {
-		return ""
-	}
-	account, ok := config.Accounts.Named(match.Caller.Account)
-	if !ok {
-		return ""
-	}
-	for _, step := range workflow.Steps {
-		most := account.Cap.Scale(1 + c.Settings.Bounds.QuotaOverage).Add(step.Need)
-		whole := endive.QuotaAllowance{Limit: most, Cap: account.Cap}
-		if step.Gang && !whole.Allows(step.Need.Times(int64(step.Tasks))) {
-			return "a gang needs " + step.Need.Times(int64(step.Tasks)).String() + " at once; the account's cap is " + account.Cap.String()
-		}
-	}
-	return ""
+	return config != nil && config.Accounts.HaveCap()
 }
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -53,6 +53,26 @@
 	return c.storeSubmission(ctx, match.Queue.Pool, workflow.ID, match.Caller.Account, job)
 }
 
+// exceedsCap returns why a workflow can never run within its account's cap; empty if it can.
+// Only gangs can't be run in parts.
+func (c *Cell) exceedsCap(match endive.QueueMatch, workflow endive.Workflow) string {
+	config := c.config.current()
+	if config == nil {
+		return ""
+	}
+	account, ok := config.Accounts.Named(match.Caller.Account)
+	if !ok {
+		return ""
+	}
+	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Tolerated(c.Settings.Bounds.QuotaOverage)}
+	for _, step := range workflow.Steps {
+		if step.Gang && !allowance.WithTolerated(step.Need).Allows(step.Unit()) {
+			return "a gang needs " + step.Unit().String() + " at once; the account's cap is " + account.Cap.String()
+		}
+	}
+	return ""
+}
+
 // storeSubmission writes a submission and notifies the pool's holder of it.
 func (c *Cell) storeSubmission(ctx context.Context, pool endive.PoolName, id endive.JobID, account endive.AccountName, job []byte) endive.SubmitResult {
 	if !c.Store.usableFor(flow.AcceptedKey(pool, id)) {
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -125,20 +125,19 @@
 	if !limited {
 		return count
 	}
-	running, unit := m.quotas.use(account).total(m.quotas.unknown), s.unit()
+	running, unit := m.quotas.use(account).total(m.quotas.unknown), s.spec.Unit()
 	allowed := allowance.For(unit).FitCount(running, s.spec.Need, count)
 	if s.spec.Gang && allowed < s.spec.Tasks {
 		return 0
 	}
-	tolerated := endive.QuotaAllowance{Limit: allowance.Tolerated, Cap: allowance.Cap}
+	tolerated := allowance.WithTolerated(endive.Resources{})
 	if allowed == 0 || tolerated.Allows(running.Add(s.spec.Need.Times(int64(allowed)))) {
 		return allowed
 	}
 	if within := tolerated.FitCount(running, s.spec.Need, allowed); within > 0 && !s.spec.Gang {
 		return within
 	}
-	oneMore := endive.QuotaAllowance{Limit: allowance.Tolerated.Add(s.spec.Need), Cap: allowance.Cap}
-	if !oneMore.Allows(running.Add(unit)) || m.hasUnconfirmedStarts(account) {
+	if !allowance.WithTolerated(s.spec.Need).Allows(running.Add(unit)) || m.hasUnconfirmedStarts(account) {
 		return 0
 	}
 	if s.spec.Gang {
@@ -159,14 +158,6 @@
 	return false
 }
 
-// unit returns what has to start at once: a task, or all tasks of a gang.
-func (s *step) unit() endive.Resources {
-	if s.spec.Gang {
-		return s.spec.Need.Times(int64(s.spec.Tasks))
-	}
-	return s.spec.Need
-}
-
 // reserveAllowance keeps the account's allowance for a gang that waits for tickets on workers
 // that are reserved for it.
 func (m *Machine) reserveAllowance(s *step) {
@@ -174,7 +165,7 @@
 		return
 	}
 	use := m.quotas.use(s.occ.job.account)
-	use.reserved = use.reserved.Add(s.unit())
+	use.reserved = use.reserved.Add(s.spec.Unit())
 }
 
 // holdBack records that tasks of a step wait for the account's allowance. It counts as a need
@@ -183,7 +174,7 @@
 	use := m.quotas.use(s.occ.job.account)
 	use.heldBack = true
 	if s.spec.Gang {
-		use.reserved = use.reserved.Add(s.unit())
+		use.reserved = use.reserved.Add(s.spec.Unit())
 		s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
 	}
 	if !s.heldBack {
@@ -208,7 +199,7 @@
 	}
 	use := m.quotas.use(s.occ.job.account)
 	use.waiting = use.waiting.Add(s.spec.Need.Times(int64(places)))
-	use.unit, use.task = use.unit.Max(s.unit()), use.task.Max(s.spec.Need)
+	use.unit, use.task = use.unit.Max(s.spec.Unit()), use.task.Max(s.spec.Need)
 }
 
 // updateQuotas updates the division of the caps if that is due.
--- a/quota.go
+++ b/quota.go
@@ -75,6 +75,12 @@
 	return a
 }
 
+// WithTolerated returns the allowance whose limit is what is tolerated and the given amount more.
+func (a QuotaAllowance) WithTolerated(more Resources) QuotaAllowance {
+	a.Limit = a.Tolerated.Add(more)
+	return a
+}
+
 // MayExceed reports whether a task or gang may exceed a cap, within the overage and one task:
 // if it needs more than half of the cap. Otherwise it could wait for ever beside tasks that last,
 // though its account uses little.
--- a/quota/amounts.go
+++ b/quota/amounts.go
@@ -15,13 +15,6 @@
 	}
 }
 
-func (a amounts) add(b amounts) amounts {
-	for i := range a {
-		a[i] += b[i]
-	}
-	return a
-}
-
 // atMost returns the smaller amount in each dimension.
 func (a amounts) atMost(b amounts) amounts {
 	for i := range a {
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -117,10 +117,10 @@
 // Allowance implements endive.QuotaDivision.
 func (s *Stored) Allowance(name endive.AccountName) (endive.QuotaAllowance, bool) {
 	account, ok := s.accounts.Named(name)
-	if !ok || account.Cap == (endive.Resources{}) {
+	if !ok || !account.HasCap() {
 		return endive.QuotaAllowance{}, false
 	}
-	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Cap.Scale(1 + s.overage)}
+	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Tolerated(s.overage)}
 	caps, tolerated := amountsOf(account.Cap), amountsOf(allowance.Tolerated)
 	others, _, _ := s.others(name)
 	limit := s.part(name)
@@ -195,7 +195,7 @@
 	}
 	clear(s.ceilings)
 	for _, account := range s.accounts.All() {
-		if account.Cap == (endive.Resources{}) {
+		if !account.HasCap() {
 			continue
 		}
 		part, need := s.nextPart(account, uses[account.Name])
@@ -214,7 +214,8 @@
 func (s *Stored) nextPart(account endive.Account, use endive.QuotaUse) (part, need amounts) {
 	own := s.rows[s.pool]
 	others, othersNeed, othersWant := s.others(account.Name)
-	caps, running, waiting := amountsOf(account.Cap), amountsOf(use.Running), amountsOf(use.Waiting)
+	caps, tolerated := amountsOf(account.Cap), amountsOf(account.Tolerated(s.overage))
+	running, waiting := amountsOf(use.Running), amountsOf(use.Waiting)
 	unit, task := amountsOf(use.Unit), amountsOf(use.Task)
 	var ceiling amounts
 	for i := range caps {
@@ -226,7 +227,7 @@
 			running: running[i], need: running[i] + waiting[i], pools: int64(s.pools),
 		}
 		if endive.MayExceed(caps[i], unit[i]) {
-			d.limit = caps[i] + int64(s.overage*float64(caps[i]))
+			d.limit = tolerated[i]
 			if others[i] == 0 {
 				d.limit += task[i]
 			}
@@ -250,8 +251,8 @@
 			continue
 		}
 		part, need := row.Parts[name], row.Needs[name]
-		held = held.add(part)
-		for i := range need {
+		for i := range part {
+			held[i] += part[i]
 			needed[i] += max(need[i], 0)
 			wanted[i] += max(0, need[i]-part[i])
 		}
--- a/step.go
+++ b/step.go
@@ -56,6 +56,14 @@
 	return need
 }
 
+// Unit returns what has to start at once: a task, or all tasks of a gang.
+func (s Step) Unit() Resources {
+	if s.Gang {
+		return s.Need.Times(int64(s.Tasks))
+	}
+	return s.Need
+}
+
 // Serves reports whether the step's tasks serve user requests. Opportunistic tasks on
 // the same worker increase the latency of those requests.
 func (s Step) Serves() bool { return s.LongRunning && s.LatencyTarget > 0 }
