flow: one roster entry, one allocation of a run, run times kept once

The roster's rows and the hand-over built a worker's entry each, addRun and addOrphan each allocated a run's resources, and a step kept the count and the sum of its run times beside the run times themselves. addRun's branch for a run without a task was dead. Behaviour is the same.

--- a/flow/forecast.go
+++ b/flow/forecast.go
@@ -92,21 +92,30 @@
 	return learned
 }
 
-// recordStepTimes adds the mean run time of a step whose tasks have all succeeded to the
-// forecast of its queue.
+// recordStepTimes adds the run times of a step whose tasks have all succeeded to the speeds of the
+// workers, and their mean to the forecast of its queue.
 func (m *Machine) recordStepTimes(s *step) {
-	if s.succeededRuns == 0 {
+	if len(s.timedRuns) == 0 {
 		return
 	}
 	if !s.spec.Gang {
 		m.speeds.Record(s.timedRuns)
 	}
-	s.timedRuns = nil
 	queue := s.occ.job.policy.Name
 	if m.forecasts[queue] == nil {
 		m.forecasts[queue] = &Forecast{}
 	}
-	m.forecasts[queue].add(s.spec.Estimate, time.Duration(s.succeededTime)/time.Duration(s.succeededRuns))
+	m.forecasts[queue].add(s.spec.Estimate, meanDuration(s.timedRuns))
+	s.timedRuns = nil
+}
+
+// meanDuration returns the mean of the run times.
+func meanDuration(runs []endive.TimedRun) time.Duration {
+	total := time.Duration(0)
+	for _, run := range runs {
+		total += time.Duration(run.Duration)
+	}
+	return total / time.Duration(len(runs))
 }
 
 // expectedDuration returns the expected run time of a step's tasks: the pace of its other
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -85,8 +85,7 @@
 	for id, status := range m.recorder.roster {
 		entry := RosterWorker{ID: id, Draining: status == rosterDraining, Terminated: true}
 		if w := m.workers[id]; w != nil {
-			entry.Address, entry.Capacity, entry.Terminated = w.info.Address, w.info.Capacity, false
-			entry.Tasks, entry.TasksKnown = w.tasksToRecord()
+			entry = w.rosterEntry(status)
 		}
 		roster = append(roster, entry)
 	}
--- a/flow/job.go
+++ b/flow/job.go
@@ -84,11 +84,7 @@
 	// these durations.
 	paceByWorker map[endive.WorkerID]endive.Interval
 	pace         endive.Interval
-	// succeededRuns counts the tasks that succeeded without a resumed run, and succeededTime is
-	// the sum of their run times.
-	succeededRuns int
-	succeededTime endive.Interval
-	// timedRuns are these run times with their workers.
+	// timedRuns are the run times of the tasks that succeeded without a resumed run.
 	timedRuns []endive.TimedRun
 
 	tickets tickets
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -118,10 +118,7 @@
 		// Otherwise work that has been done would be done again.
 		if !t.step.spec.LongRunning {
 			if current && r.firstPercent == 0 {
-				t.step.succeededRuns++
-				duration := endive.Interval(m.now.Sub(r.startedAt))
-				t.step.succeededTime += duration
-				t.step.timedRuns = append(t.step.timedRuns, endive.TimedRun{Worker: w.info, Duration: duration})
+				t.step.timedRuns = append(t.step.timedRuns, endive.TimedRun{Worker: w.info, Duration: endive.Interval(m.now.Sub(r.startedAt))})
 			}
 			m.markSucceeded(t)
 			m.queueEnd(w, end.Number, j)
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -62,9 +62,14 @@
 	heldBack bool
 }
 
+// current returns what the account uses or may use, from its own runs and the unknown ones.
+func (u *accountUse) current(unknown endive.Resources) endive.Resources {
+	return u.running.Add(u.possible).Add(u.unrecorded).Add(unknown)
+}
+
 // total returns what counts against the account's allowance.
 func (u *accountUse) total(unknown endive.Resources) endive.Resources {
-	return u.running.Add(u.possible).Add(u.unrecorded).Add(u.reserved).Add(unknown)
+	return u.current(unknown).Add(u.reserved)
 }
 
 // use returns the record of an account.
@@ -77,28 +82,16 @@
 	return use
 }
 
-// addRun counts a run. The account of a run whose task isn't known isn't known either.
-func (q *quotas) addRun(r *run) {
-	if r.spec == nil {
-		q.unknown = q.unknown.Add(r.need)
-		return
-	}
-	if r.account != "" {
-		use := q.use(r.account)
-		use.running = use.running.Add(r.spec.Need)
-	}
-}
-
-// removeRun ends the count of a run.
-func (q *quotas) removeRun(r *run) {
-	q.due = true
+// count adds a run to what its account uses, or takes it away if delta is -1. The account of a run
+// whose task isn't known isn't known either.
+func (q *quotas) count(r *run, delta int64) {
 	if r.spec == nil {
-		q.unknown = q.unknown.Sub(r.need)
+		q.unknown = q.unknown.Add(r.need.Times(delta))
 		return
 	}
 	if r.account != "" {
 		use := q.use(r.account)
-		use.running = use.running.Sub(r.spec.Need)
+		use.running = use.running.Add(r.spec.Need.Times(delta))
 	}
 }
 
@@ -212,7 +205,7 @@
 	uses := make(map[endive.AccountName]endive.QuotaUse, len(m.quotas.uses))
 	for name, use := range m.quotas.uses {
 		uses[name] = endive.QuotaUse{
-			Running: use.running.Add(use.possible).Add(use.unrecorded).Add(m.quotas.unknown), Waiting: use.waiting, Unit: use.unit, Task: use.task,
+			Running: use.current(m.quotas.unknown), Waiting: use.waiting, Unit: use.unit, Task: use.task,
 		}
 	}
 	m.updateDivision(uses)
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -23,6 +23,13 @@
 	return rosterPresent
 }
 
+// rosterEntry returns the worker's entry in a roster in which it has the given status.
+func (w *worker) rosterEntry(status rosterStatus) RosterWorker {
+	entry := RosterWorker{ID: w.id, Address: w.info.Address, Capacity: w.info.Capacity, Draining: status == rosterDraining}
+	entry.Tasks, entry.TasksKnown = w.tasksToRecord()
+	return entry
+}
+
 // restoreTasks sets the tasks that may run on a worker according to the roster. w is nil if the
 // worker is known to have terminated.
 func (w *worker) restoreTasks(r RosterWorker) {
@@ -96,11 +103,7 @@
 	var rows [rosterPartitions]Roster
 	for id, status := range roster {
 		partition := &rows[rosterPartition(id)]
-		partition.Workers = append(partition.Workers, RosterWorker{
-			ID: id, Address: m.workers[id].info.Address, Capacity: m.workers[id].info.Capacity, Draining: status == rosterDraining,
-		})
-		last := &partition.Workers[len(partition.Workers)-1]
-		last.Tasks, last.TasksKnown = m.workers[id].tasksToRecord()
+		partition.Workers = append(partition.Workers, m.workers[id].rosterEntry(status))
 	}
 	changed := differingPartitions(m.recorder.roster, roster)
 	var writes []endive.Write
--- a/flow/run.go
+++ b/flow/run.go
@@ -61,34 +61,41 @@
 	return next
 }
 
-// addRun adds a run to a worker and allocates its resources.
-func (m *Machine) addRun(w *worker, t *task, id endive.TaskID, n endive.RunNumber, state runState) *run {
-	r := &run{task: t, id: id, number: n, worker: w, state: state, startedAt: m.now, percentAt: m.now}
+// addRun adds a task's current run to a worker and allocates its resources.
+func (m *Machine) addRun(w *worker, t *task, n endive.RunNumber, state runState) *run {
+	r := &run{task: t, id: t.id, number: n, worker: w, state: state, startedAt: m.now, percentAt: m.now}
+	if t.state == taskWaiting {
+		t.state = taskPlaced
+		t.step.waiting--
+	}
+	t.run = r
+	if t.checkpoint != "" {
+		r.percent, r.firstPercent = t.savedPercent, t.savedPercent
+	}
+	t.lastRun = max(t.lastRun, n)
+	t.step.runsPerWorker[w.id]++
+	if t.step.startedAt.IsZero() {
+		t.step.startedAt = m.now
+	}
+	w.countRun(t.step.spec, 1)
+	m.allocate(r, t)
+	return r
+}
+
+// allocate allocates a run's resources on its worker and in its account's allowance. t is the task
+// whose run it is or was; nil if it isn't known.
+func (m *Machine) allocate(r *run, t *task) {
+	w := r.worker
 	if t == nil {
 		// The run's resources are unknown, so it gets the whole worker and nothing starts beside it.
 		r.need = w.info.Capacity
 	} else {
 		r.need = t.step.spec.Reserved()
 		r.spec, r.account = t.step.spec, t.step.occ.job.account
-		if t.state == taskWaiting {
-			t.state = taskPlaced
-			t.step.waiting--
-		}
-		t.run = r
-		if t.checkpoint != "" {
-			r.percent, r.firstPercent = t.savedPercent, t.savedPercent
-		}
-		t.lastRun = max(t.lastRun, n)
-		t.step.runsPerWorker[w.id]++
-		if t.step.startedAt.IsZero() {
-			t.step.startedAt = m.now
-		}
-		w.countRun(t.step.spec, 1)
 	}
 	w.used = w.used.Add(r.need)
-	w.runs[id] = r
-	m.quotas.addRun(r)
-	return r
+	w.runs[r.id] = r
+	m.quotas.count(r, 1)
 }
 
 // countRun updates the numbers of serving and of opportunistic runs on the worker.
@@ -107,7 +114,8 @@
 	w := r.worker
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
-	m.quotas.removeRun(r)
+	m.quotas.count(r, -1)
+	m.quotas.due = true
 	m.passDue = true
 	t := r.task
 	if t == nil {
@@ -141,7 +149,7 @@
 
 // startRun orders a task to start on a worker under a run number.
 func (m *Machine) startRun(t *task, w *worker, n endive.RunNumber, reason string) {
-	r := m.addRun(w, t, t.id, n, runStarting)
+	r := m.addRun(w, t, n, runStarting)
 	m.logDecision(Decision{Kind: DecisionStart, Job: t.step.occ.job.id, Task: t.id, Run: n, Worker: w.id, Outcome: "ordered", Reason: reason})
 	m.sendStart(r)
 	if len(w.runs) > 1 {
--- a/flow/unknownrun.go
+++ b/flow/unknownrun.go
@@ -12,7 +12,7 @@
 		m.stopRun(r, "the run is not the task's current run")
 		return
 	}
-	r := m.addRun(w, t, t.id, report.Run, runRunning)
+	r := m.addRun(w, t, report.Run, runRunning)
 	r.confirmedStep = m.stepCount
 	r.percent, r.firstPercent = report.Percent, report.Percent
 	t.checkpoint = report.Checkpoint
@@ -32,13 +32,6 @@
 // its task's current run.
 func (m *Machine) addOrphan(w *worker, t *task, report endive.RunReport) *run {
 	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: m.now, percentAt: m.now}
-	r.need = w.info.Capacity
-	if t != nil {
-		r.need = t.step.spec.Reserved()
-		r.spec, r.account = t.step.spec, t.step.occ.job.account
-	}
-	w.used = w.used.Add(r.need)
-	w.runs[report.Task] = r
-	m.quotas.addRun(r)
+	m.allocate(r, t)
 	return r
 }
