flow: a holder without caps doesn't wake 20 times a second to divide them

The timer of the caps' division was set whether or not an account has a cap, so each holder of each deployment woke every 50 ms.

--- a/flow/machine.go
+++ b/flow/machine.go
@@ -101,7 +101,7 @@
 	m.advice = adviceState{}
 	m.earlyCancels = make(map[endive.JobID]bool)
 	m.earlyAdvice = make(map[endive.StepID]ForwardedAdvice)
-	m.quotas = quotas{division: m.quotas.division, uses: make(map[endive.AccountName]*accountUse)}
+	m.quotas = quotas{division: m.quotas.division, due: true, uses: make(map[endive.AccountName]*accountUse)}
 	m.quotas.division.Begin(0)
 	m.status = statusReport{}
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
@@ -141,7 +141,7 @@
 	case AccountsChanged:
 		m.accounts = e.Accounts
 		m.quotas.division.SetAccounts(e.Accounts, e.Pools)
-		m.passDue = true
+		m.passDue, m.quotas.due = true, true
 		return
 	case endive.Wake:
 		m.wakeAt = time.Time{}
--- a/flow/quota.go
+++ b/flow/quota.go
@@ -41,7 +41,7 @@
 	// unknown is what runs use whose account isn't known. It counts for each account.
 	unknown endive.Resources
 	// due is true if the division has to be updated now, and updateAt when it has to be at the
-	// latest.
+	// latest; zero while no account has a cap.
 	due      bool
 	updateAt time.Time
 }
@@ -197,10 +197,13 @@
 
 // updateQuotas updates the division of the caps if that is due.
 func (m *Machine) updateQuotas() {
-	if !m.quotas.due && m.now.Before(m.quotas.updateAt) {
+	if !m.quotas.due && (m.quotas.updateAt.IsZero() || m.now.Before(m.quotas.updateAt)) {
 		return
 	}
-	m.quotas.due, m.quotas.updateAt = false, m.now.Add(quotaInterval)
+	m.quotas.due, m.quotas.updateAt = false, time.Time{}
+	if m.accounts.HaveCap() {
+		m.quotas.updateAt = m.now.Add(quotaInterval)
+	}
 	m.countPossibleRuns()
 	uses := make(map[endive.AccountName]endive.QuotaUse, len(m.quotas.uses))
 	for name, use := range m.quotas.uses {
