One encoding of Resources for messages, one count of entries; long expressions split

wire.NewResourceCount and Resources replace the copies in entry/shell and entry/cell. peers.pollSlowdown calls count instead of counting itself. The poll period of an entry that holds no pool, the creation of a pool and the log of findings are split or shorter. Tests of flow and benchmarks of route share their setup. Behaviour is the same.

--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -102,10 +102,7 @@
 const maxLoggedFindings = 20
 
 func (l *configLoop) logFindings(response endive.ConfigResponse) {
-	for i, finding := range response.Findings {
-		if i == maxLoggedFindings {
-			break
-		}
+	for _, finding := range response.Findings[:min(len(response.Findings), maxLoggedFindings)] {
 		l.cell.Log.Warn("part of the configuration is left out", "version", int64(response.Config.Version), "finding", finding.String())
 	}
 }
--- a/entry/cell/entryrows.go
+++ b/entry/cell/entryrows.go
@@ -114,9 +114,7 @@
 // pollSlowdown returns the factor by which an entry lengthens its poll periods. It is above 1
 // with many entries, to limit their load on the store.
 func (p *peers) pollSlowdown() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.rows) > fullMeshSize {
+	if p.count() > fullMeshSize {
 		return manyEntriesSlowdown
 	}
 	return 1
--- a/entry/cell/handover.go
+++ b/entry/cell/handover.go
@@ -45,7 +45,7 @@
 		message.Roster = append(message.Roster, workerToWire(worker))
 	}
 	for account, part := range state.QuotaParts {
-		message.QuotaParts = append(message.QuotaParts, &wire.QuotaPart{Account: string(account), Part: resourcesToWire(part)})
+		message.QuotaParts = append(message.QuotaParts, &wire.QuotaPart{Account: string(account), Part: wire.NewResourceCount(part)})
 	}
 	for _, advice := range state.Advice {
 		message.Advice = append(message.Advice, &wire.AdviceNote{
@@ -75,7 +75,7 @@
 	}
 	state.QuotaParts = make(map[endive.AccountName]endive.Resources)
 	for _, part := range m.GetQuotaParts() {
-		state.QuotaParts[endive.AccountName(part.GetAccount())] = resourcesFromWire(part.GetPart())
+		state.QuotaParts[endive.AccountName(part.GetAccount())] = part.GetPart().Resources()
 	}
 	now := c.Clock.Now()
 	for _, advice := range m.GetAdvice() {
@@ -99,7 +99,7 @@
 // workerToWire encodes a worker of the roster for a message to another entry.
 func workerToWire(w flow.RosterWorker) *wire.PoolWorker {
 	encoded := &wire.PoolWorker{
-		Id: string(w.ID), Address: string(w.Address), Draining: w.Draining, Gone: w.Terminated, Capacity: resourcesToWire(w.Capacity), TasksKnown: w.TasksKnown,
+		Id: string(w.ID), Address: string(w.Address), Draining: w.Draining, Gone: w.Terminated, Capacity: wire.NewResourceCount(w.Capacity), TasksKnown: w.TasksKnown,
 	}
 	for _, task := range w.Tasks {
 		encoded.Tasks = append(encoded.Tasks, string(task))
@@ -111,7 +111,7 @@
 func workerFromWire(w *wire.PoolWorker) flow.RosterWorker {
 	decoded := flow.RosterWorker{
 		ID: endive.WorkerID(w.GetId()), Address: endive.Address(w.GetAddress()), Draining: w.GetDraining(), Terminated: w.GetGone(),
-		Capacity: resourcesFromWire(w.GetCapacity()), TasksKnown: w.GetTasksKnown(),
+		Capacity: w.GetCapacity().Resources(), TasksKnown: w.GetTasksKnown(),
 	}
 	for _, task := range w.GetTasks() {
 		decoded.Tasks = append(decoded.Tasks, endive.TaskID(task))
@@ -119,18 +119,6 @@
 	return decoded
 }
 
-// resourcesToWire encodes Resources for a message to another entry.
-func resourcesToWire(r endive.Resources) *wire.ResourceCount {
-	return &wire.ResourceCount{Processors: int64(r.Processors), Memory: int64(r.Memory), Accelerators: int64(r.Accelerators)}
-}
-
-// resourcesFromWire decodes Resources from a message of another entry.
-func resourcesFromWire(r *wire.ResourceCount) endive.Resources {
-	return endive.Resources{
-		Processors: endive.MilliProcessors(r.GetProcessors()), Memory: endive.Bytes(r.GetMemory()), Accelerators: endive.Accelerators(r.GetAccelerators()),
-	}
-}
-
 // rowsToWire encodes rows for a message to another entry.
 func rowsToWire(rows []endive.Row) []*wire.PoolRow {
 	encoded := make([]*wire.PoolRow, 0, len(rows))
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -73,11 +73,12 @@
 	p.elect = elect.New(id, c.Incarnation, name, p.fenceWrite, p.acquireAt, elect.Settings{
 		Lease: c.Settings.Timings.PoolLease, Renewal: c.Settings.Timings.PoolLease / renewalsPerLease, Retry: electRetryDelay,
 	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "elect."+string(name)))
+	division := quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage)
 	p.flow = flow.New(name, flow.Settings{
 		LeaseDuration:    min(taskLease, c.Settings.Bounds.MaxGrant/4*3),
 		MaxLeaseDuration: c.Settings.Bounds.MaxGrant,
 		Retention:        c.Settings.Bounds.Retention,
-	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), quota.NewStored(name, endive.NewWriteIDs(id, c.Incarnation, "quota."+string(name)), c.Settings.Bounds.QuotaOverage), speed.NewByLabel(), share.NewRate())
+	}, c.Platform, endive.NewWriteIDs(id, c.Incarnation, "flow."+string(name)), division, speed.NewByLabel(), share.NewRate())
 	p.pid = c.system.Spawn(p)
 	return p
 }
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -81,18 +81,25 @@
 	return err
 }
 
-// idlePollFactor is the factor by which an entry that holds no pool lengthens the poll period.
+// idlePollFactor is the smallest idleFactor.
 const idlePollFactor = 3
 
 // pollPeriod returns the period between two polls of the list.
 func (l *workersLoop) pollPeriod() time.Duration {
 	period := time.Duration(l.cell.Settings.Timings.Poll)
 	if l.cell.HoldsNoPool() {
-		return idlePollFactor * period * time.Duration((l.cell.peers.pollSlowdown()+1)/2) * time.Duration(1+l.size()/workersPerIdlePoll) * time.Duration(1+l.cell.peers.count()/entriesPerIdlePoll)
+		return period * time.Duration(l.idleFactor())
 	}
 	return period
 }
 
+// idleFactor returns the factor by which an entry that holds no pool lengthens the poll period.
+func (l *workersLoop) idleFactor() int {
+	forWorkers := 1 + l.size()/workersPerIdlePoll
+	forEntries := 1 + l.cell.peers.count()/entriesPerIdlePoll
+	return idlePollFactor * ((l.cell.peers.pollSlowdown() + 1) / 2) * forWorkers * forEntries
+}
+
 // workersPerIdlePoll is the number of workers for which an entry that holds no pool lengthens
 // the poll period once more. It reads the whole list each time, and a new holder reads it anew.
 const workersPerIdlePoll = 500
--- a/entry/shell/inbox.go
+++ b/entry/shell/inbox.go
@@ -50,11 +50,7 @@
 		s.forwardLoad(intake.LoadReceived{
 			Slice:  endive.SliceID(load.GetSlice()),
 			Queued: int(load.GetQueued()),
-			Free: endive.Resources{
-				Processors:   endive.MilliProcessors(load.GetFree().GetProcessors()),
-				Memory:       endive.Bytes(load.GetFree().GetMemory()),
-				Accelerators: endive.Accelerators(load.GetFree().GetAccelerators()),
-			},
+			Free:   load.GetFree().Resources(),
 		})
 	}
 }
--- a/entry/shell/loads.go
+++ b/entry/shell/loads.go
@@ -80,11 +80,7 @@
 			Slice:  string(load.Slice),
 			Epoch:  uint64(load.Epoch),
 			Queued: uint32(load.Queued),
-			Free: &wire.ResourceCount{
-				Processors:   int64(load.Free.Processors),
-				Memory:       int64(load.Free.Memory),
-				Accelerators: int64(load.Free.Accelerators),
-			},
+			Free:   wire.NewResourceCount(load.Free),
 		})
 	}
 	sort.Slice(changed.Slices, func(i, j int) bool { return changed.Slices[i].GetSlice() < changed.Slices[j].GetSlice() })
--- a/flow/handover_test.go
+++ b/flow/handover_test.go
@@ -101,10 +101,7 @@
 // holder: the next one must still ask this worker, or the task would run again.
 func TestHandOverKeepsUnlistedWorkerWithUnrecordedEnd(t *testing.T) {
 	is := is.New(t)
-	w, h := newSimulationWithHolder(t, faults{}, 2)
-	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
-	w.run(1200 * time.Millisecond)
-	is.Equal(w.runningTasks(id), 1)
+	w, h, id := newSimulationWithRun(t, 2)
 	w.faults.lostWrite = 1
 	for _, worker := range w.workers {
 		worker.unlisted = len(worker.runs) > 0
--- a/flow/probe_test.go
+++ b/flow/probe_test.go
@@ -65,10 +65,7 @@
 // answers, and the task must not run again.
 func TestSuccessOfRunOnSilentWorkerCounts(t *testing.T) {
 	is := is.New(t)
-	w, _ := newSimulationWithHolder(t, faults{}, 1)
-	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
-	w.run(1200 * time.Millisecond)
-	is.Equal(w.runningTasks(id), 1)
+	w, _, id := newSimulationWithRun(t, 1)
 	worker := w.workers["w0"]
 	// Only the answers are missing: the run goes on, and ends.
 	w.faults.lostAnswer = 1
@@ -87,10 +84,7 @@
 // the wait for a worker's report.
 func TestOverloadedHolderAsksBeforeItGivesRunsUp(t *testing.T) {
 	is := is.New(t)
-	w, h := newSimulationWithHolder(t, faults{}, 1)
-	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
-	w.run(1200 * time.Millisecond)
-	is.Equal(w.runningTasks(id), 1)
+	w, h, id := newSimulationWithRun(t, 1)
 	m := h.machine
 	for i := range maxProbes {
 		m.probes.inFlight[endive.WorkerID(fmt.Sprintf("slow%d", i))] = true
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -168,6 +168,18 @@
 	return w, h
 }
 
+// newSimulationWithRun returns a simulation in which the only task of a job has just started.
+func newSimulationWithRun(t *testing.T, workers int) (*simulation, *holder, endive.JobID) {
+	t.Helper()
+	w, h := newSimulationWithHolder(t, faults{}, workers)
+	id := w.submit("job", urgentQueue, stepOfTasks(1, 700*time.Millisecond))
+	w.run(1200 * time.Millisecond)
+	if running := w.runningTasks(id); running != 1 {
+		t.Fatalf("%d tasks run, want 1", running)
+	}
+	return w, h, id
+}
+
 func (w *simulation) chance(p float64) bool { return w.random.Float64() < p }
 
 func (w *simulation) addViolation(format string, args ...any) {
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -24,10 +24,8 @@
 	}
 }
 
-func benchmarkDecision(b *testing.B, executors, waiting int) {
-	settings := DefaultSettings("e1", "i1")
-	settings.QueueLimit = waiting + 1
-	m := New(settings, slots.NewShares(), LowestLatency{})
+// quoteExecutors returns a service and the members of a cluster with executors for it.
+func quoteExecutors(executors int) (endive.Service, endive.MembersChanged) {
 	service := endive.Service{Name: "quote", Slots: 8, Timeout: endive.MaxTimeout}
 	service.Defaults()
 	self := endive.Peer{ID: "e1", Region: "gogledd", Zone: "a", State: endive.MemberLive}
@@ -37,6 +35,14 @@
 			ID: fmt.Sprintf("x%04d", i), Kind: endive.KindExecutor, Region: "gogledd", Zone: "a", Service: "quote",
 		}})
 	}
+	return service, view
+}
+
+func benchmarkDecision(b *testing.B, executors, waiting int) {
+	settings := DefaultSettings("e1", "i1")
+	settings.QueueLimit = waiting + 1
+	m := New(settings, slots.NewShares(), LowestLatency{})
+	service, view := quoteExecutors(executors)
 	now := time.Unix(0, 0)
 	m.Step(now, endive.ConfigChanged{Config: endive.Config{Resources: map[endive.ResourceKey]endive.ConfiguredResource{
 		service.Key(): {Ticket: 1, Service: &service},
--- a/route/memory_bench_test.go
+++ b/route/memory_bench_test.go
@@ -25,15 +25,7 @@
 	for range b.N {
 		settings := DefaultSettings("e1", "i1")
 		settings.QueueLimit = waiting + 1
-		service := endive.Service{Name: "quote", Slots: 8, Timeout: endive.MaxTimeout}
-		service.Defaults()
-		self := endive.Peer{ID: "e1", Region: "gogledd", Zone: "a", State: endive.MemberLive}
-		view := endive.MembersChanged{Self: self, Peers: endive.Peers{self}}
-		for i := range executors {
-			view.Endpoints = append(view.Endpoints, endive.Endpoint{State: endive.MemberLive, Instance: endive.Instance{
-				ID: fmt.Sprintf("x%04d", i), Kind: endive.KindExecutor, Region: "gogledd", Zone: "a", Service: "quote",
-			}})
-		}
+		service, view := quoteExecutors(executors)
 		now := time.Unix(0, 0)
 		before := heapInUse()
 		m := New(settings, slots.NewOwners("e1"), LowestLatency{})
