flow: the log says what a waiting step waits for

Cause: of work that waits nothing was in the log.

Change: a scheduling pass logs of a step that has waited for 2 s what it waits for, how many waiting steps go first, its tier, its need and what is left; every 4 s, at most 8 lines a second for all steps.

--- a/flow/gang.go
+++ b/flow/gang.go
@@ -39,8 +39,11 @@
 		m.prepareGang(s)
 		m.reserveAllowance(s)
 		m.countWaiting(s, s.spec.Tasks)
+		m.waits(s, s.spec.Tasks, m.gangWaitReason(s))
+		m.waitLog.position++
 		return
 	}
+	s.placedAll()
 	s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
 	n := m.nextRun(s.tasks...)
 	s.gang.run = n
--- a/flow/job.go
+++ b/flow/job.go
@@ -75,6 +75,9 @@
 	// heldBack is true if tasks of the step waited for the account's allowance in the last
 	// scheduling pass.
 	heldBack bool
+	// waitingSince is since when tasks that could start have waited; zero if none waits.
+	// waitLoggedAt is when that was last logged.
+	waitingSince, waitLoggedAt time.Time
 	// startedAt is when the first task of the step was started.
 	startedAt time.Time
 	// runsPerWorker counts the runs on each worker.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -77,6 +77,7 @@
 	speeds endive.WorkerSpeeds
 	// reservedTotals are the reservations of the last scheduling pass.
 	reservedTotals reservedTotals
+	waitLog        waitLog
 	// startCount counts the runs started in this epoch; run numbers are derived from it.
 	startCount int64
 }
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -33,6 +33,7 @@
 		}
 	}
 	m.quotas.beginPass()
+	m.waitLog.beginPass(m.now)
 	m.countPossibleRuns()
 	for _, j := range m.rankedJobs() {
 		for _, occ := range j.sortedOccurrences() {
@@ -99,7 +100,7 @@
 // placeTasks starts the waiting tasks of a step for which there is free capacity, up to the
 // number that the account's allowance permits.
 func (m *Machine) placeTasks(s *step, allowed int) {
-	unplaced, heldBack := 0, 0
+	started, unplaced, heldBack := 0, 0, 0
 	var suitable []*worker
 	if m.mightFit(s) {
 		suitable = m.suitableWorkers(s)
@@ -118,16 +119,11 @@
 			continue
 		}
 		allowed--
+		started++
 		m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
 		m.advice.freeCapacity = m.advice.freeCapacity.Sub(s.spec.Reserved())
 	}
-	if unplaced > 0 {
-		m.updateLowSlack(s.occ.job)
-		m.countWaiting(s, unplaced)
-		if !m.planAdvice(s, unplaced) {
-			m.addUnplaced(s, unplaced)
-		}
-	}
+	m.handleUnplaced(s, started, unplaced)
 	if heldBack > 0 {
 		m.holdBack(s, heldBack)
 	} else {
@@ -135,6 +131,30 @@
 	}
 }
 
+// handleUnplaced plans advice for the tasks of a step that found no worker, or lets them preempt
+// others.
+func (m *Machine) handleUnplaced(s *step, started, unplaced int) {
+	if started > 0 {
+		s.placedAll()
+	}
+	if unplaced == 0 {
+		if s.waiting > 0 && started == 0 {
+			m.waits(s, s.waiting, waitsToRetry)
+		}
+		return
+	}
+	m.updateLowSlack(s.occ.job)
+	m.countWaiting(s, unplaced)
+	reason := waitsForCapacity
+	if m.planAdvice(s, unplaced) {
+		reason = m.adviceWaitReason(s)
+	} else {
+		m.addUnplaced(s, unplaced)
+	}
+	m.waits(s, unplaced, reason)
+	m.waitLog.position++
+}
+
 // mightFit is a cheap check that rules out most steps in a backlog: it reports whether a task
 // of the step might fit on some worker with a valid ticket.
 func (m *Machine) mightFit(s *step) bool {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -125,6 +125,8 @@
 	// stepTime is the sum of the run times of the machine's steps.
 	stepTime time.Duration
 	wakeAt   time.Time
+	// jobDecisions are the machine's decisions about jobs.
+	jobDecisions []Decision
 }
 
 // simulationClock gives the platform's time as milliseconds since the simulation's start.
