Work past its objective takes turns: LOST beside work that is started again and again

Cause: workflows that are too late to be worth anything were ordered by queue and objective, so always in the same order. Work at the front whose runs end again and again without a result took the capacity and the advice of every pass. Ruled out: advice (answers came, 6 to 26 good workers), workers that are avoided (none), a lost wake-up (passes ran).

Change: within the precedence of too-late work the workflow whose last start is longest ago goes first.

TestRestartedWorkStarvesWaitingWork failed in all three cases (queued, running, running; want succeeded); no crashed worker is needed, leases that expire do it too.

--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -174,6 +174,9 @@
 	if w.chance(w.faults.failedTask) {
 		kind, duration = endive.EndFailed, duration/2
 	}
+	if job.lapses {
+		kind, duration = endive.EndLeaseExpired, 100*time.Millisecond
+	}
 	if job.durationFactor > 0 {
 		duration = time.Duration(float64(duration) * job.durationFactor)
 	}
--- a/flow/job.go
+++ b/flow/job.go
@@ -36,6 +36,8 @@
 	// inherited is true if an earlier holder may have started tasks of the job.
 	inherited bool
 	objective time.Time
+	// lastStart is when a task of the job was last started in this tenure.
+	lastStart time.Time
 }
 
 // rowStatus is whether and how soon a job's state row has to be written.
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"endiveroute.example/endive"
 )
 
 // rank orders workflows when there is more work than capacity, in bursts and in the backlog
@@ -11,11 +13,15 @@
 // urgent queues still come before on-time workflows of other queues: they are small,
 // clients wait for them, and the others have slack. Work beyond its account's share comes
 // after all that is still worth running. Workflows with the same precedence are ordered by the
-// rank of their queue and then by their objective.
+// rank of their queue and then by their objective. Those that are too late take turns instead:
+// otherwise work whose runs end again and again without a result, on workers that crash or
+// lose their leases, would be started for ever before the rest.
 type rank struct {
 	tier      tier
 	queue     int
 	objective time.Time
+	// lastStart is when a task of the workflow was last started; when it was accepted if none was.
+	lastStart time.Time
 	// beyondShare is true for work beyond its account's share.
 	beyondShare bool
 }
@@ -65,6 +71,9 @@
 	if r.precedence() != other.precedence() {
 		return r.precedence() < other.precedence()
 	}
+	if r.tier == tierTooLate && !r.lastStart.Equal(other.lastStart) {
+		return r.lastStart.Before(other.lastStart)
+	}
 	if r.queue != other.queue {
 		return r.queue < other.queue
 	}
@@ -74,7 +83,7 @@
 // computeRank updates a job's objective, which is the time by which the job should be finished,
 // and returns the job's current rank.
 func (m *Machine) computeRank(j *job) rank {
-	r := rank{queue: j.policy.Rank, objective: j.objective, beyondShare: j.beyondShare && !j.isLongRunning()}
+	r := rank{queue: j.policy.Rank, objective: j.objective, lastStart: endive.Latest(j.accepted, j.lastStart), beyondShare: j.beyondShare && !j.isLongRunning()}
 	if j.isLongRunning() || j.spec.Schedule.Occurrences > 0 {
 		return r
 	}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -85,6 +85,8 @@
 	cancelledAt time.Time
 	// durationFactor is the ratio of the tasks' run times to their estimates; 0 counts as 1.
 	durationFactor float64
+	// lapses is true if the lease of each run expires soon after its start.
+	lapses bool
 }
 
 // timedEvent is a function that is called at a time.
--- /dev/null
+++ b/flow/starvation_test.go
@@ -0,0 +1,50 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// submitLapsing submits a job whose runs end without a result soon after they have started.
+func (w *simulation) submitLapsing(id string, queue endive.Queue, step endive.Step) endive.JobID {
+	job := w.submit(id, queue, step)
+	w.jobs[job].lapses = true
+	return job
+}
+
+// Work past its objective waited for ever while work accepted before it was started again and again.
+func TestRestartedWorkStarvesWaitingWork(t *testing.T) {
+	gang := stepOfTasks(3, 700*time.Millisecond)
+	gang.Need.Processors, gang.Gang = 12000, true
+	task := stepOfTasks(1, 700*time.Millisecond)
+	task.Need.Processors = 16000
+	tests := []struct {
+		name  string
+		queue endive.Queue
+		step  endive.Step
+	}{
+		{"urgent task", urgentQueue, task},
+		{"task of a lower rank", adviceQueue, task},
+		{"gang of a lower rank", gangQueue, gang},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w, _ := newSimulationWithHolder(t, faults{}, 3)
+			w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 1, gangQueue.Name: 1}
+			for i := range 6 {
+				w.submitLapsing(fmt.Sprintf("lapsing%d", i), urgentQueue, task)
+			}
+			id := w.submitLapsing("waiting", tt.queue, tt.step)
+			w.run(20 * time.Second)
+			w.jobs[id].lapses = false
+			w.run(60 * time.Second)
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		})
+	}
+}
