--- /dev/null
+++ b/flow/crash.go
@@ -0,0 +1,187 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// Some tasks crash each worker that starts them. Such a task is given up, and its workflow fails,
+// before it has taken many workers down. But a crashed worker has many runs, of which at most one
+// is the cause, and workers also crash, lose power or are cut off for reasons of their own: no
+// workflow may fail for that.
+//
+// A run is a suspect if its worker wasn't seen alive for some time after the run had started. The
+// tasks of suspects are started again one at a time on each worker: nothing else is started there
+// just before and just after. If the worker crashes once more, that run alone is the suspect. If the
+// worker lives on, the task is cleared.
+
+const (
+	// crashWindow is how long a worker must have been seen alive after the start of a run for the
+	// run not to be a suspect.
+	crashWindow = 500 * time.Millisecond
+	// maxCrashes is the number of crashes after which a task is given up. maxIsolatedCrashes is that
+	// number for crashes after isolated starts, while no worker crashes without a suspect.
+	maxCrashes         = 4
+	maxIsolatedCrashes = 2
+	// unexplainedMemory is how long a crash without a suspect makes other crashes less convincing.
+	unexplainedMemory = 20 * time.Second
+	// maxIsolatedShare is the maximum share of the workers on which isolated runs start at the same
+	// time, since each of them may crash. saturatedIsolatedShare is the maximum while other work
+	// waits for capacity.
+	maxIsolatedShare       = 0.5
+	saturatedIsolatedShare = 0.2
+	// isolationTimeout is how long a worker is kept from other starts for a task that should start
+	// there alone.
+	isolationTimeout = 3 * time.Second
+)
+
+// crashes are the runs of a task under which workers have crashed.
+type crashes struct {
+	// runs are the numbers of these runs; isolated are those of them that were started alone.
+	runs, isolated []endive.RunNumber
+	// unrecorded is true if a crash isn't recorded yet. The task doesn't start before that, so that
+	// the crash counts after a takeover.
+	unrecorded bool
+	// pending is the isolated run whose worker hasn't been seen alive long enough; 0 for none.
+	pending endive.RunNumber
+	// pendingWorker is the worker of the pending run.
+	pendingWorker endive.WorkerID
+}
+
+// suspected reports whether the task may be the cause of a crash.
+func (c *crashes) suspected() bool { return len(c.runs) > 0 }
+
+// add counts a crash under a run once.
+func (c *crashes) add(n endive.RunNumber, isolated bool) {
+	if !slices.Contains(c.runs, n) {
+		c.runs = append(c.runs, n)
+	}
+	if isolated && !slices.Contains(c.isolated, n) {
+		c.isolated = append(c.isolated, n)
+	}
+	if c.pending == n {
+		c.pending, c.pendingWorker = 0, ""
+	}
+	c.unrecorded = true
+}
+
+// proven reports whether the crashes show that the task is their cause. othersCrash is true if
+// workers have also crashed without a suspect lately.
+func (c *crashes) proven(othersCrash bool) bool {
+	return len(c.runs) >= maxCrashes || len(c.isolated) >= maxIsolatedCrashes && !othersCrash
+}
+
+// mayHaveCrashed reports whether a run may be the cause of a crash of its worker.
+func (r *run) mayHaveCrashed() bool {
+	if r.harmless {
+		return false
+	}
+	return r.startUnconfirmed || r.state == runStarting || r.worker.clock.receivedAt.Sub(r.startedAt) < crashWindow
+}
+
+// markSuspects decides which runs may have crashed the incarnation that is over.
+func (w *worker) markSuspects() {
+	for _, r := range w.runs {
+		r.suspect = r.mayHaveCrashed()
+		r.harmless = !r.suspect
+	}
+}
+
+// suspects returns the runs that may be the cause of a crash of the worker.
+func (w *worker) suspects() []*run {
+	var suspects []*run
+	for _, r := range w.sortedRuns() {
+		if r.task != nil && r.mayHaveCrashed() {
+			suspects = append(suspects, r)
+		}
+	}
+	return suspects
+}
+
+// hasSuspects reports whether a crash of the worker now would have a suspect.
+func (w *worker) hasSuspects() bool { return !w.suspectsUntil().IsZero() }
+
+// suspectsUntil returns when the last suspect among the worker's runs will no longer be one if the
+// worker is seen alive then; zero if there is none.
+func (w *worker) suspectsUntil() time.Time {
+	var until time.Time
+	for _, r := range w.runs {
+		if r.task != nil && r.mayHaveCrashed() {
+			until = endive.Latest(until, r.startedAt.Add(crashWindow))
+		}
+	}
+	return until
+}
+
+// suspectPollWait returns how long a worker with suspects may hold back its answer to a poll: the
+// answer shows that it is alive as soon as the last of them is no longer one.
+func suspectPollWait(now, until time.Time) endive.Interval {
+	return min(pollWait, max(minSuspectPollWait, endive.Interval(until.Sub(now))))
+}
+
+// minSuspectPollWait is the shortest such wait.
+const minSuspectPollWait = endive.Interval(50 * time.Millisecond)
+
+// recordCrash counts the crash of a worker against the tasks of the suspects. Without suspects,
+// the worker has crashed for a reason of its own.
+func (m *Machine) recordCrash(w *worker, suspects []*run) {
+	if len(suspects) == 0 && !w.lossRecorded && !w.info.Draining {
+		m.unexplainedCrashAt = m.now
+	}
+	w.lossRecorded = true
+	for _, r := range suspects {
+		m.recordTaskCrash(r.task, r.number, r.isolated)
+	}
+}
+
+// recordTaskCrash counts a crash under a run against its task, and gives the task up once the
+// crashes show that it is their cause.
+func (m *Machine) recordTaskCrash(t *task, n endive.RunNumber, isolated bool) {
+	j := t.step.occ.job
+	if t.state >= taskSucceeded || j.state.Ended() {
+		return
+	}
+	t.crashes.add(n, isolated)
+	m.markDirty(j, rowUrgent)
+	crashed := formatInt(int64(len(t.crashes.runs))) + " workers have crashed under the task, " + formatInt(int64(len(t.crashes.isolated))) +
+		" of them after it had started there alone"
+	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: n, Outcome: "suspect", Reason: crashed})
+	othersCrash := !m.unexplainedCrashAt.IsZero() && m.now.Sub(m.unexplainedCrashAt) < unexplainedMemory
+	if t.crashes.proven(othersCrash) {
+		m.finishJob(j, endive.WorkflowFailed, "task "+string(t.id)+" crashes its workers: "+crashed)
+	}
+}
+
+// clearSuspect forgets the crashes under a task whose run has been seen alive long enough.
+func (m *Machine) clearSuspect(t *task) {
+	if !t.crashes.suspected() {
+		return
+	}
+	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: t.lastRun, Outcome: "cleared", Reason: "its worker lives on after an isolated start"})
+	t.crashes = crashes{}
+	m.markDirty(t.step.occ.job, rowLazy)
+}
+
+// restoreCrashes applies the recorded crashes of a task.
+func (t *task) restoreCrashes(progress TaskProgress) {
+	t.crashes = crashes{
+		runs: progress.Crashed, isolated: progress.CrashedIsolated, pending: progress.PendingRun, pendingWorker: progress.PendingWorker,
+	}
+}
+
+// settlePendingRuns counts a crash under the isolated runs of earlier holders whose workers
+// are gone.
+func (m *Machine) settlePendingRuns() {
+	for _, t := range m.tasks {
+		n := t.crashes.pending
+		if n == 0 || t.run != nil {
+			continue
+		}
+		if w := m.workers[t.crashes.pendingWorker]; w == nil || !w.adopted {
+			m.recordTaskCrash(t, n, true)
+		}
+		t.crashes.pending, t.crashes.pendingWorker = 0, ""
+	}
+}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -92,6 +92,10 @@
 	worker := w.workers[id]
 	latency := worker.latency()
 	switch {
+	case worker != nil && worker.addressReused:
+		w.after(latency, func() { h.step(answer(OrderAnswered, endive.OrderAnswer{Refused: endive.RefusalIncarnation})) })
+	case worker != nil && worker.terminated:
+		w.after(latency, func() { h.step(answer(OrderRefused, endive.OrderAnswer{})) })
 	case worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
@@ -110,6 +114,10 @@
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	default:
 		w.after(latency, func() {
+			if worker.terminated {
+				h.step(answer(OrderUnknown, endive.OrderAnswer{}))
+				return
+			}
 			orderAnswer := execute(worker)
 			w.after(latency, func() { h.step(answer(OrderAnswered, orderAnswer)) })
 		})
--- a/flow/invariants_test.go
+++ b/flow/invariants_test.go
@@ -37,6 +37,12 @@
 	if !spec.LongRunning && w.failures[order.Task] >= job.policy.MaxAttempts {
 		w.addViolation("budget: %s starts after %d failures", order.Task, w.failures[order.Task])
 	}
+	if w.crashes[order.Task] >= 3 {
+		w.startsAfter[order.Task]++
+		if w.startsAfter[order.Task] == 3 {
+			w.addViolation("budget: %s starts three times more after three workers have crashed under it", order.Task)
+		}
+	}
 	if spec.Label != "" && !f.info.HasLabel(spec.Label) {
 		w.addViolation("label: %s starts on %s without %s", order.Task, f.id, spec.Label)
 	}
--- /dev/null
+++ b/flow/isolation.go
@@ -0,0 +1,131 @@
+package flow
+
+import "time"
+
+// isolation keeps other starts away from a worker on which a suspected task starts alone.
+type isolation struct {
+	// task is the task that the worker is kept for until expiry; nil for none.
+	task   *task
+	expiry time.Time
+	// run is the isolated run, until the worker has been seen alive long enough after its start.
+	run *run
+}
+
+// active reports whether nothing else may start on the worker.
+func (i *isolation) active() bool { return i.task != nil || i.run != nil }
+
+// chooseIsolated returns a worker on which a suspected task can start alone, or nil. If there is
+// none, it keeps a suitable worker from other starts, so that there soon is one. It also reports
+// whether the task has to wait for that, rather than for capacity or advice.
+func (m *Machine) chooseIsolated(s *step, t *task, suitable []*worker) (chosen *worker, waits bool) {
+	if w := m.keptWorker(t); w != nil {
+		return m.useKept(s, t, w)
+	}
+	var best *worker
+	for _, w := range suitable {
+		if !m.fits(s, w) {
+			continue
+		}
+		if best == nil || w.isolationCost(t) < best.isolationCost(t) {
+			best = w
+		}
+	}
+	switch {
+	case best == nil:
+		return nil, false
+	case m.isolatedWorkers() >= m.maxIsolated():
+		return nil, true
+	case !best.hasSuspects():
+		return best, false
+	}
+	best.isolation.task, best.isolation.expiry = t, m.now.Add(isolationTimeout)
+	m.schedulePass(best.isolation.expiry)
+	return nil, true
+}
+
+// isolationCost orders workers for an isolated start: as few other runs as possible should be lost
+// with the worker, and none should be a suspect beside the isolated one.
+func (w *worker) isolationCost(t *task) int {
+	cost := len(w.runs)
+	if w.hasSuspects() || w.id == t.avoidWorker {
+		cost++
+	}
+	return cost
+}
+
+// keptWorker returns the worker that is kept for a task; nil if none is.
+func (m *Machine) keptWorker(t *task) *worker {
+	for _, w := range m.sortedWorkers {
+		if w.isolation.task == t {
+			return w
+		}
+	}
+	return nil
+}
+
+// useKept returns the worker that is kept for a task if the task can start there alone now, and
+// whether it may wait for that.
+func (m *Machine) useKept(s *step, t *task, w *worker) (chosen *worker, waits bool) {
+	w.isolation.task = nil
+	switch {
+	case !m.fits(s, w):
+		return nil, false
+	case !w.hasSuspects():
+		return w, false
+	}
+	w.isolation.task = t
+	return nil, true
+}
+
+// isolate marks a run as started alone.
+func (m *Machine) isolate(r *run) {
+	r.isolated = true
+	r.worker.isolation = isolation{run: r}
+	r.task.crashes.pending, r.task.crashes.pendingWorker = r.number, r.worker.id
+	m.markDirty(r.task.step.occ.job, rowUrgent)
+}
+
+// maxIsolated returns how many workers may be isolated at the same time.
+func (m *Machine) maxIsolated() int {
+	share := maxIsolatedShare
+	if !m.status.saturatedSince.IsZero() {
+		share = saturatedIsolatedShare
+	}
+	return max(1, int(share*float64(len(m.sortedWorkers))))
+}
+
+// isolatedWorkers counts the isolated workers.
+func (m *Machine) isolatedWorkers() int {
+	count := 0
+	for _, w := range m.sortedWorkers {
+		if w.isolation.active() {
+			count++
+		}
+	}
+	return count
+}
+
+// releaseIsolated lets other work start on the workers that are kept for tasks that no longer wait.
+func (m *Machine) releaseIsolated() {
+	for _, w := range m.sortedWorkers {
+		t := w.isolation.task
+		if t != nil && (t.run != nil || t.state != taskWaiting || t.step.occ.job.state.Ended() || !w.usable() || !m.now.Before(w.isolation.expiry)) {
+			w.isolation.task = nil
+		}
+	}
+}
+
+// updateIsolation ends the isolation of a worker that has answered long enough after the start, and
+// starts the task that the worker is kept for once no run there is a suspect.
+func (m *Machine) updateIsolation(w *worker) {
+	if w.isolation.task != nil {
+		m.passDue = true
+	}
+	r := w.isolation.run
+	if r == nil || r.mayHaveCrashed() {
+		return
+	}
+	w.isolation.run = nil
+	m.passDue = true
+	m.clearSuspect(r.task)
+}
--- a/flow/job.go
+++ b/flow/job.go
@@ -107,6 +107,7 @@
 	// failedRuns are the numbers of the failed runs. Their count is compared with the
 	// attempts that the step allows.
 	failedRuns []endive.RunNumber
+	crashes    crashes
 	checkpoint endive.Checkpoint
 	// savedPercent is the progress of the last run.
 	savedPercent int
--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -138,6 +138,7 @@
 		if taskProgress.Index >= 0 && taskProgress.Index < len(s.tasks) {
 			t := s.tasks[taskProgress.Index]
 			t.failedRuns, t.checkpoint = taskProgress.Failed, taskProgress.Checkpoint
+			t.restoreCrashes(taskProgress)
 		}
 	}
 	s.gang.failedRuns = progress.GangFailed
@@ -204,8 +205,8 @@
 			count++
 			continue
 		}
-		if len(t.failedRuns) > 0 || t.checkpoint != "" {
-			p.Tasks = append(p.Tasks, TaskProgress{Index: i, Failed: t.failedRuns, Checkpoint: t.checkpoint})
+		if taskProgress := t.progress(); !taskProgress.empty() {
+			p.Tasks = append(p.Tasks, taskProgress)
 		}
 	}
 	switch count {
@@ -218,6 +219,14 @@
 	return p
 }
 
+// progress returns a task's progress to be recorded.
+func (t *task) progress() TaskProgress {
+	return TaskProgress{
+		Index: t.index, Failed: t.failedRuns, Checkpoint: t.checkpoint, Crashed: t.crashes.runs, CrashedIsolated: t.crashes.isolated,
+		PendingRun: t.crashes.pending, PendingWorker: t.crashes.pendingWorker,
+	}
+}
+
 // finishJob gives a job its final state and, unless it has succeeded, stops its runs.
 func (m *Machine) finishJob(j *job, state endive.WorkflowState, reason string) {
 	if j.state.Ended() {
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -78,6 +78,8 @@
 	// reservedTotals are the reservations of the last scheduling pass.
 	reservedTotals reservedTotals
 	waitLog        waitLog
+	// unexplainedCrashAt is when a worker last crashed without a suspect.
+	unexplainedCrashAt time.Time
 	// startCount counts the runs started in this epoch; run numbers are derived from it.
 	startCount int64
 }
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -77,6 +77,8 @@
 		maxWait = 0
 	case w.hasUnconfirmedRuns():
 		maxWait = unconfirmedPollWait
+	case w.hasSuspects():
+		maxWait = suspectPollWait(m.now, w.suspectsUntil())
 	}
 	order := endive.PollOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
 	if w.renewsLeases() {
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -23,7 +23,7 @@
 	}
 	if w.failedPolls > 0 {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "answers again", Reason: formatInt(int64(w.failedPolls)) + " failed polls before"})
-		w.failedPolls = 0
+		w.failedPolls, w.lossRecorded = 0, false
 		m.passDue = true
 	}
 	if startTime := e.Report.StartTime; startTime.UnixMilli() > 0 && startTime.Before(w.info.StartTime) {
@@ -56,6 +56,7 @@
 	}
 	m.checkLatency(w)
 	m.checkProgress(w)
+	m.updateIsolation(w)
 }
 
 // handlePollFailure schedules the next poll after a failed one, and handles a terminated worker
@@ -110,6 +111,9 @@
 		t.checkpoint = end.Checkpoint
 	}
 	t.lastRun = max(t.lastRun, end.Run)
+	if t.crashes.pending == end.Run {
+		t.crashes.pending, t.crashes.pendingWorker = 0, ""
+	}
 	j := t.step.occ.job
 	m.logDecision(Decision{Kind: DecisionEnd, Job: j.id, Task: t.id, Run: end.Run, Worker: w.id, Outcome: string(end.Kind), Reason: m.endReason(r, current)})
 	switch end.Kind {
@@ -235,6 +239,9 @@
 		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < w.poll.sentStep {
 			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
 			m.removeRun(r)
+			if r.suspect && r.task != nil {
+				m.recordTaskCrash(r.task, r.number, r.isolated)
+			}
 			if r.task != nil {
 				m.abortGang(r.task.step, "a member of the gang is absent")
 			}
@@ -244,6 +251,7 @@
 
 // updateRun applies the reported progress of a run.
 func (m *Machine) updateRun(r *run, report endive.RunReport) {
+	r.suspect = false
 	if report.Percent != r.percent {
 		r.percent, r.percentAt = report.Percent, m.now
 	}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -256,6 +256,7 @@
 		}
 		for _, s := range occ.steps {
 			for _, t := range s.tasks {
+				t.crashes.unrecorded = false
 				if t.state == taskSucceeded {
 					t.state = taskRecorded
 					s.unrecorded--
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -207,6 +207,19 @@
 	// has ended.
 	Failed     []endive.RunNumber `json:"failed,omitempty"`
 	Checkpoint endive.Checkpoint  `json:"checkpoint,omitempty"`
+	// Crashed lists the runs under which their workers crashed. CrashedIsolated are those of them
+	// that had been started alone.
+	Crashed         []endive.RunNumber `json:"crashed,omitempty"`
+	CrashedIsolated []endive.RunNumber `json:"crashedIsolated,omitempty"`
+	// PendingRun is a run that was started alone on PendingWorker, which hasn't been seen alive
+	// long enough yet.
+	PendingRun    endive.RunNumber `json:"pendingRun,omitempty"`
+	PendingWorker endive.WorkerID  `json:"pendingWorker,omitempty"`
+}
+
+// empty reports whether nothing has to be recorded of the task.
+func (p TaskProgress) empty() bool {
+	return len(p.Failed) == 0 && p.Checkpoint == "" && len(p.Crashed) == 0 && p.PendingRun == 0
 }
 
 // workRow returns the kind of a row of the table of work and the workflow that it belongs to.
--- a/flow/run.go
+++ b/flow/run.go
@@ -31,6 +31,13 @@
 	confirmedStep uint64
 	startedAt     time.Time
 
+	// isolated is true if nothing else was started on the worker just before and after the run.
+	isolated bool
+	// harmless is true if the run can't be the cause of a crash: an earlier holder started it and its
+	// worker has reported it, or an earlier incarnation was seen alive long enough after its start.
+	// suspect is true if it may have crashed an earlier incarnation.
+	harmless, suspect bool
+
 	percent   int
 	percentAt time.Time
 	// firstPercent is the progress at which the run began, from the checkpoint that it resumed.
@@ -112,6 +119,9 @@
 // succeeded.
 func (m *Machine) removeRun(r *run) {
 	w := r.worker
+	if w.isolation.run == r {
+		w.isolation.run = nil
+	}
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
 	m.quotas.count(r, -1)
@@ -141,16 +151,21 @@
 // dropRuns removes all runs of a worker. They have surely ended, but the worker will never
 // report how.
 func (m *Machine) dropRuns(w *worker, reason string) {
+	suspects := w.suspects()
 	for _, r := range w.sortedRuns() {
 		m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "lost", Reason: reason})
 		m.removeRun(r)
 	}
+	m.recordCrash(w, suspects)
 }
 
 // startRun orders a task to start on a worker under a run number.
 func (m *Machine) startRun(t *task, w *worker, n endive.RunNumber, reason string) {
 	r := m.addRun(w, t, n, runStarting)
 	t.step.occ.job.lastStart = m.now
+	if t.crashes.suspected() && !t.step.spec.Gang {
+		m.isolate(r)
+	}
 	m.logDecision(Decision{Kind: DecisionStart, Job: t.step.occ.job.id, Task: t.id, Run: n, Worker: w.id, Outcome: "ordered", Reason: reason})
 	m.sendStart(r)
 	if len(w.runs) > 1 {
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -32,6 +32,7 @@
 			m.advice.freeCapacity = m.advice.freeCapacity.Add(w.free()).Add(w.freeingSoon)
 		}
 	}
+	m.releaseIsolated()
 	m.quotas.beginPass()
 	m.waitLog.beginPass(m.now)
 	m.countPossibleRuns()
@@ -97,10 +98,18 @@
 	}
 }
 
+// placement counts the tasks of a step that a scheduling pass has started or left waiting.
+type placement struct {
+	started int
+	// unplaced tasks found no worker, isolating ones wait to start alone on one, and heldBack ones
+	// for the account's allowance.
+	unplaced, isolating, heldBack int
+}
+
 // placeTasks starts the waiting tasks of a step for which there is free capacity, up to the
 // number that the account's allowance permits.
 func (m *Machine) placeTasks(s *step, allowed int) {
-	started, unplaced, heldBack := 0, 0, 0
+	var p placement
 	var suitable []*worker
 	if m.mightFit(s) {
 		suitable = m.suitableWorkers(s)
@@ -109,50 +118,55 @@
 		if !m.startable(t) {
 			continue
 		}
-		if unplaced >= allowed {
-			heldBack++
+		if p.unplaced+p.isolating >= allowed {
+			p.heldBack++
 			continue
 		}
-		w := m.chooseWorker(s, t, suitable)
-		if w == nil {
-			unplaced++
-			continue
+		w, isolating := m.chooseWorkerFor(s, t, suitable)
+		switch {
+		case w != nil:
+			allowed--
+			p.started++
+			m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
+			m.advice.freeCapacity = m.advice.freeCapacity.Sub(s.spec.Reserved())
+		case isolating:
+			p.isolating++
+		default:
+			p.unplaced++
 		}
-		allowed--
-		started++
-		m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
-		m.advice.freeCapacity = m.advice.freeCapacity.Sub(s.spec.Reserved())
 	}
-	m.handleUnplaced(s, started, unplaced)
-	if heldBack > 0 {
-		m.holdBack(s, heldBack)
+	m.handleWaiting(s, p)
+	if p.heldBack > 0 {
+		m.holdBack(s, p.heldBack)
 	} else {
 		s.heldBack = false
 	}
 }
 
-// handleUnplaced plans advice for the tasks of a step that found no worker, or lets them preempt
+// handleWaiting plans advice for the tasks of a step that found no worker, or lets them preempt
 // others.
-func (m *Machine) handleUnplaced(s *step, started, unplaced int) {
-	if started > 0 {
+func (m *Machine) handleWaiting(s *step, p placement) {
+	if p.started > 0 {
 		s.placedAll()
 	}
-	if unplaced == 0 {
-		if s.waiting > 0 && started == 0 {
-			m.waits(s, s.waiting, waitsToRetry)
+	switch {
+	case p.unplaced > 0:
+		m.updateLowSlack(s.occ.job)
+		m.countWaiting(s, p.unplaced)
+		reason := waitsForCapacity
+		if m.planAdvice(s, p.unplaced) {
+			reason = m.adviceWaitReason(s)
+		} else {
+			m.addUnplaced(s, p.unplaced)
 		}
-		return
+		m.waits(s, p.unplaced, reason)
+		m.waitLog.position++
+	case p.isolating > 0:
+		m.countWaiting(s, p.isolating)
+		m.waits(s, p.isolating, waitsForIsolation)
+	case s.waiting > 0 && p.started == 0:
+		m.waits(s, s.waiting, waitsToRetry)
 	}
-	m.updateLowSlack(s.occ.job)
-	m.countWaiting(s, unplaced)
-	reason := waitsForCapacity
-	if m.planAdvice(s, unplaced) {
-		reason = m.adviceWaitReason(s)
-	} else {
-		m.addUnplaced(s, unplaced)
-	}
-	m.waits(s, unplaced, reason)
-	m.waitLog.position++
 }
 
 // mightFit is a cheap check that rules out most steps in a backlog: it reports whether a task
@@ -177,7 +191,7 @@
 
 // startable reports whether a task can start as soon as there is free capacity.
 func (m *Machine) startable(t *task) bool {
-	if t.state != taskWaiting || t.run != nil {
+	if t.state != taskWaiting || t.run != nil || t.crashes.unrecorded {
 		return false
 	}
 	if t.notBefore.After(m.now) {
@@ -187,6 +201,15 @@
 	return !m.mayRunOnSilentWorker(t)
 }
 
+// chooseWorkerFor returns the worker on which a task is to start, or nil. isolating is true if the
+// task waits to start alone on one.
+func (m *Machine) chooseWorkerFor(s *step, t *task, suitable []*worker) (chosen *worker, isolating bool) {
+	if t.crashes.suspected() {
+		return m.chooseIsolated(s, t, suitable)
+	}
+	return m.chooseWorker(s, t, suitable), false
+}
+
 // chooseWorker returns the suitable worker with the highest score for a task, or nil.
 func (m *Machine) chooseWorker(s *step, t *task, suitable []*worker) *worker {
 	var best *worker
@@ -214,7 +237,7 @@
 // meetsConstraints reports whether a task of a step may start on a worker as soon as there
 // are free capacity and a ticket.
 func (m *Machine) meetsConstraints(s *step, w *worker) bool {
-	if !w.usable() || m.recorder.roster[w.id] == rosterAbsent || m.now.Before(w.health.avoidUntil) {
+	if !w.usable() || w.isolation.active() || m.recorder.roster[w.id] == rosterAbsent || m.now.Before(w.health.avoidUntil) {
 		return false
 	}
 	if s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -38,6 +38,9 @@
 	succeeded     map[endive.TaskID]bool
 	everSucceeded map[endive.TaskID]bool
 	failures      map[endive.TaskID]int
+	// crashes counts the workers that a task has crashed; startsAfter its starts after three.
+	crashes     map[endive.TaskID]int
+	startsAfter map[endive.TaskID]int
 	// successCount is the number of each task's runs that succeeded.
 	successCount map[endive.TaskID]int
 	violations   []string
@@ -87,6 +90,8 @@
 	durationFactor float64
 	// lapses is true if the lease of each run expires soon after its start.
 	lapses bool
+	// deadly is the id of the task that crashes each worker that starts it; empty for none.
+	deadly endive.TaskID
 }
 
 // timedEvent is a function that is called at a time.
@@ -159,7 +164,7 @@
 		t: t, random: rand.New(rand.NewSource(seed)), faults: f, start: start, now: start,
 		rows: make(map[string]endive.Row), workers: make(map[endive.WorkerID]*fakeWorker),
 		jobs: make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), everSucceeded: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int),
-		successCount: make(map[endive.TaskID]int),
+		successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
 	}
 }
 
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -127,6 +127,7 @@
 	}
 	m.sortWorkers()
 	m.abortIncompleteGangs()
+	m.settlePendingRuns()
 	m.logDecision(Decision{Kind: DecisionTenure, Outcome: "settled", Reason: formatInt(int64(len(m.sortedWorkers))) + " workers"})
 }
 
--- a/flow/unknownrun.go
+++ b/flow/unknownrun.go
@@ -14,6 +14,7 @@
 	}
 	r := m.addRun(w, t, report.Run, runRunning)
 	r.confirmedStep = m.stepCount
+	r.harmless = true
 	r.percent, r.firstPercent = report.Percent, report.Percent
 	t.checkpoint = report.Checkpoint
 	j := t.step.occ.job
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -24,6 +24,7 @@
 	waitsToRequest        waitReason = "it may not request advice yet"
 	waitsForEarlierHolder waitReason = "an earlier holder may have started it on a worker that doesn't answer"
 	waitsForMembers       waitReason = "its members don't all fit at the same time"
+	waitsForIsolation     waitReason = "it may crash its worker, and no worker can be kept from other starts for it yet"
 	waitsToRetry          waitReason = "its tasks may not start again yet"
 )
 
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -56,6 +56,9 @@
 	// rank; freeingSoon are those that runs will probably free soon.
 	reserved    endive.Resources
 	freeingSoon endive.Resources
+	isolation   isolation
+	// lossRecorded is true if the crash of the worker, or its silence, has been counted.
+	lossRecorded bool
 }
 
 // pollState is the state of the polls of a worker.
@@ -164,6 +167,12 @@
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "started anew", Reason: formatInt(int64(len(w.runs))) + " runs of the previous incarnation"})
 	// Such an order has a lease by the clock of the previous incarnation.
 	w.oldLeasesExpireAt = endive.Latest(w.leasesExpireAt(), m.now.Add(longestDuration(time.Duration(m.settings.MaxLeaseDuration))+clockErrorMargin+leaseMargin))
+	w.markSuspects()
+	if w.adopted && !w.hasSuspects() {
+		m.recordCrash(w, nil)
+	}
+	w.lossRecorded = false
+	w.isolation = isolation{}
 	w.info.StartTime = startTime
 	w.incarnations++
 	w.adopted, w.addressReused = false, false
