--- a/flow/crash.go
+++ b/flow/crash.go
@@ -48,6 +48,8 @@
 	pending endive.RunNumber
 	// pendingWorker is the worker of the pending run.
 	pendingWorker endive.WorkerID
+	// keptOn is the worker that is kept from other starts for the task; nil if none is.
+	keptOn *worker
 }
 
 // suspected reports whether the task may be the cause of a crash.
--- a/flow/isolation.go
+++ b/flow/isolation.go
@@ -18,8 +18,11 @@
 // none, it keeps a suitable worker from other starts, so that there soon is one. It also reports
 // whether the task has to wait for that, rather than for capacity or advice.
 func (m *Machine) chooseIsolated(s *step, t *task, suitable []*worker) (chosen *worker, waits bool) {
-	if w := m.keptWorker(t); w != nil {
-		return m.useKept(s, t, w)
+	if t.crashes.keptOn != nil {
+		return m.useKept(s, t, t.crashes.keptOn)
+	}
+	if len(suitable) > 0 && m.isolatedWorkers >= m.maxIsolated() {
+		return nil, true
 	}
 	var best *worker
 	for _, w := range suitable {
@@ -33,12 +36,10 @@
 	switch {
 	case best == nil:
 		return nil, false
-	case m.isolatedWorkers() >= m.maxIsolated():
-		return nil, true
 	case !best.hasSuspects():
 		return best, false
 	}
-	best.isolation.task, best.isolation.expiry = t, m.now.Add(isolationTimeout)
+	m.keepFor(t, best)
 	m.schedulePass(best.isolation.expiry)
 	return nil, true
 }
@@ -53,27 +54,33 @@
 	return cost
 }
 
-// keptWorker returns the worker that is kept for a task; nil if none is.
-func (m *Machine) keptWorker(t *task) *worker {
-	for _, w := range m.sortedWorkers {
-		if w.isolation.task == t {
-			return w
-		}
+// keepFor keeps a worker from other starts for a task.
+func (m *Machine) keepFor(t *task, w *worker) {
+	w.isolation.task, w.isolation.expiry = t, m.now.Add(isolationTimeout)
+	t.crashes.keptOn = w
+	m.isolatedWorkers++
+}
+
+// release lets other work start on a worker that is kept for a task.
+func (w *worker) release() {
+	if w.isolation.task != nil {
+		w.isolation.task.crashes.keptOn = nil
+		w.isolation.task = nil
 	}
-	return nil
 }
 
 // useKept returns the worker that is kept for a task if the task can start there alone now, and
 // whether it may wait for that.
 func (m *Machine) useKept(s *step, t *task, w *worker) (chosen *worker, waits bool) {
-	w.isolation.task = nil
+	kept := w.isolation
+	w.release()
 	switch {
 	case !m.fits(s, w):
 		return nil, false
 	case !w.hasSuspects():
 		return w, false
 	}
-	w.isolation.task = t
+	w.isolation, t.crashes.keptOn = kept, w
 	return nil, true
 }
 
@@ -81,6 +88,7 @@
 func (m *Machine) isolate(r *run) {
 	r.isolated = true
 	r.worker.isolation = isolation{run: r}
+	m.isolatedWorkers++
 	r.task.crashes.pending, r.task.crashes.pendingWorker = r.number, r.worker.id
 	m.markDirty(r.task.step.occ.job, rowUrgent)
 }
@@ -94,23 +102,17 @@
 	return max(1, int(share*float64(len(m.sortedWorkers))))
 }
 
-// isolatedWorkers counts the isolated workers.
-func (m *Machine) isolatedWorkers() int {
-	count := 0
-	for _, w := range m.sortedWorkers {
-		if w.isolation.active() {
-			count++
-		}
-	}
-	return count
-}
-
-// releaseIsolated lets other work start on the workers that are kept for tasks that no longer wait.
+// releaseIsolated lets other work start on the workers that are kept for tasks that no longer wait,
+// and counts the workers that stay isolated.
 func (m *Machine) releaseIsolated() {
+	m.isolatedWorkers = 0
 	for _, w := range m.sortedWorkers {
 		t := w.isolation.task
 		if t != nil && (t.run != nil || t.state != taskWaiting || t.step.occ.job.state.Ended() || !w.usable() || !m.now.Before(w.isolation.expiry)) {
-			w.isolation.task = nil
+			w.release()
+		}
+		if w.isolation.active() {
+			m.isolatedWorkers++
 		}
 	}
 }
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -80,6 +80,8 @@
 	waitLog        waitLog
 	// unexplainedCrashAt is when a worker last crashed without a suspect.
 	unexplainedCrashAt time.Time
+	// isolatedWorkers counts the isolated workers in the current scheduling pass.
+	isolatedWorkers int
 	// startCount counts the runs started in this epoch; run numbers are derived from it.
 	startCount int64
 }
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -172,7 +172,8 @@
 		m.recordCrash(w, nil)
 	}
 	w.lossRecorded = false
-	w.isolation = isolation{}
+	w.release()
+	w.isolation.run = nil
 	w.info.StartTime = startTime
 	w.incarnations++
 	w.adopted, w.addressReused = false, false
