flow: the search for a gang's workers counts the places first

Change: a search counts how many members fit on each worker and ends if they are too few; racks with too few places aren't tried; what a worker's runs will free is reckoned once a pass.

--- a/flow/gang.go
+++ b/flow/gang.go
@@ -1,7 +1,7 @@
 package flow
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"endiveroute.example/endive"
@@ -55,7 +55,12 @@
 // chooseGang returns a worker for each member, or nil if some member fits nowhere. Members
 // that are slow in different racks are placed in one rack if possible.
 func (m *Machine) chooseGang(s *step) []*worker {
-	return m.chooseGangAmong(s, func(w *worker) bool { return m.fits(s, w) })
+	return m.chooseGangAmong(s, func(w *worker) endive.Resources {
+		if !s.tickets.valid(w.id, m.now) && m.needsTicket(s) {
+			return endive.Resources{}
+		}
+		return w.free()
+	})
 }
 
 // eligibleWorkers returns the workers that are known to be eligible for a step; all workers
@@ -73,82 +78,108 @@
 	return workers
 }
 
-// chooseGangAmong returns a suitable worker for each member, or nil, like chooseGang.
-func (m *Machine) chooseGangAmong(s *step, suitable func(*worker) bool) []*worker {
-	candidates := m.eligibleWorkers(s)
+// gangPlace is a worker and how many members of a gang still fit there.
+type gangPlace struct {
+	worker *worker
+	places int
+}
+
+// chooseGangAmong returns a worker for each member, or nil, like chooseGang. capacity returns what
+// of a worker's capacity members may use.
+func (m *Machine) chooseGangAmong(s *step, capacity func(*worker) endive.Resources) []*worker {
+	places, total := m.gangPlaces(s, capacity)
+	if total < len(s.tasks) {
+		return nil
+	}
 	if s.spec.SameRack {
-		for _, rack := range m.racks() {
-			onRack := func(w *worker) bool { return w.info.HasLabel(rack) && suitable(w) }
-			if chosen := m.chooseMembers(s, candidates, onRack); chosen != nil {
-				return chosen
+		for _, rack := range racksOf(places) {
+			if onRack, total := placesOnRack(places, rack); total >= len(s.tasks) {
+				return m.chooseMembers(s, onRack)
 			}
 		}
 	}
-	return m.chooseMembers(s, candidates, suitable)
+	return m.chooseMembers(s, places)
+}
+
+// gangPlaces returns the workers on which members of a gang fit, and how many fit in total. In a
+// backlog most searches end here: many gangs wait, each for many workers.
+func (m *Machine) gangPlaces(s *step, capacity func(*worker) endive.Resources) ([]gangPlace, int) {
+	var places []gangPlace
+	total := 0
+	need := s.spec.Reserved()
+	for _, w := range m.eligibleWorkers(s) {
+		if !m.meetsConstraints(s, w) {
+			continue
+		}
+		if count := w.placesIn(s, need, capacity(w)); count > 0 {
+			places = append(places, gangPlace{worker: w, places: count})
+			total += count
+		}
+	}
+	return places, total
+}
+
+// placesOnRack returns the places on the workers with a rack's label, and how many members fit
+// there in total.
+func placesOnRack(places []gangPlace, rack endive.Label) ([]gangPlace, int) {
+	var onRack []gangPlace
+	total := 0
+	for _, place := range places {
+		if place.worker.info.HasLabel(rack) {
+			onRack = append(onRack, place)
+			total += place.places
+		}
+	}
+	return onRack, total
 }
 
-// chooseMembers returns a suitable candidate for each member, or nil if there are too few. It
+// racksOf returns all labels of the workers, sorted.
+func racksOf(places []gangPlace) []endive.Label {
+	var racks []endive.Label
+	for _, place := range places {
+		racks = append(racks, place.worker.info.Labels...)
+	}
+	slices.Sort(racks)
+	return slices.Compact(racks)
+}
+
+// chooseMembers returns the worker with the highest score for each member, one after the other. It
 // reserves capacity for the members while it chooses, and undoes that before it returns.
-func (m *Machine) chooseMembers(s *step, candidates []*worker, suitable func(*worker) bool) []*worker {
-	var chosen []*worker
+func (m *Machine) chooseMembers(s *step, places []gangPlace) []*worker {
+	chosen := make([]*worker, 0, len(s.tasks))
 	reservedBefore := make(map[*worker]endive.Resources)
 	for range s.tasks {
-		w := m.chooseMember(s, candidates, suitable)
-		if w == nil {
-			break
-		}
+		place := m.choosePlace(s, places)
+		place.places--
+		w := place.worker
 		if _, ok := reservedBefore[w]; !ok {
 			reservedBefore[w] = w.reserved
 		}
 		w.reserved = w.reserved.Add(s.spec.Reserved())
-		s.runsPerWorker[w.id]++
 		chosen = append(chosen, w)
 	}
 	for w, reserved := range reservedBefore {
 		w.reserved = reserved
 	}
-	for _, w := range chosen {
-		s.runsPerWorker[w.id]--
-		if s.runsPerWorker[w.id] == 0 {
-			delete(s.runsPerWorker, w.id)
-		}
-	}
-	if len(chosen) < len(s.tasks) {
-		return nil
-	}
 	return chosen
 }
 
-func (m *Machine) chooseMember(s *step, candidates []*worker, suitable func(*worker) bool) *worker {
-	var best *worker
+// choosePlace returns the place with the highest score for a member among those where one fits.
+func (m *Machine) choosePlace(s *step, places []gangPlace) *gangPlace {
+	var best *gangPlace
 	var bestScore float64
-	for _, w := range candidates {
-		if !suitable(w) {
+	for i := range places {
+		place := &places[i]
+		if place.places == 0 {
 			continue
 		}
-		if score := m.score(s, w); best == nil || score > bestScore {
-			best, bestScore = w, score
+		if score := m.score(s, place.worker); best == nil || score > bestScore {
+			best, bestScore = place, score
 		}
 	}
 	return best
 }
 
-// racks returns all labels of the workers, sorted.
-func (m *Machine) racks() []endive.Label {
-	seen := make(map[endive.Label]bool)
-	var racks []endive.Label
-	for _, w := range m.sortedWorkers {
-		for _, label := range w.info.Labels {
-			if !seen[label] {
-				seen[label] = true
-				racks = append(racks, label)
-			}
-		}
-	}
-	sort.Slice(racks, func(i, j int) bool { return racks[i] < racks[j] })
-	return racks
-}
-
 // checkGangMember stops a member that has started after its gang was aborted.
 func (m *Machine) checkGangMember(r *run) {
 	s := r.task.step
--- a/flow/gangreserve.go
+++ b/flow/gangreserve.go
@@ -71,7 +71,7 @@
 func (m *Machine) reserveGang(s *step) {
 	m.delayGangSearch(s)
 	s.gang.drainedWorkers = nil
-	s.gang.reservedWorkers = m.chooseGangAmong(s, func(w *worker) bool { return m.startableSoon(s, w) })
+	s.gang.reservedWorkers = m.chooseGangAmong(s, func(w *worker) endive.Resources { return m.capacitySoon(s, w) })
 	if s.gang.reservedWorkers == nil {
 		m.gangsWaiting = true
 		m.advice.shortOfCapacity = true
@@ -99,17 +99,28 @@
 	m.advice.freeCapacity = m.advice.freeCapacity.Sub(need.Times(int64(len(s.gang.reservedWorkers))))
 }
 
-// startableSoon reports whether a member can probably start on a worker as soon as a new
+// capacitySoon returns the capacity of a worker that is free or probably will be as soon as a new
 // ticket arrives.
-func (m *Machine) startableSoon(s *step, w *worker) bool {
-	if !m.meetsConstraints(s, w) {
-		return false
-	}
-	need, free := s.spec.Reserved(), w.free()
-	if need.Fits(free) {
-		return true
+func (m *Machine) capacitySoon(s *step, w *worker) endive.Resources {
+	return w.free().Add(m.freedBefore(w, m.now.Add(time.Duration(s.occ.job.policy.Advice.Base)+reserveHorizon)))
+}
+
+// freedBefore returns the capacity that runs on a worker will probably free before a time. It looks
+// at the runs once for all gangs with the same horizon in a scheduling pass; what starts in the
+// pass isn't about to end.
+func (m *Machine) freedBefore(w *worker, until time.Time) endive.Resources {
+	if w.freedSoon.step != m.stepCount || !w.freedSoon.until.Equal(until) {
+		w.freedSoon = freedCapacity{step: m.stepCount, until: until, resources: m.freedWithin(w, until.Sub(m.now))}
 	}
-	return need.Fits(free.Add(m.freedWithin(w, time.Duration(s.occ.job.policy.Advice.Base)+reserveHorizon)))
+	return w.freedSoon.resources
+}
+
+// freedCapacity is the capacity that runs on a worker will probably free until a time, as seen in a
+// step of the machine.
+type freedCapacity struct {
+	step      uint64
+	until     time.Time
+	resources endive.Resources
 }
 
 // fewEligible reports whether the known eligible workers could together run fewer than twice
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -56,6 +56,7 @@
 	// rank; freeingSoon are those that runs will probably free soon.
 	reserved    endive.Resources
 	freeingSoon endive.Resources
+	freedSoon   freedCapacity
 	isolation   isolation
 	// lossRecorded is true if the crash of the worker, or its silence, has been counted.
 	lossRecorded bool
