Crashes that an earlier holder had only begun to notice count: BUDGET over takeovers in series

What callers would see: a task that crashes its workers takes 7 to 15 of them down, if entries are stopped one after the other meanwhile, before its job is given up.

Cause: a crash counts once the holder knows that the worker is gone, about 4 s after the crash. A holder that stops before leaves nothing in the row, unless the run had been started alone; and of such a run the next holder counted nothing if the worker had restarted under the same id, was still listed at a reused address, or the task was started again before the takeover was settled. That crash passed for one without a suspect besides, and so delayed the decision by one more start.

Change: as soon as a worker stops answering, its suspects are recorded as pending, with the incarnation of the worker. Before such a task starts again, and when the takeover is settled, the next holder counts the crash if that incarnation is over. A run that is seen alive, ends or surely didn't start is pending no longer. A crash that a pending run explains isn't one without a suspect.

Evidence: TestCrashesCountAfterTakeoversInSeries (the holder is stopped 1.5 to 4.5 s after each crash) failed before in 11 of 13 cases with 'starts three times more after three workers have crashed under it', none now.

Open: a holder that stops before it has seen the worker fail at all still leaves no trace of a first start.

--- a/flow/crash.go
+++ b/flow/crash.go
@@ -44,10 +44,25 @@
 	// unrecorded is true if a crash isn't recorded yet. The task doesn't start before that, so that
 	// the crash counts after a takeover.
 	unrecorded bool
-	// pending is the isolated run whose worker hasn't been seen alive long enough; 0 for none.
-	pending endive.RunNumber
-	// pendingWorker is the worker of the pending run.
-	pendingWorker endive.WorkerID
+	pending    pendingRun
+}
+
+// pendingRun is a run that may turn out to have crashed its worker: it was started alone, or its
+// worker has stopped answering soon after the start. It is recorded, so that the crash counts if
+// the next holder finds the worker gone.
+type pendingRun struct {
+	// number is 0 for none.
+	number   endive.RunNumber
+	isolated bool
+	worker   endive.WorkerID
+	// workerStart is when the incarnation of the worker began, in milliseconds of Unix time.
+	workerStart int64
+}
+
+// endedWith reports whether the incarnation of the worker that had the run is over. w is that
+// worker; nil if it is gone.
+func (p pendingRun) endedWith(w *worker) bool {
+	return w == nil || !w.adopted || w.addressReused || p.workerStart > 0 && w.info.StartTime.UnixMilli() > p.workerStart
 }
 
 // suspected reports whether the task may be the cause of a crash.
@@ -61,12 +76,17 @@
 	if isolated && !slices.Contains(c.isolated, n) {
 		c.isolated = append(c.isolated, n)
 	}
-	if c.pending == n {
-		c.pending, c.pendingWorker = 0, ""
-	}
+	c.removePending(n)
 	c.unrecorded = true
 }
 
+// removePending removes a run that is no longer pending.
+func (c *crashes) removePending(n endive.RunNumber) {
+	if c.pending.number == n {
+		c.pending = pendingRun{}
+	}
+}
+
 // proven reports whether the crashes show that the task is their cause. othersCrash is true if
 // workers have also crashed without a suspect lately.
 func (c *crashes) proven(othersCrash bool) bool {
@@ -127,7 +147,7 @@
 // recordCrash counts the crash of a worker against the tasks of the suspects. Without suspects,
 // the worker has crashed for a reason of its own.
 func (m *Machine) recordCrash(w *worker, suspects []*run) {
-	if len(suspects) == 0 && !w.lossRecorded && !w.info.Draining {
+	if len(suspects) == 0 && !w.lossRecorded && !w.info.Draining && !m.hasPendingRun(w) {
 		m.unexplainedCrashAt = m.now
 	}
 	w.lossRecorded = true
@@ -164,24 +184,83 @@
 	m.markDirty(t.step.occ.job, rowLazy)
 }
 
+// setPending records that a run may turn out to have crashed its worker.
+func (m *Machine) setPending(r *run) {
+	c := &r.task.crashes
+	if c.pending.number == r.number {
+		return
+	}
+	c.pending = pendingRun{number: r.number, isolated: r.isolated, worker: r.worker.id, workerStart: r.worker.info.StartTime.UnixMilli()}
+	m.markDirty(r.task.step.occ.job, rowUrgent)
+}
+
+// removePending records that a run isn't pending any more.
+func (m *Machine) removePending(t *task, n endive.RunNumber) {
+	if n == 0 || t.crashes.pending.number != n {
+		return
+	}
+	t.crashes.removePending(n)
+	if j := t.step.occ.job; !j.state.Ended() {
+		m.markDirty(j, rowLazy)
+	}
+}
+
+// setSuspectsPending makes the suspects on a worker that has stopped answering pending.
+func (m *Machine) setSuspectsPending(w *worker) {
+	for _, r := range w.suspects() {
+		if r.task.run == r && r.task.state < taskSucceeded && !r.task.step.occ.job.state.Ended() {
+			m.setPending(r)
+		}
+	}
+}
+
+// hasPendingRun reports whether an earlier holder's run may have crashed the worker.
+func (m *Machine) hasPendingRun(w *worker) bool {
+	for _, t := range m.tasks {
+		if t.crashes.pending.number > 0 && t.crashes.pending.worker == w.id {
+			return true
+		}
+	}
+	return false
+}
+
+// clearPending removes the pending runs of a worker that has been seen alive long enough.
+func (m *Machine) clearPending(w *worker) {
+	for _, r := range w.runs {
+		if r.task != nil && !r.mayHaveCrashed() {
+			m.removePending(r.task, r.number)
+		}
+	}
+}
+
 // restoreCrashes applies the recorded crashes of a task.
 func (t *task) restoreCrashes(progress TaskProgress) {
-	t.crashes = crashes{
-		runs: progress.Crashed, isolated: progress.CrashedIsolated, pending: progress.PendingRun, pendingWorker: progress.PendingWorker,
+	t.crashes = crashes{runs: progress.Crashed, isolated: progress.CrashedIsolated, pending: pendingRun{
+		number: progress.PendingRun, isolated: !progress.PendingShared, worker: progress.PendingWorker, workerStart: progress.PendingWorkerStart,
+	}}
+}
+
+// settlePendingRun counts a crash under the pending run of an earlier holder if the run's worker
+// is gone or has restarted. It reports whether that is known.
+func (m *Machine) settlePendingRun(t *task) bool {
+	p := t.crashes.pending
+	if p.number == 0 || t.run != nil {
+		return true
 	}
+	w := m.workers[p.worker]
+	if w != nil && !w.adopted && !m.tenure.takeoverDone {
+		return false
+	}
+	if p.endedWith(w) {
+		m.recordTaskCrash(t, p.number, p.isolated)
+	}
+	m.removePending(t, p.number)
+	return true
 }
 
-// settlePendingRuns counts a crash under the isolated runs of earlier holders whose workers
-// are gone.
+// settlePendingRuns settles the pending runs of earlier holders.
 func (m *Machine) settlePendingRuns() {
 	for _, t := range m.tasks {
-		n := t.crashes.pending
-		if n == 0 || t.run != nil {
-			continue
-		}
-		if w := m.workers[t.crashes.pendingWorker]; w == nil || !w.adopted {
-			m.recordTaskCrash(t, n, true)
-		}
-		t.crashes.pending, t.crashes.pendingWorker = 0, ""
+		m.settlePendingRun(t)
 	}
 }
--- a/flow/crash_test.go
+++ b/flow/crash_test.go
@@ -105,6 +105,36 @@
 	}
 }
 
+// Each takeover of a series lost a crash that the earlier holder had only begun to notice.
+func TestCrashesCountAfterTakeoversInSeries(t *testing.T) {
+	for ms := 1500; ms <= 4500; ms += 250 {
+		t.Run(fmt.Sprint(ms), func(t *testing.T) {
+			w, h := newSimulationWithHolder(t, faults{}, 12)
+			deadly := w.submitDeadly("deadly", urgentQueue, stepOfTasks(4, 700*time.Millisecond))
+			for range 8 {
+				w.runToCrash("deadly.0.0.0")
+				w.run(w.now.Add(time.Duration(ms) * time.Millisecond).Sub(w.start))
+				h.kill()
+				h = w.startHolder()
+			}
+			w.run(w.now.Add(30 * time.Second).Sub(w.start))
+			w.checkViolations()
+			is.New(t).Equal(w.state(deadly), endive.WorkflowFailed)
+		})
+	}
+}
+
+// runToCrash runs until a task crashes the next worker, for 8 s at most.
+func (w *simulation) runToCrash(id endive.TaskID) {
+	before := w.crashes[id]
+	for range 800 {
+		if w.crashes[id] > before {
+			return
+		}
+		w.run(w.now.Add(10 * time.Millisecond).Sub(w.start))
+	}
+}
+
 // Workers that are killed from outside, alone, by rack or in a series, mustn't make any workflow fail.
 func TestKilledWorkersFailNoWorkflow(t *testing.T) {
 	for seed := range int64(40) {
--- a/flow/isolation.go
+++ b/flow/isolation.go
@@ -81,8 +81,7 @@
 func (m *Machine) isolate(r *run) {
 	r.isolated = true
 	r.worker.isolation = isolation{run: r}
-	r.task.crashes.pending, r.task.crashes.pendingWorker = r.number, r.worker.id
-	m.markDirty(r.task.step.occ.job, rowUrgent)
+	m.setPending(r)
 }
 
 // maxIsolated returns how many workers may be isolated at the same time.
--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -221,10 +221,13 @@
 
 // progress returns a task's progress to be recorded.
 func (t *task) progress() TaskProgress {
-	return TaskProgress{
+	p := TaskProgress{
 		Index: t.index, Failed: t.failedRuns, Checkpoint: t.checkpoint, Crashed: t.crashes.runs, CrashedIsolated: t.crashes.isolated,
-		PendingRun: t.crashes.pending, PendingWorker: t.crashes.pendingWorker,
 	}
+	if pending := t.crashes.pending; pending.number > 0 {
+		p.PendingRun, p.PendingShared, p.PendingWorker, p.PendingWorkerStart = pending.number, !pending.isolated, pending.worker, pending.workerStart
+	}
+	return p
 }
 
 // finishJob gives a job its final state and, unless it has succeeded, stops its runs.
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -57,6 +57,7 @@
 	m.checkLatency(w)
 	m.checkProgress(w)
 	m.updateIsolation(w)
+	m.clearPending(w)
 }
 
 // handlePollFailure schedules the next poll after a failed one, and handles a terminated worker
@@ -80,6 +81,7 @@
 	if w.failedPolls == 0 {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: reason + ", " + formatInt(int64(len(w.runs))) + " runs on the worker"})
 	}
+	m.setSuspectsPending(w)
 	w.failedPolls++
 	w.poll.nextAt = m.now.Add(pollRetryDelay * time.Duration(min(w.failedPolls, 6)))
 }
@@ -111,9 +113,7 @@
 		t.checkpoint = end.Checkpoint
 	}
 	t.lastRun = max(t.lastRun, end.Run)
-	if t.crashes.pending == end.Run {
-		t.crashes.pending, t.crashes.pendingWorker = 0, ""
-	}
+	m.removePending(t, end.Run)
 	j := t.step.occ.job
 	m.logDecision(Decision{Kind: DecisionEnd, Job: j.id, Task: t.id, Run: end.Run, Worker: w.id, Outcome: string(end.Kind), Reason: m.endReason(r, current)})
 	switch end.Kind {
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -211,10 +211,13 @@
 	// that had been started alone.
 	Crashed         []endive.RunNumber `json:"crashed,omitempty"`
 	CrashedIsolated []endive.RunNumber `json:"crashedIsolated,omitempty"`
-	// PendingRun is a run that was started alone on PendingWorker, which hasn't been seen alive
-	// long enough yet.
-	PendingRun    endive.RunNumber `json:"pendingRun,omitempty"`
-	PendingWorker endive.WorkerID  `json:"pendingWorker,omitempty"`
+	// PendingRun is a run on PendingWorker, which hasn't been seen alive long enough after its
+	// start. PendingShared is true if it wasn't started alone. PendingWorkerStart is when the
+	// incarnation of the worker began, in milliseconds of Unix time.
+	PendingRun         endive.RunNumber `json:"pendingRun,omitempty"`
+	PendingShared      bool             `json:"pendingShared,omitempty"`
+	PendingWorker      endive.WorkerID  `json:"pendingWorker,omitempty"`
+	PendingWorkerStart int64            `json:"pendingWorkerStart,omitempty"`
 }
 
 // empty reports whether nothing has to be recorded of the task.
--- a/flow/run.go
+++ b/flow/run.go
@@ -136,6 +136,7 @@
 	if t.step.runsPerWorker[w.id] == 0 {
 		delete(t.step.runsPerWorker, w.id)
 	}
+	m.removePending(t, r.number)
 	if t.run != r {
 		return
 	}
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -198,7 +198,10 @@
 		m.schedulePass(t.notBefore)
 		return false
 	}
-	return !m.mayRunOnSilentWorker(t)
+	if m.mayRunOnSilentWorker(t) || !m.settlePendingRun(t) {
+		return false
+	}
+	return !t.crashes.unrecorded && !t.step.occ.job.state.Ended()
 }
 
 // chooseWorkerFor returns the worker on which a task is to start, or nil. isolating is true if the
