A suspected task starts again elsewhere: a worker that flaps made harmless workflows fail

What callers would see: jobs shown as failed ('crashes its workers') that crash nothing, where one worker crashes again and again shortly after its start, for a reason of its own.

Cause: for an isolated start the worker with the fewest runs is taken. That is the worker that has just come back, so the task met the same worker each time, and three crashes of one worker proved it guilty. avoidWorker wasn't set by a crash and counted for one run only.

Change: the address of the last crash is kept (a restarted worker may have another id, but has the same address), and workers there come last for an isolated start.

Evidence: TestFlappingWorkerFailsNoWorkflow (one of 6 workers crashes 50 to 600 ms after each start) failed before with one to three of 100 harmless jobs failed, from 100 to 500 ms; none now.

Open: where no other worker may run the task, three crashes of the one worker still fail it.

--- a/flow/crash.go
+++ b/flow/crash.go
@@ -45,6 +45,9 @@
 	// the crash counts after a takeover.
 	unrecorded bool
 	pending    pendingRun
+	// address is where the last crash happened in this tenure. A worker that restarts keeps its
+	// address, with the same id or another.
+	address endive.Address
 }
 
 // pendingRun is a run that may turn out to have crashed its worker: it was started alone, or its
@@ -153,6 +156,7 @@
 	w.lossRecorded = true
 	for _, r := range suspects {
 		m.recordTaskCrash(r.task, r.number, r.isolated)
+		r.task.crashes.address = w.info.Address
 	}
 }
 
--- a/flow/crash_test.go
+++ b/flow/crash_test.go
@@ -160,6 +160,36 @@
 	}
 }
 
+// A worker that crashes again and again soon after its start, for a reason of its own, made tasks
+// fail that had been started again on the same worker.
+func TestFlappingWorkerFailsNoWorkflow(t *testing.T) {
+	for ms := 50; ms <= 600; ms += 50 {
+		t.Run(fmt.Sprint(ms), func(t *testing.T) {
+			w, _ := newSimulationWithHolder(t, faults{}, 6)
+			w.flap("w0", time.Duration(ms)*time.Millisecond)
+			ids := w.submitHarmless("harmless", 100)
+			w.run(w.now.Add(30 * time.Second).Sub(w.start))
+			w.checkHarmless(ids)
+			w.checkNoneFailed()
+		})
+	}
+}
+
+// flap crashes a worker each time that it has been up for the given duration.
+func (w *simulation) flap(id endive.WorkerID, up time.Duration) {
+	const down = 2 * time.Second
+	worker := w.workers[id]
+	w.after(up, func() {
+		worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+		worker.terminated = true
+		w.after(down, func() {
+			worker.terminated = false
+			worker.restart()
+			w.flap(id, up)
+		})
+	})
+}
+
 // checkNoneFailed fails the test if a holder has given a job up.
 func (w *simulation) checkNoneFailed() {
 	w.t.Helper()
--- a/flow/isolation.go
+++ b/flow/isolation.go
@@ -43,13 +43,20 @@
 	return nil, true
 }
 
+// sameAddressCost is more than the number of runs on any worker.
+const sameAddressCost = 1 << 20
+
 // isolationCost orders workers for an isolated start: as few other runs as possible should be lost
-// with the worker, and none should be a suspect beside the isolated one.
+// with the worker, and none should be a suspect beside the isolated one. A worker that crashes for
+// a reason of its own has few runs whenever it is back, so the task starts elsewhere if it can.
 func (w *worker) isolationCost(t *task) int {
 	cost := len(w.runs)
 	if w.hasSuspects() || w.id == t.avoidWorker {
 		cost++
 	}
+	if w.info.Address == t.crashes.address {
+		cost += sameAddressCost
+	}
 	return cost
 }
 
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -241,6 +241,7 @@
 			m.removeRun(r)
 			if r.suspect && r.task != nil {
 				m.recordTaskCrash(r.task, r.number, r.isolated)
+				r.task.crashes.address = w.info.Address
 			}
 			if r.task != nil {
 				m.abortGang(r.task.step, "a member of the gang is absent")
