Tasks whose runs end at once pause before they start again: work behind long-running tasks never started

Long-running work and work with a schedule is always on time, so it goes before late work, in a fixed order, and has no limit of attempts. Only too-late work takes turns. Without a pause between runs the same tasks took the capacity in each pass.

--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -171,6 +171,13 @@
 	}
 	duration := time.Duration(spec.Estimate)
 	if spec.LongRunning {
+		if job.longRunningEnd != "" {
+			w.after(100*time.Millisecond, func() {
+				if !run.ended {
+					f.end(run, job.longRunningEnd)
+				}
+			})
+		}
 		return
 	}
 	kind := endive.EndSucceeded
--- a/flow/job.go
+++ b/flow/job.go
@@ -113,6 +113,8 @@
 	savedPercent int
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
+	// shortRuns counts the runs in a row that ended soon after their start without a result.
+	shortRuns int
 	// avoidWorker is the worker on which the last run failed, was refused or was too slow.
 	avoidWorker endive.WorkerID
 	// restartedElsewhere is true if a run of the task was stopped because it was slow.
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -136,6 +136,7 @@
 	case endive.EndGangIncomplete, endive.EndGangBroken, endive.EndLeaseExpired, endive.EndStopped:
 	}
 	if current {
+		m.delayRestart(r, end.Kind)
 		m.removeRun(r)
 	}
 	if t.state >= taskSucceeded && t.run != nil {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -90,6 +90,9 @@
 	durationFactor float64
 	// lapses is true if the lease of each run expires soon after its start.
 	lapses bool
+	// longRunningEnd is how each run of a long-running task ends soon after its start; empty if it
+	// doesn't.
+	longRunningEnd endive.EndKind
 	// deadly is the id of the task that crashes each worker that starts it; empty for none.
 	deadly endive.TaskID
 }
--- a/flow/starvation_test.go
+++ b/flow/starvation_test.go
@@ -48,3 +48,38 @@
 		})
 	}
 }
+
+// Work of a lower precedence waited for ever while long-running tasks were started again and again.
+func TestRestartedLongRunningWorkStarvesWaitingWork(t *testing.T) {
+	task := stepOfTasks(1, 700*time.Millisecond)
+	task.Need.Processors = 16000
+	longRunning := task
+	longRunning.LongRunning = true
+	tests := []struct {
+		name  string
+		end   endive.EndKind
+		queue endive.Queue
+		step  endive.Step
+	}{
+		{"leases expire, urgent task waits", endive.EndLeaseExpired, urgentQueue, task},
+		{"runs fail, urgent task waits", endive.EndFailed, urgentQueue, task},
+		{"runs fail, task of a lower rank waits", endive.EndFailed, adviceQueue, task},
+		{"runs fail, long-running task waits", endive.EndFailed, urgentQueue, longRunning},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w, _ := newSimulationWithHolder(t, faults{}, 3)
+			w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 1}
+			for i := range 6 {
+				id := w.submit(fmt.Sprintf("restarted%d", i), urgentQueue, longRunning)
+				w.jobs[id].longRunningEnd = tt.end
+			}
+			w.run(5 * time.Second)
+			id := w.submit("waiting", tt.queue, tt.step)
+			w.run(30 * time.Second)
+			if w.state(id) == endive.WorkflowQueued {
+				t.Error("the waiting job hasn't started")
+			}
+		})
+	}
+}
