A request that crashes each executor that gets it is given up after three

What callers would see: one request takes down every executor of its service, one after the other.

Nothing counted the broken attempts of the request itself.

Change: a request is answered as unknown once the connections of three attempts at it broke before their deadline. Silence, truncated answers and requests that weren't run don't count.

Evidence: TestDeadlyRequestIsGivenUp failed before (12 crashes of 12 executors, want 3).

Open: another client's identical request is a new one, and counts anew; a copy sent as the probe of an ejected executor may be the third or fourth.

--- a/route/execution.go
+++ b/route/execution.go
@@ -31,6 +31,9 @@
 	tried []*executor
 	// mayHaveRun is set once an attempt has ended other than with NotRun.
 	mayHaveRun bool
+	// broken counts the attempts whose connection broke before their deadline, as it does if the
+	// executor crashes.
+	broken int
 	// lostAttempt is the attempt that isLost has found to be lost, or nil.
 	lostAttempt *attempt
 	// hedged is set once a second attempt was queued while the first one still
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -217,3 +217,27 @@
 	is.Equal(len(w.machine.clients), 2+3)   // running and queued
 	is.True(w.requests["r5"].answer != nil) // refused
 }
+
+// A request that crashes each executor that gets it was sent to one executor after the other,
+// beside enough other requests for the retry budget to last.
+func TestDeadlyRequestIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(12, endive.Service{Slots: 4}, t.Fatalf)
+	const deadly = endive.RequestID("r0")
+	w.sendRequests(1, false)
+	crashes := 0
+	for range 60 {
+		w.sendRequests(20, false)
+		for _, id := range w.attemptsInFlight() {
+			if w.inFlight[id].call.Request == deadly {
+				crashes++
+				w.reply(id, endive.Unknown, 0)
+				continue
+			}
+			w.reply(id, endive.Answered, http.StatusOK)
+		}
+		w.advance(10 * time.Millisecond)
+	}
+	is.Equal(crashes, maxBrokenAttempts)
+	is.Equal(w.requests[deadly].answer.Outcome, endive.Unknown)
+}
--- a/route/results.go
+++ b/route/results.go
@@ -73,6 +73,9 @@
 		e.mayHaveRun = true
 	case reply.Outcome == endive.Unknown:
 		e.mayHaveRun = true
+		if now.Before(a.deadline) && !reply.Ended {
+			e.broken++
+		}
 	}
 	if len(e.attempts) > 0 {
 		return
@@ -80,11 +83,18 @@
 	m.retry(now, e, a, reply)
 }
 
+// maxBrokenAttempts is the number of attempts at a request whose connections break until it is
+// given up: it may be what crashes the executors.
+const maxBrokenAttempts = 3
+
 // retry puts an unanswered execution back into the queue, or fails it if it
 // must not be retried.
 func (m *Machine) retry(now time.Time, e *execution, a *attempt, reply endive.Reply) {
 	reason := fmt.Sprintf("attempt on %s: %s %s", a.executor.id, reply.Outcome, reply.Reason)
 	switch {
+	case e.broken >= maxBrokenAttempts:
+		m.failExecution(e, reason+"; the connections of "+fmt.Sprint(e.broken)+" attempts broke", now)
+		return
 	case e.index >= 0:
 		// A hedged attempt is queued already.
 		return
