The starvation test fills the pool although restarts pause

Since tasks pause before they start again, six of them left capacity and the test passed without the order that it guards. With 90 it fails in all three cases when too-late work doesn't take turns, and passes with it.

--- a/flow/starvation_test.go
+++ b/flow/starvation_test.go
@@ -37,7 +37,8 @@
 			is := is.New(t)
 			w, _ := newSimulationWithHolder(t, faults{}, 3)
 			w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 1, gangQueue.Name: 1}
-			for i := range 6 {
+			// So many that they fill the pool although each pauses before it starts again.
+			for i := range 90 {
 				w.submitLapsing(fmt.Sprintf("lapsing%d", i), urgentQueue, task)
 			}
 			id := w.submitLapsing("waiting", tt.queue, tt.step)
