A task on a silent worker that has shrunk started again after a takeover

What callers would see: a task ran twice at the same time, or again after its success, if its worker had become smaller than the task since its start, was silent, and the pool changed its holder. An account could also exceed its cap by what ran on such a worker.

Cause: a new holder takes what doesn't fit a silent worker's current capacity as not running there. The run was started under an earlier, larger capacity.

The tests of single cases failed with "large.0.0.0 runs on w1 and w0" and "brings account a to 30.0 processors of 20.0 processors".

The roster now has the largest capacity that a worker has had, and nothing is started under a larger one until that is stored. So whatever runs on a worker fits into what the next holder reads, by the store or by a hand-over. Without the second half the case "grown and shrunk" fails. A roster row of an earlier version has the capacity as of its first write; for it the larger of that and the listed capacity counts, as before.

--- /dev/null
+++ b/flow/capacity.go
@@ -0,0 +1,24 @@
+package flow
+
+import "endiveroute.example/endive"
+
+// A worker's capacity may shrink and grow again while tasks run there. The current capacity, as
+// the platform lists it, decides what starts. What may already run on a worker that doesn't
+// answer is limited by the largest capacity under which anything was started there. The roster
+// has it, so that the next holder knows it too.
+
+// setInfo applies the platform's entry of the worker.
+func (w *worker) setInfo(info endive.FleetWorker) {
+	w.info = info
+	w.largestCapacity = w.largestCapacity.Max(info.Capacity)
+}
+
+// mayHaveRun reports whether an earlier holder may have started a task of a step on the worker.
+func (w *worker) mayHaveRun(s *step) bool { return w.couldRunIn(s, w.largestCapacity) }
+
+// rosterAllowsStarts reports whether the stored roster has the worker with its current capacity or
+// a larger one, so that the next holder will know what may run there.
+func (m *Machine) rosterAllowsStarts(w *worker) bool {
+	record := m.recorder.roster[w.id]
+	return record.status != rosterAbsent && w.info.Capacity.Fits(record.capacity)
+}
--- /dev/null
+++ b/flow/capacity_test.go
@@ -0,0 +1,90 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// largeTask returns a step with one task that needs half of a worker.
+func largeTask(duration time.Duration) endive.Step {
+	large := stepOfTasks(1, duration)
+	large.Need.Processors = 8000
+	return large
+}
+
+// resize changes a worker's capacity and reports it at once.
+func (f *fakeWorker) resize(capacity endive.Resources) {
+	f.capacities = append(f.capacities, capacityPeriod{from: f.sim.now, capacity: capacity})
+	f.reportCapacity()
+}
+
+// smallCapacity is less than a large task needs.
+var smallCapacity = endive.Resources{Processors: 4000, Memory: 16 * endive.GiB, Accelerators: 1}
+
+// A worker with a large task shrinks, and becomes silent before another holder takes over. The task
+// must not start elsewhere while it may still run there, though the worker is too small for it now.
+func TestTaskOnShrunkWorkerStartsTwiceAfterTakeover(t *testing.T) {
+	tests := []struct {
+		name  string
+		first endive.Resources
+	}{
+		{"shrunk", testCapacity},
+		{"grown and shrunk", smallCapacity},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1, faults{})
+			worker := w.addWorker("w0", tt.first)
+			h := w.startHolder()
+			w.run(time.Second)
+			worker.resize(testCapacity)
+			w.submit("large", urgentQueue, largeTask(6*time.Second))
+			w.run(2 * time.Second)
+			is.Equal(w.runningTasks("large"), 1)
+			worker.resize(smallCapacity)
+			w.run(2100 * time.Millisecond)
+			h.kill()
+			worker.unreachable = true
+			w.addWorker("w1", testCapacity)
+			w.startHolder()
+			w.run(4 * time.Second)
+			w.checkViolations()
+			is.Equal(w.runningTasks("large"), 1)
+			w.run(20 * time.Second)
+			w.checkViolations()
+			is.Equal(w.state("large"), endive.WorkflowSucceeded)
+		})
+	}
+}
+
+// A worker shrinks and becomes silent before another holder takes over. What an account may still
+// run there counts against its cap, also what exceeds the worker's current capacity.
+func TestTasksOnShrunkWorkerMissingFromCap(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.accounts = faultAccounts()
+	worker := w.addWorker("w0", testCapacity)
+	h := w.startHolder()
+	w.run(time.Second)
+	w.submitFor("a", "first", urgentQueue, stepOfTasks(5, 6*time.Second))
+	w.run(2 * time.Second)
+	is.Equal(w.runningTasks("first"), 5)
+	worker.resize(endive.Resources{Processors: 3000, Memory: endive.GiB})
+	w.run(2100 * time.Millisecond)
+	h.kill()
+	worker.unreachable = true
+	w.addWorker("w1", testCapacity)
+	w.addWorker("w2", testCapacity)
+	w.startHolder()
+	w.run(2200 * time.Millisecond)
+	w.submitFor("a", "second", urgentQueue, stepOfTasks(6, time.Second))
+	w.run(20 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state("first"), endive.WorkflowSucceeded)
+	is.Equal(w.state("second"), endive.WorkflowSucceeded)
+}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -12,6 +12,9 @@
 	sim  *simulation
 	id   endive.WorkerID
 	info endive.FleetWorker
+	// capacities are the capacities that the worker has had, in the order of time. The last one
+	// is reported in info with a delay.
+	capacities []capacityPeriod
 	// startTime is when this incarnation began. incarnation is the number of the incarnation.
 	startTime   time.Time
 	incarnation int
@@ -20,8 +23,10 @@
 	// unreachableFrom is the first epoch whose holder can't reach the worker; 0 if all
 	// holders can.
 	unreachableFrom endive.Epoch
-	// executesLateOrder is true while the worker carries out an order that was delivered late.
+	// executesLateOrder is true while the worker carries out an order that was delivered late, and
+	// orderSentAt is when that order was sent.
 	executesLateOrder bool
+	orderSentAt       time.Time
 	// terminated is true if the worker's process has ended: its address refuses connections.
 	terminated bool
 	// poweredOff is true if the worker's machine is off: connections to it time out.
@@ -71,6 +76,9 @@
 	f.runs = make(map[endive.TaskID]*fakeRun)
 	f.stoppedRuns = make(map[endive.TaskID]endive.RunNumber)
 	f.ends, f.pendingPolls = nil, nil
+	if len(f.capacities) == 0 || f.capacity() != capacity {
+		f.capacities = []capacityPeriod{{from: f.sim.now, capacity: capacity}}
+	}
 	f.info = endive.FleetWorker{
 		ID: f.id, StartTime: f.startTime, Pool: testPool, Address: endive.Address(f.id), Capacity: capacity, Labels: labels,
 	}
@@ -78,7 +86,7 @@
 
 // restart kills the worker and starts it again at once under the same id, without its state.
 func (f *fakeWorker) restart() {
-	f.startIncarnation(f.info.Capacity, f.info.Labels)
+	f.startIncarnation(f.capacity(), f.info.Labels)
 	f.sim.publishWorkers()
 }
 
@@ -266,7 +274,7 @@
 
 // terminate ends the worker's process. Its runs end without a report.
 func (f *fakeWorker) terminate() {
-	f.startIncarnation(f.info.Capacity, f.info.Labels)
+	f.startIncarnation(f.capacity(), f.info.Labels)
 	f.terminated, f.unlisted = true, true
 	f.sim.publishWorkers()
 }
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -58,7 +58,10 @@
 //	          then become unlisted, together with its runs
 var regressionSeeds = []int64{125, 213, 2364, 208, 434, 652, 1462, 1870, 940, 1960, 2761}
 
-func runFaults(t *testing.T, seed int64) {
+func runFaults(t *testing.T, seed int64) { playFaults(newSimulation(t, seed, faultsOf(seed))) }
+
+// faultsOf returns the probabilities of faults for a seed.
+func faultsOf(seed int64) faults {
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
 	}
@@ -67,7 +70,12 @@
 		// With even seeds many tasks fail, so that some reach MaxAttempts.
 		f.failedTask = 0.3
 	}
-	w := newSimulation(t, seed, f)
+	return f
+}
+
+// playFaults runs 24 workflows while faults are injected, and checks that no invariant is violated
+// and that all work ends after the faults.
+func playFaults(w *simulation) {
 	w.trace = *followTasks
 	w.accounts = faultAccounts()
 	w.addWorkers(6)
@@ -90,7 +98,7 @@
 	w.checkViolations()
 	for _, id := range ids {
 		if state := w.state(id); !state.Ended() && !w.jobs[id].workflow.Steps[0].LongRunning {
-			t.Errorf("workflow %s has not ended: its state is %s", id, state)
+			w.t.Errorf("workflow %s has not ended: its state is %s", id, state)
 		}
 	}
 }
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -31,9 +31,12 @@
 	}
 }
 
+// testCapacity is the capacity of the workers that addWorkers adds.
+var testCapacity = endive.Resources{Processors: 16000, Memory: 64 * endive.GiB, Accelerators: 4}
+
 func (w *simulation) addWorkers(n int) {
 	for i := range n {
-		w.addWorker(fmt.Sprintf("w%d", i), endive.Resources{Processors: 16000, Memory: 64 * endive.GiB, Accelerators: 4}, endive.Label(fmt.Sprintf("rack%d", i/3)))
+		w.addWorker(fmt.Sprintf("w%d", i), testCapacity, endive.Label(fmt.Sprintf("rack%d", i/3)))
 	}
 }
 
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -82,10 +82,10 @@
 // recordedRoster returns the roster as it is stored.
 func (m *Machine) recordedRoster() []RosterWorker {
 	roster := make([]RosterWorker, 0, len(m.recorder.roster))
-	for id, status := range m.recorder.roster {
-		entry := RosterWorker{ID: id, Draining: status == rosterDraining, Terminated: true}
+	for id, record := range m.recorder.roster {
+		entry := RosterWorker{ID: id, Draining: record.status == rosterDraining, Terminated: true}
 		if w := m.workers[id]; w != nil {
-			entry = w.rosterEntry(status)
+			entry = w.rosterEntry(record)
 		}
 		roster = append(roster, entry)
 	}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -94,10 +94,10 @@
 	case w.chance(w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 		// A late order doesn't reach the worker's next incarnation.
-		incarnation := worker.incarnation
+		incarnation, sentAt := worker.incarnation, w.now
 		w.after(2*time.Second+time.Duration(w.random.Int63n(int64(8*time.Second))), func() {
 			if worker.incarnation == incarnation {
-				worker.executesLateOrder = true
+				worker.executesLateOrder, worker.orderSentAt = true, sentAt
 				execute(worker)
 				worker.executesLateOrder = false
 			}
--- a/flow/invariants_test.go
+++ b/flow/invariants_test.go
@@ -14,8 +14,12 @@
 	for _, r := range f.runs {
 		used = used.Add(r.need)
 	}
-	if !used.Fits(f.info.Capacity) {
-		w.addViolation("capacity: %s uses %v of %v", f.id, used, f.info.Capacity)
+	decidedAt := w.now
+	if f.executesLateOrder {
+		decidedAt = f.orderSentAt
+	}
+	if !f.hasCapacityFor(used, decidedAt.Add(-capacityAllowance)) {
+		w.addViolation("capacity: %s uses %v of %v after the start of %s", f.id, used, f.capacity(), order.Task)
 	}
 	for _, other := range w.workers {
 		if other != f && other.runs[order.Task] != nil && !spec.Speculative {
--- a/flow/quotatakeover.go
+++ b/flow/quotatakeover.go
@@ -25,7 +25,7 @@
 		}
 		for _, occ := range j.occurrences {
 			for _, s := range occ.steps {
-				if s.waiting > 0 && couldRunOnAny(s, silent) {
+				if s.waiting > 0 && mayHaveRunOnAny(s, silent) {
 					use := m.quotas.use(j.account)
 					use.unrecorded = use.unrecorded.Add(s.spec.Reserved().Times(int64(s.waiting))).Min(capacity)
 					use.possible = use.possible.Add(s.beyondCapacity())
@@ -56,20 +56,21 @@
 }
 
 // silentWorkers returns the workers that haven't answered in this tenure and whose tasks aren't
-// known, and their capacity, which limits what an earlier holder can have started there.
+// known, and their largest capacity, which limits what an earlier holder can have started there.
 func (m *Machine) silentWorkers() (silent []*worker, capacity endive.Resources) {
 	for _, w := range m.sortedWorkers {
 		if !w.adopted && w.recordedTasks == nil {
 			silent = append(silent, w)
-			capacity = capacity.Add(w.info.Capacity)
+			capacity = capacity.Add(w.largestCapacity)
 		}
 	}
 	return silent, capacity
 }
 
-func couldRunOnAny(s *step, workers []*worker) bool {
+// mayHaveRunOnAny reports whether an earlier holder may have started a task of a step on a worker.
+func mayHaveRunOnAny(s *step, workers []*worker) bool {
 	for _, w := range workers {
-		if w.couldRun(s) {
+		if w.mayHaveRun(s) {
 			return true
 		}
 	}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -13,7 +13,7 @@
 	fence        Fence
 	fenceVersion endive.Version
 	// roster is the stored roster: the workers that may have runs.
-	roster map[endive.WorkerID]rosterStatus
+	roster map[endive.WorkerID]rosterRecord
 
 	// dirty are the jobs whose rows have to be written; urgent is true if the status of one
 	// of these rows is rowUrgent.
@@ -49,7 +49,7 @@
 	writeID endive.WriteID
 	ends    []listedEnd
 	jobs    []*job
-	roster  map[endive.WorkerID]rosterStatus
+	roster  map[endive.WorkerID]rosterRecord
 	// states are the values of the jobs' rows.
 	states   map[*job][]byte
 	archived int
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -15,25 +15,41 @@
 	rosterDraining
 )
 
-// status returns the status that a stored row gives.
-func (r RosterWorker) status() rosterStatus {
+// rosterRecord is what the stored roster says of a worker.
+type rosterRecord struct {
+	status rosterStatus
+	// capacity is the largest capacity under which anything may be started on the worker.
+	capacity endive.Resources
+}
+
+// covers reports whether the record still applies to a worker.
+func (r rosterRecord) covers(w *worker) bool {
+	return r.status >= w.rosterStatus() && w.info.Capacity.Fits(r.capacity)
+}
+
+// record returns what a stored row says of the worker.
+func (r RosterWorker) record() rosterRecord {
 	if r.Draining {
-		return rosterDraining
+		return rosterRecord{status: rosterDraining, capacity: r.Capacity}
 	}
-	return rosterPresent
+	return rosterRecord{status: rosterPresent, capacity: r.Capacity}
 }
 
-// rosterEntry returns the worker's entry in a roster in which it has the given status.
-func (w *worker) rosterEntry(status rosterStatus) RosterWorker {
-	entry := RosterWorker{ID: w.id, Address: w.info.Address, Capacity: w.info.Capacity, Draining: status == rosterDraining}
+// rosterEntry returns the worker's entry in a roster in which it has the given record.
+func (w *worker) rosterEntry(record rosterRecord) RosterWorker {
+	entry := RosterWorker{ID: w.id, Address: w.info.Address, Capacity: record.capacity, Draining: record.status == rosterDraining}
 	entry.Tasks, entry.TasksKnown = w.tasksToRecord()
 	return entry
 }
 
-// restoreTasks sets the tasks that may run on a worker according to the roster. w is nil if the
-// worker is known to have terminated.
-func (w *worker) restoreTasks(r RosterWorker) {
-	if w == nil || !r.Draining || !r.TasksKnown {
+// restore sets what may run on a worker according to the roster. w is nil if the worker is known to
+// have terminated.
+func (w *worker) restore(r RosterWorker) {
+	if w == nil {
+		return
+	}
+	w.largestCapacity = w.largestCapacity.Max(r.Capacity)
+	if !r.Draining || !r.TasksKnown {
 		return
 	}
 	w.recordedTasks = make(map[endive.TaskID]bool, len(r.Tasks))
@@ -45,7 +61,7 @@
 // forgetDraining makes the roster's row of a worker be written again before anything is started
 // there: while the row says that the worker is draining, it lists all tasks that may run there.
 func (m *Machine) forgetDraining(w *worker) {
-	if m.recorder.roster[w.id] == rosterDraining {
+	if m.recorder.roster[w.id].status == rosterDraining {
 		delete(m.recorder.roster, w.id)
 		m.recorder.rosterStale = true
 	}
@@ -59,14 +75,14 @@
 	return rosterPresent
 }
 
-// rosterIncomplete reports whether the stored roster lacks a listed worker, or lacks the mark
-// that a worker is draining.
+// rosterIncomplete reports whether the stored roster lacks a listed worker, the mark that a worker
+// is draining, or the capacity of a worker that has grown.
 func (m *Machine) rosterIncomplete() bool {
 	if !m.recorder.rosterStale {
 		return false
 	}
 	for _, w := range m.sortedWorkers {
-		if w.listed && m.recorder.roster[w.id] < w.rosterStatus() {
+		if w.listed && !m.recorder.roster[w.id].covers(w) {
 			return true
 		}
 	}
@@ -81,10 +97,11 @@
 }
 
 // newRoster returns the roster to be stored: all workers that may have runs.
-func (m *Machine) newRoster() map[endive.WorkerID]rosterStatus {
-	roster := make(map[endive.WorkerID]rosterStatus, len(m.workers))
+func (m *Machine) newRoster() map[endive.WorkerID]rosterRecord {
+	roster := make(map[endive.WorkerID]rosterRecord, len(m.workers))
 	for id, w := range m.workers {
-		roster[id] = max(m.recorder.roster[id], w.rosterStatus())
+		stored := m.recorder.roster[id]
+		roster[id] = rosterRecord{status: max(stored.status, w.rosterStatus()), capacity: stored.capacity.Max(w.largestCapacity)}
 	}
 	return roster
 }
@@ -99,11 +116,11 @@
 }
 
 // rosterWrites returns the writes of the rows in which a roster differs from the stored one.
-func (m *Machine) rosterWrites(roster map[endive.WorkerID]rosterStatus) []endive.Write {
+func (m *Machine) rosterWrites(roster map[endive.WorkerID]rosterRecord) []endive.Write {
 	var rows [rosterPartitions]Roster
-	for id, status := range roster {
+	for id, record := range roster {
 		partition := &rows[rosterPartition(id)]
-		partition.Workers = append(partition.Workers, m.workers[id].rosterEntry(status))
+		partition.Workers = append(partition.Workers, m.workers[id].rosterEntry(record))
 	}
 	changed := differingPartitions(m.recorder.roster, roster)
 	var writes []endive.Write
@@ -119,15 +136,15 @@
 }
 
 // differingPartitions returns, for each roster row, whether two rosters differ in it.
-func differingPartitions(a, b map[endive.WorkerID]rosterStatus) [rosterPartitions]bool {
+func differingPartitions(a, b map[endive.WorkerID]rosterRecord) [rosterPartitions]bool {
 	var differ [rosterPartitions]bool
-	for id, status := range a {
-		if b[id] != status {
+	for id, record := range a {
+		if b[id] != record {
 			differ[rosterPartition(id)] = true
 		}
 	}
-	for id, status := range b {
-		if a[id] != status {
+	for id, record := range b {
+		if a[id] != record {
 			differ[rosterPartition(id)] = true
 		}
 	}
@@ -135,12 +152,16 @@
 }
 
 // intersectRoster removes from the recorded roster the workers that aren't in sent, a roster
-// whose write failed or got no answer: only workers that are in both are surely stored.
-func (m *Machine) intersectRoster(sent map[endive.WorkerID]rosterStatus) {
-	for id := range m.recorder.roster {
-		if sent[id] == rosterAbsent {
+// whose write failed or got no answer: only workers that are in both are surely stored, with the
+// smaller of the two capacities.
+func (m *Machine) intersectRoster(sent map[endive.WorkerID]rosterRecord) {
+	for id, record := range m.recorder.roster {
+		if sent[id].status == rosterAbsent {
 			delete(m.recorder.roster, id)
+			continue
 		}
+		record.capacity = record.capacity.Min(sent[id].capacity)
+		m.recorder.roster[id] = record
 	}
 	m.recorder.rosterStale = true
 }
--- a/flow/roster_test.go
+++ b/flow/roster_test.go
@@ -34,7 +34,7 @@
 	before := w.version
 	w.addWorker("i-new", endive.Resources{Processors: 32000})
 	w.run(3 * time.Second)
-	is.Equal(h.machine.recorder.roster["i-new"], rosterPresent)
+	is.Equal(h.machine.recorder.roster["i-new"].status, rosterPresent)
 	written := 0
 	for key, row := range w.rows {
 		if row.Version > before && len(key) > len(RosterPrefix(testPool)) && key[:len(RosterPrefix(testPool))] == RosterPrefix(testPool) {
@@ -92,12 +92,12 @@
 	worker.info.Draining = true
 	w.publishWorkers()
 	w.run(1500 * time.Millisecond)
-	is.Equal(h.machine.recorder.roster["w0"], rosterDraining)
+	is.Equal(h.machine.recorder.roster["w0"].status, rosterDraining)
 	worker.restart()
 	worker.info.Draining = false
 	w.publishWorkers()
 	w.run(2 * time.Second)
-	is.Equal(h.machine.recorder.roster["w0"], rosterPresent)
+	is.Equal(h.machine.recorder.roster["w0"].status, rosterPresent)
 	w.submit("job", urgentQueue, stepOfTasks(1, 300*time.Millisecond))
 	w.run(4 * time.Second)
 	is.Equal(w.state("job"), endive.WorkflowSucceeded)
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -145,7 +145,7 @@
 type RosterWorker struct {
 	ID      endive.WorkerID `json:"id"`
 	Address endive.Address  `json:"address"`
-	// Capacity limits what runs on the worker.
+	// Capacity limits what runs on the worker: it is the largest that the worker has had.
 	Capacity endive.Resources `json:"capacity,omitzero"`
 	// Draining is true if the worker had announced that it would leave.
 	Draining bool `json:"draining,omitempty"`
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -194,7 +194,7 @@
 // meetsConstraints reports whether a task of a step may start on a worker as soon as there
 // are free capacity and a ticket.
 func (m *Machine) meetsConstraints(s *step, w *worker) bool {
-	if !w.usable() || m.recorder.roster[w.id] == rosterAbsent || m.now.Before(w.health.avoidUntil) {
+	if !w.usable() || !m.rosterAllowsStarts(w) || m.now.Before(w.health.avoidUntil) {
 		return false
 	}
 	if s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -82,13 +82,13 @@
 			progress[id] = decoded
 		}
 	}
-	m.recorder.roster = make(map[endive.WorkerID]rosterStatus)
+	m.recorder.roster = make(map[endive.WorkerID]rosterRecord)
 	for _, rosterWorker := range e.Roster {
-		m.recorder.roster[rosterWorker.ID] = rosterWorker.status()
+		m.recorder.roster[rosterWorker.ID] = rosterWorker.record()
 		if m.workers[rosterWorker.ID] == nil && !rosterWorker.Terminated {
 			m.addUnlisted(rosterWorker)
 		}
-		m.workers[rosterWorker.ID].restoreTasks(rosterWorker)
+		m.workers[rosterWorker.ID].restore(rosterWorker)
 	}
 	for _, id := range e.EndedJobs {
 		m.addArchivedJob(id)
--- a/flow/terminatedworkers.go
+++ b/flow/terminatedworkers.go
@@ -15,7 +15,7 @@
 	if w.listed {
 		return false
 	}
-	drained := m.recorder.roster[w.id] == rosterDraining && e.Result == OrderNotSent
+	drained := m.recorder.roster[w.id].status == rosterDraining && e.Result == OrderNotSent
 	return drained || e.Result == OrderRefused
 }
 
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -24,6 +24,9 @@
 	// isn't known.
 	recordedTasks map[endive.TaskID]bool
 	used          endive.Resources
+	// largestCapacity is the largest capacity, in each dimension, under which runs may have been
+	// started on the worker.
+	largestCapacity endive.Resources
 	// serving counts the runs that serve users, and opportunistic the opportunistic ones,
 	// which may slow the serving ones down.
 	serving       int
@@ -110,11 +113,14 @@
 }
 
 // couldRun reports whether a task of a step could run on the worker if nothing else ran there.
-func (w *worker) couldRun(s *step) bool {
+func (w *worker) couldRun(s *step) bool { return w.couldRunIn(s, w.info.Capacity) }
+
+// couldRunIn reports the same for a worker that has the given capacity.
+func (w *worker) couldRunIn(s *step, capacity endive.Resources) bool {
 	if w.info.ID == "" {
 		return true
 	}
-	if !s.spec.Reserved().Fits(w.info.Capacity) {
+	if !s.spec.Reserved().Fits(capacity) {
 		return false
 	}
 	if s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
@@ -128,7 +134,7 @@
 	if w.recordedTasks != nil {
 		return w.recordedTasks[t.id]
 	}
-	return w.couldRun(t.step)
+	return w.mayHaveRun(t.step)
 }
 
 // tasksToRecord returns the tasks that may run on a draining worker, and whether they are known.
@@ -178,7 +184,7 @@
 // aren't recorded.
 func (m *Machine) addUnlisted(rosterWorker RosterWorker) {
 	w := newWorker(rosterWorker.ID)
-	w.info.Address, w.info.Capacity = rosterWorker.Address, rosterWorker.Capacity
+	w.setInfo(endive.FleetWorker{Address: rosterWorker.Address, Capacity: rosterWorker.Capacity})
 	m.workers[rosterWorker.ID] = w
 	m.sortWorkers()
 }
@@ -232,7 +238,8 @@
 	if w.addressReused && w.info.Address != info.Address {
 		w.addressReused = false
 	}
-	w.info, w.listed = info, true
+	w.setInfo(info)
+	w.listed = true
 	if startedDraining {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "draining", Reason: "leaves in " + info.LeavesIn.String()})
 		m.evacuate(w)
