A worker that shrank hid the free capacity of the other workers

What callers would see: work waited, though other workers had capacity for it, for as long as one worker ran more than fits its new capacity.

Cause: a scheduling pass adds up the free capacity and skips steps that don't fit the sum. A worker that lacks capacity took it off the others'.

TestShrunkWorkerHidesFreeCapacityOfOthers failed: no task of "waiting" ran beside an empty worker for a second ("0 != 1"). What one worker lacks now counts as nothing free there.

--- a/flow/capacity.go
+++ b/flow/capacity.go
@@ -22,3 +22,9 @@
 	record := m.recorder.roster[w.id]
 	return record.status != rosterAbsent && w.info.Capacity.Fits(record.capacity)
 }
+
+// freeSoon returns the capacity that is free, or that runs will probably free soon. It isn't
+// negative if the worker has shrunk below what runs there.
+func (w *worker) freeSoon() endive.Resources {
+	return w.free().Add(w.freeingSoon).Max(endive.Resources{})
+}
--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -88,3 +88,26 @@
 	is.Equal(w.state("first"), endive.WorkflowSucceeded)
 	is.Equal(w.state("second"), endive.WorkflowSucceeded)
 }
+
+// A worker shrinks below what runs there. What it lacks must not be taken off the free capacity of
+// the other workers.
+func TestShrunkWorkerHidesFreeCapacityOfOthers(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 1}
+	worker := w.addWorker("w0", testCapacity)
+	w.startHolder()
+	w.run(time.Second)
+	w.submit("long", urgentQueue, stepOfTasks(5, 20*time.Second))
+	w.run(1500 * time.Millisecond)
+	is.Equal(w.runningTasks("long"), 5)
+	worker.resize(endive.Resources{})
+	w.addWorker("w1", testCapacity)
+	w.run(2 * time.Second)
+	w.submit("waiting", urgentQueue, stepOfTasks(1, 20*time.Second))
+	w.submit("advised", adviceQueue, stepOfTasks(1, 20*time.Second))
+	w.run(3 * time.Second)
+	w.checkViolations()
+	is.Equal(w.runningTasks("waiting"), 1)
+	is.Equal(w.runningTasks("advised"), 1)
+}
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -29,7 +29,7 @@
 	for _, w := range m.sortedWorkers {
 		if w.usable() {
 			w.freeingSoon = m.freedWithin(w, freeingHorizon)
-			m.advice.freeCapacity = m.advice.freeCapacity.Add(w.free()).Add(w.freeingSoon)
+			m.advice.freeCapacity = m.advice.freeCapacity.Add(w.freeSoon())
 		}
 	}
 	m.quotas.beginPass()
