Runs on a worker that shrank delayed preemption for urgent work

What callers would see: an urgent task waited for the ends of runs on a worker that had shrunk, though these only make up for what the worker lacks, instead of preempting a run elsewhere.

Cause: the capacity that ends and stops will free was counted in full.

Now only what goes beyond the shortage counts as freed.

--- a/flow/capacity.go
+++ b/flow/capacity.go
@@ -28,3 +28,10 @@
 func (w *worker) freeSoon() endive.Resources {
 	return w.free().Add(w.freeingSoon).Max(endive.Resources{})
 }
+
+// freed returns how much of the capacity that runs free is available then. If the worker has
+// shrunk below what runs there, the rest only makes up for what it lacks.
+func (w *worker) freed(byRuns endive.Resources) endive.Resources {
+	lacking := w.used.Sub(w.info.Capacity).Max(endive.Resources{})
+	return byRuns.Sub(lacking).Max(endive.Resources{})
+}
--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -111,3 +111,29 @@
 	is.Equal(w.runningTasks("waiting"), 1)
 	is.Equal(w.runningTasks("advised"), 1)
 }
+
+// A worker shrinks below what runs there, and its runs end one after the other without making
+// space for an urgent task. The task must preempt a run on another worker meanwhile.
+func TestRunsOnShrunkWorkerDelayPreemption(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	worker := w.addWorker("w0", testCapacity)
+	w.startHolder()
+	w.run(time.Second)
+	for i := range 5 {
+		w.submit("ending"+string(rune('a'+i)), urgentQueue, stepOfTasks(1, 2*time.Second+time.Duration(i)*180*time.Millisecond))
+	}
+	w.run(1500 * time.Millisecond)
+	worker.resize(endive.Resources{Processors: 2000, Memory: endive.GiB})
+	w.addWorker("w1", testCapacity)
+	batch := endive.Queue{Name: "batch", Pool: testPool, Rank: 2, MaxAttempts: 3, SlackFactor: 10, Grace: endive.Interval(time.Minute)}
+	preemptible := stepOfTasks(5, 20*time.Second)
+	preemptible.Checkpoints = true
+	w.submit("batch", batch, preemptible)
+	w.run(2900 * time.Millisecond)
+	is.Equal(w.runningTasks("batch"), 5)
+	w.submit("urgent", urgentQueue, stepOfTasks(1, 2*time.Second))
+	w.run(3400 * time.Millisecond)
+	w.checkViolations()
+	is.Equal(w.runningTasks("urgent"), 1)
+}
--- a/flow/preempt.go
+++ b/flow/preempt.go
@@ -74,12 +74,13 @@
 		if !w.usable() {
 			continue
 		}
-		freeing = freeing.Add(w.freeingSoon)
+		byRuns := w.freeingSoon
 		for _, r := range w.runs {
 			if r.state == runStopping {
-				freeing = freeing.Add(r.need)
+				byRuns = byRuns.Add(r.need)
 			}
 		}
+		freeing = freeing.Add(w.freed(byRuns))
 	}
 	return freeing
 }
