A task started beside an unknown run after its worker had grown

What callers would see: a worker that doesn't guard its capacity ran more than fits it.

Cause: a run whose task isn't known was counted with the worker's capacity of the moment in which it was found. If the worker was small then, the rest was free once it had grown, though the run may be as large as the worker ever was.

TestStartBesideUnknownRunOnGrownWorker failed with "w0 uses 20.0 processors of 16.0 processors". Such a run now counts with the largest capacity under which anything may have been started on the worker, which no run exceeds.

--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -137,3 +137,26 @@
 	w.checkViolations()
 	is.Equal(w.runningTasks("urgent"), 1)
 }
+
+// A run whose needs aren't known is found on a worker that is small at that moment. When the worker
+// grows, nothing may start beside the run, which may be as large as the worker once was.
+func TestStartBesideUnknownRunOnGrownWorker(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	worker := w.workers["w0"]
+	worker.resize(smallCapacity)
+	w.run(1500 * time.Millisecond)
+	worker.runs["unknown.0.0.0"] = &fakeRun{task: "unknown.0.0.0", number: 1, need: endive.Resources{Processors: 8000}}
+	larger := largeTask(time.Second)
+	larger.Need.Processors = 12000
+	w.submit("large", urgentQueue, larger)
+	found := func() bool { return h.machine.workers["w0"].runs["unknown.0.0.0"] != nil }
+	for at := w.now.Sub(w.start); !found() && at < 10*time.Second; at += time.Millisecond {
+		w.run(at)
+	}
+	is.True(found())
+	worker.resize(testCapacity)
+	w.run(w.now.Sub(w.start) + 5*time.Second)
+	w.checkViolations()
+	is.Equal(w.state("large"), endive.WorkflowSucceeded)
+}
--- a/flow/run.go
+++ b/flow/run.go
@@ -87,8 +87,8 @@
 func (m *Machine) allocate(r *run, t *task) {
 	w := r.worker
 	if t == nil {
-		// The run's resources are unknown, so it gets the whole worker and nothing starts beside it.
-		r.need = w.info.Capacity
+		// The run's resources are unknown. It can't be larger than the worker has ever been.
+		r.need = w.largestCapacity
 	} else {
 		r.need = t.step.spec.Reserved()
 		r.spec, r.account = t.step.spec, t.step.occ.job.account
