No places on a worker that lacks a resource

What callers would see: nothing wrong, but requests for advice about a worker on which nothing can start, and capacity reserved there instead of elsewhere.

Cause: the count of places looked only at the resources that a task needs. A task isn't started on a worker that lacks another resource, such as accelerators that the worker has lost while they are in use.

TestPlacesOnWorkerThatLacksAccelerators failed with "3 != 0".

--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -160,3 +160,16 @@
 	w.checkViolations()
 	is.Equal(w.state("large"), endive.WorkflowSucceeded)
 }
+
+// A worker loses its accelerators while tasks use them. No place may be counted there for a task
+// that needs none, since nothing can start there.
+func TestPlacesOnWorkerThatLacksAccelerators(t *testing.T) {
+	is := is.New(t)
+	worker := newWorker("w0")
+	worker.setInfo(endive.FleetWorker{ID: "w0", Capacity: endive.Resources{Processors: 16000, Memory: 64 * endive.GiB}})
+	worker.used.Accelerators = 2
+	spec := stepOfTasks(3, time.Second)
+	s := &step{spec: &spec, waiting: 3}
+	is.True(!spec.Reserved().Fits(worker.free()))
+	is.Equal(worker.places(s), 0)
+}
--- a/flow/reservations.go
+++ b/flow/reservations.go
@@ -106,6 +106,9 @@
 
 // placesIn returns how many waiting tasks of a step fit into the given capacity of a worker.
 func (w *worker) placesIn(s *step, need, capacity endive.Resources) int {
+	if !need.Fits(capacity) {
+		return 0
+	}
 	count := s.waiting
 	if s.spec.MaxPerWorker > 0 {
 		count = min(count, s.spec.MaxPerWorker-s.runsPerWorker[w.id])
