The log shows when a worker's capacity changes

A worker's capacity may shrink and grow again while it runs. The log has a line of kind "worker" with outcome "capacity changed", the capacity before and after, and what is in use; so a task that waits or isn't started can be traced to it.

--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -38,6 +38,8 @@
 	running    map[string]stand.Run
 	done       map[string]int
 	violations []string
+	// mostRunning is the largest number of runs at the same time since the last mostAtOnce.
+	mostRunning int
 	// taskDuration is the run time of each task.
 	taskDuration time.Duration
 	// failingPrefix makes all tasks fail whose names begin with it; empty for none.
@@ -203,6 +205,7 @@
 		r.violations = append(r.violations, run.Task+" starts after it was done")
 	}
 	r.running[run.Task] = run
+	r.mostRunning = max(r.mostRunning, len(r.running))
 }
 
 // RunEnded implements stand.RunObserver.
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -231,6 +231,10 @@
 	if !w.listed {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "listed", Reason: info.Capacity.String()})
 	}
+	if w.listed && w.info.Capacity != info.Capacity {
+		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "capacity changed",
+			Reason: "from " + w.info.Capacity.String() + " to " + info.Capacity.String() + "; " + w.used.String() + " in use"})
+	}
 	startedDraining := info.Draining && !w.info.Draining
 	if !info.Draining {
 		m.forgetDraining(w)
