A holder started tasks by a list of workers of any age

What callers would see: a worker that doesn't guard its capacity was given more than fits it, long after it had shrunk.

Cause: the lease of a pool and the list of its workers are read by different calls. A holder that renewed its lease but couldn't read the list went on with the last one for as long as that lasted.

A reading without a change sends only the new time. Lists are sent to the pools one at a time, so that none follows a newer one. The log says when a holder's list is outdated.

--- /dev/null
+++ b/entry/cell/listage_test.go
@@ -0,0 +1,76 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+	"endiveroute.example/endive/fakes"
+	"endiveroute.example/endive/setup"
+)
+
+// listFixture is a list of workers that a test reads at chosen times.
+type listFixture struct {
+	clock *fakes.Clock
+	cell  *Cell
+	loop  *workersLoop
+}
+
+func newListFixture(t *testing.T) *listFixture {
+	f := &listFixture{clock: fakes.NewClock()}
+	var settings setup.CellSettings
+	settings.Defaults()
+	log := hclog.NewNullLogger()
+	f.cell = &Cell{Deps: Deps{Settings: settings, Clock: f.clock, Log: log, Store: NewStore(nil, f.clock, log)}}
+	f.cell.ctx = t.Context()
+	f.loop = newWorkersLoop(f.cell)
+	f.readWhole(1)
+	return f
+}
+
+// readWhole reads the whole list, with two workers.
+func (f *listFixture) readWhole(revision endive.Revision) {
+	f.read(listReading{complete: true, response: endive.WorkersResponse{
+		Revision: revision, Workers: []endive.FleetWorker{{ID: "i-0", Pool: "svc"}, {ID: "i-1", Pool: "svc"}},
+	}})
+}
+
+// readRenewals reads that workers have renewed their registrations.
+func (f *listFixture) readRenewals(revision endive.Revision, ids ...endive.WorkerID) {
+	reading := listReading{response: endive.WorkersResponse{Revision: revision}}
+	for _, id := range ids {
+		reading.response.Workers = append(reading.response.Workers, endive.FleetWorker{ID: id, Pool: "svc"})
+	}
+	f.read(reading)
+}
+
+func (f *listFixture) read(reading listReading) {
+	reading.startedAt = f.clock.Now()
+	f.cell.Store.recordResultNow(nil)
+	f.loop.apply(reading)
+}
+
+// A short outage of the store must not stop starts.
+func TestShortOutageStopsStarts(t *testing.T) {
+	is := is.New(t)
+	f := newListFixture(t)
+	f.clock.Advance(2 * time.Second)
+	f.loop.mu.Lock()
+	is.True(f.clock.Now().Before(f.loop.startsUntil()))
+	f.loop.mu.Unlock()
+}
+
+// A reading that may lack changes must not make the list count as current.
+func TestIncompleteReadingConfirmsList(t *testing.T) {
+	is := is.New(t)
+	f := newListFixture(t)
+	before := f.loop.startsUntil()
+	f.clock.Advance(time.Second)
+	f.read(listReading{response: endive.WorkersResponse{Revision: 2, More: true}})
+	is.Equal(f.loop.startsUntil(), before)
+	f.readRenewals(3)
+	is.Equal(f.loop.startsUntil(), before.Add(time.Second))
+}
--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -165,6 +165,7 @@
 	settings.Limits.Cores = r.cores
 	if r.poll > 0 {
 		settings.Timings.Poll = r.poll
+		settings.Bounds.MaxListAge = max(settings.Bounds.MaxListAge, 2*r.poll)
 	}
 	if r.settings != nil {
 		r.settings(&settings)
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -18,6 +18,8 @@
 // workersLoop polls the list of workers.
 type workersLoop struct {
 	cell *Cell
+	// publishing is locked while a list is sent to the pools, so that no older list follows.
+	publishing sync.Mutex
 
 	mu sync.Mutex
 	// revision is the store revision of the list.
@@ -28,6 +30,7 @@
 	// delisted are workers that disappeared from the list but stay known until the grace
 	// after an outage of the store is over.
 	delisted map[endive.WorkerID]bool
+	age      listAge
 }
 
 func newWorkersLoop(c *Cell) *workersLoop {
@@ -38,7 +41,9 @@
 
 func (l *workersLoop) run() {
 	for l.cell.ctx.Err() == nil {
-		if !l.readNext(l.readFrom()) {
+		more := l.readNext(l.readFrom())
+		l.reportAge()
+		if !more {
 			l.cell.sleep(l.pollPeriod())
 		}
 	}
@@ -58,7 +63,7 @@
 
 // readNext applies the changes after a revision, and reports whether to read on at once.
 func (l *workersLoop) readNext(after endive.Revision) bool {
-	response, err := l.fetch(after)
+	reading, err := l.fetch(after)
 	if endive.ErrHistoryLost.Has(err) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -68,15 +73,15 @@
 	if err != nil {
 		return false
 	}
-	l.apply(response, after == 0)
-	return response.More
+	l.apply(reading)
+	return reading.response.More
 }
 
 // refresh reads the whole list; a new holder needs it because its own list may be outdated.
 func (l *workersLoop) refresh() error {
-	response, err := l.fetch(0)
+	reading, err := l.fetch(0)
 	if err == nil {
-		l.apply(response, true)
+		l.apply(reading)
 	}
 	return err
 }
@@ -115,14 +120,18 @@
 	return len(l.workers)
 }
 
-func (l *workersLoop) fetch(after endive.Revision) (endive.WorkersResponse, error) {
+func (l *workersLoop) fetch(after endive.Revision) (listReading, error) {
+	startedAt := l.cell.Clock.Now()
 	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
-	return l.cell.Directory.Workers(ctx, after)
+	response, err := l.cell.Directory.Workers(ctx, after)
+	return listReading{response: response, complete: after == 0, startedAt: startedAt}, err
 }
 
-// apply updates the list by a response, and publishes it if it changed or is the first.
-func (l *workersLoop) apply(response endive.WorkersResponse, complete bool) {
+// apply updates the list by a reading. It publishes the list if it changed or is the first, and
+// confirms it otherwise.
+func (l *workersLoop) apply(reading listReading) {
+	response := reading.response
 	l.mu.Lock()
 	if response.Revision < l.revision {
 		// A concurrent read has already applied a newer list.
@@ -140,7 +149,7 @@
 		}
 	}
 	removed := response.Removed
-	if complete {
+	if reading.complete {
 		for id := range l.workers {
 			if !listed[id] {
 				removed = append(removed, id)
@@ -153,11 +162,14 @@
 		}
 	}
 	l.evictDelisted()
+	l.updateAge(reading)
 	publish := l.changed || !l.ready
 	l.changed, l.ready = false, true
 	l.mu.Unlock()
 	if publish {
 		l.publishAll()
+	} else {
+		l.confirmAll()
 	}
 }
 
@@ -178,6 +190,11 @@
 func (l *workersLoop) inPool(pool endive.PoolName) ([]endive.FleetWorker, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.workersOf(pool), l.ready
+}
+
+// workersOf returns the workers of a pool sorted by id. The caller holds the lock.
+func (l *workersLoop) workersOf(pool endive.PoolName) []endive.FleetWorker {
 	var workers []endive.FleetWorker
 	for _, w := range l.workers {
 		if w.Pool == pool {
@@ -185,20 +202,24 @@
 		}
 	}
 	sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
-	return workers, l.ready
+	return workers
 }
 
 // publishAll sends each pool the list of its workers.
 func (l *workersLoop) publishAll() {
 	for _, p := range l.cell.allPools() {
-		if listed, ok := l.workersEvent(p.name); ok {
-			p.sendToFlow(listed)
-		}
+		l.publishTo(p)
 	}
 }
 
-// workersEvent returns the event with a pool's workers, and whether the list has been read.
-func (l *workersLoop) workersEvent(pool endive.PoolName) (flow.WorkersListed, bool) {
-	workers, ok := l.inPool(pool)
-	return flow.WorkersListed{Workers: workers}, ok
+// publishTo sends a pool the list of its workers, if the list has been read.
+func (l *workersLoop) publishTo(p *pool) {
+	l.publishing.Lock()
+	defer l.publishing.Unlock()
+	l.mu.Lock()
+	listed, ready := flow.WorkersListed{Workers: l.workersOf(p.name), StartsUntil: l.startsUntil()}, l.ready
+	l.mu.Unlock()
+	if ready {
+		p.sendToFlow(listed)
+	}
 }
--- a/flow/capacity.go
+++ b/flow/capacity.go
@@ -1,6 +1,10 @@
 package flow
 
-import "endiveroute.example/endive"
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
 
 // A worker's capacity may shrink and grow again while tasks run there. The current capacity, as
 // the platform lists it, decides what starts. What may already run on a worker that doesn't
@@ -35,3 +39,14 @@
 	lacking := w.used.Sub(w.info.Capacity).Max(endive.Resources{})
 	return byRuns.Sub(lacking).Max(endive.Resources{})
 }
+
+// listExpired reports whether the list of workers is too old for starts: workers may have shrunk
+// since it was read.
+func (m *Machine) listExpired() bool {
+	return !m.listed.StartsUntil.IsZero() && !m.now.Before(m.listed.StartsUntil)
+}
+
+// sendBy returns the deadline for sending an order to start that is decided on now.
+func (m *Machine) sendBy() time.Time {
+	return endive.Earliest(endive.Earliest(m.tenure.leaseEnd, m.listed.StartsUntil), m.now.Add(maxSendDelay))
+}
--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -173,3 +173,41 @@
 	is.True(!spec.Reserved().Fits(worker.free()))
 	is.Equal(worker.places(s), 0)
 }
+
+// A holder hasn't been able to read the list of workers for a while. It must go on starting tasks
+// at first, and stop before a worker may have shrunk for too long; a new list lets it go on.
+func TestStartByOutdatedListOfWorkers(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.pollsLists = true
+	worker := w.addWorker("w0", testCapacity)
+	h := w.startHolder()
+	w.run(time.Second)
+	w.sendLists()
+	h.noListUntil = w.now.Add(time.Minute)
+	w.run(4 * time.Second)
+	w.submit("soon", urgentQueue, stepOfTasks(5, 300*time.Millisecond))
+	w.run(4400 * time.Millisecond)
+	is.Equal(w.state("soon"), endive.WorkflowSucceeded)
+	worker.resize(smallCapacity)
+	w.run(11 * time.Second)
+	w.submit("later", urgentQueue, stepOfTasks(5, 300*time.Millisecond))
+	w.run(15 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state("later"), endive.WorkflowQueued)
+	h.noListUntil = time.Time{}
+	w.sendLists()
+	w.run(18 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state("later"), endive.WorkflowSucceeded)
+	h.step(WorkersConfirmed{StartsUntil: w.now.Add(time.Minute)})
+	is.Equal(h.machine.sendBy(), h.machine.now.Add(maxSendDelay))
+	h.step(WorkersConfirmed{StartsUntil: w.now.Add(maxSendDelay / 2)})
+	is.Equal(h.machine.sendBy(), h.machine.listed.StartsUntil)
+	w.submit("last", urgentQueue, stepOfTasks(5, 300*time.Millisecond))
+	w.run(20 * time.Second)
+	is.True(w.state("last") != endive.WorkflowSucceeded) // one task fits at a time until the list expires
+	h.step(WorkersConfirmed{StartsUntil: w.now.Add(time.Minute)})
+	w.run(22 * time.Second)
+	is.Equal(w.state("last"), endive.WorkflowSucceeded)
+}
--- a/flow/capacityfaults_test.go
+++ b/flow/capacityfaults_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+const (
+	// testListPoll is the period in which holders read the list of workers.
+	testListPoll = 400 * time.Millisecond
+	// testListLifetime is how long a holder may start tasks by a list that it has read. The rest of
+	// capacityAllowance is for the worker's report and for the order.
+	testListLifetime = 3500 * time.Millisecond
+)
+
+// startListPolls makes the holders read the list of workers until the given time, at times not for
+// a while.
+func (w *simulation) startListPolls(until time.Duration) {
+	w.pollsLists = true
+	for at := time.Duration(0); at < until; at += testListPoll {
+		w.after(at, w.sendLists)
+	}
+	for at := time.Second; at < 14*time.Second; at += time.Duration(w.random.Int63n(int64(6 * time.Second))) {
+		missing := time.Duration(w.random.Int63n(int64(12 * time.Second)))
+		w.after(at, func() { w.holders[len(w.holders)-1].noListUntil = w.now.Add(missing) })
+	}
+}
+
 // Workers shrink and grow again beside the other faults. No start may bring a worker over a
 // capacity that it had within capacityAllowance, and all work must end.
 func TestCapacityHoldsWhileWorkersShrink(t *testing.T) {
@@ -81,6 +102,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed, faultsOf(seed))
 			w.scheduleShrinking(14 * time.Second)
+			if seed%2 == 1 {
+				w.startListPolls(time.Minute)
+			}
 			playFaults(w)
 		})
 	}
--- a/flow/events.go
+++ b/flow/events.go
@@ -57,7 +57,18 @@
 }
 
 // WorkersListed contains all workers of the pool that the platform lists.
-type WorkersListed struct{ Workers []endive.FleetWorker }
+type WorkersListed struct {
+	Workers []endive.FleetWorker
+	// StartsUntil is until when tasks may be started by this list, since the workers may have
+	// shrunk since it was read; zero for no limit.
+	StartsUntil time.Time
+}
+
+// WorkersConfirmed reports that the list of workers was read again and hasn't changed.
+type WorkersConfirmed struct{ StartsUntil time.Time }
+
+// IsEvent marks WorkersConfirmed as an event.
+func (WorkersConfirmed) IsEvent() {}
 
 // OrderResult is the result of sending an order to a worker.
 type OrderResult string
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -135,6 +135,9 @@
 		m.listed = e
 		m.updateWorkers()
 		return
+	case WorkersConfirmed:
+		m.listed.StartsUntil = e.StartsUntil
+		return
 	case AdviceClientsChanged:
 		m.adviceClients = e.Count
 		return
--- a/flow/run.go
+++ b/flow/run.go
@@ -165,7 +165,7 @@
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
 		LeaseEnd: m.newLeaseEnd(w), Epoch: m.tenure.epoch, Resume: t.checkpoint,
 		Ticket: t.step.tickets.ticketFor(w.id),
-	}, SendBy: endive.Earliest(m.tenure.leaseEnd, m.now.Add(maxSendDelay))})
+	}, SendBy: m.sendBy()})
 }
 
 // maxSendDelay is how long an order to start may take to be sent.
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -62,6 +62,8 @@
 	forwardsAdvice bool
 	// accounts are the client accounts of the configuration.
 	accounts endive.Accounts
+	// pollsLists is true if holders read the list of workers regularly, and a list expires.
+	pollsLists bool
 	// quotaReadTime is how long a new holder takes to read the pools' parts of the caps; 0 for the
 	// usual 8 ms.
 	quotaReadTime time.Duration
@@ -125,6 +127,8 @@
 	// stepTime is the sum of the run times of the machine's steps.
 	stepTime time.Duration
 	wakeAt   time.Time
+	// noListUntil is until when the holder can't read the list of workers.
+	noListUntil time.Time
 }
 
 // simulationClock gives the platform's time as milliseconds since the simulation's start.
@@ -232,14 +236,25 @@
 		}
 	}
 	sort.Slice(w.listed, func(i, j int) bool { return w.listed[i].ID < w.listed[j].ID })
+	w.sendLists()
+}
+
+// sendLists sends the list of workers to the holders that can read it.
+func (w *simulation) sendLists() {
 	for _, h := range w.holders {
-		h.send(w.workersListed())
+		if !w.now.Before(h.noListUntil) {
+			h.send(w.workersListed())
+		}
 	}
 }
 
 // workersListed returns the event with the list of workers.
 func (w *simulation) workersListed() WorkersListed {
-	return WorkersListed{Workers: append([]endive.FleetWorker(nil), w.listed...)}
+	event := WorkersListed{Workers: append([]endive.FleetWorker(nil), w.listed...)}
+	if w.pollsLists {
+		event.StartsUntil = w.now.Add(testListLifetime)
+	}
+	return event
 }
 
 // put writes a row as another process would, and sends it to the holders.
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -64,7 +64,7 @@
 
 // mayStart reports whether tasks may be started now.
 func (m *Machine) mayStart() bool {
-	return m.tenure.loaded && m.now.Before(m.tenure.leaseEnd)
+	return m.tenure.loaded && m.now.Before(m.tenure.leaseEnd) && !m.listExpired()
 }
 
 // applySnapshot creates the jobs and workers from the pool's rows.
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -68,6 +68,9 @@
 	// QuotaOverage is the share of an account's cap by which a task or gang that is larger than
 	// the cap may exceed it.
 	QuotaOverage float64 `toml:"quotaOverage" json:"quotaOverage"`
+	// MaxListAge is how old the list of workers may be when a task starts, since workers may have
+	// shrunk meanwhile.
+	MaxListAge endive.Interval `toml:"maxListAge" json:"maxListAge"`
 }
 
 // CellTimings are the entry's own leases, periods and timeouts.
@@ -89,8 +92,13 @@
 	DefaultStopGrace    = endive.Interval(6 * time.Second)
 	DefaultRetention    = endive.Interval(2 * time.Minute)
 	DefaultMaxKeyAge    = endive.Interval(5 * time.Second)
+	DefaultMaxListAge   = endive.Interval(4 * time.Second)
 )
 
+// OrderTransit is the part of CellBounds.MaxListAge that is kept for the transit of an order to a
+// worker.
+const OrderTransit = endive.Interval(500 * time.Millisecond)
+
 // LoadCell reads the settings from a TOML file of any name, sets the defaults and
 // validates the settings. If they are invalid, the error wraps a *files.Error with all
 // findings.
@@ -114,6 +122,7 @@
 	c.Bounds.StopGrace.Default(DefaultStopGrace)
 	c.Bounds.Retention.Default(DefaultRetention)
 	c.Bounds.MaxKeyAge.Default(DefaultMaxKeyAge)
+	c.Bounds.MaxListAge.Default(DefaultMaxListAge)
 	c.Timings.PoolLease.Default(DefaultPoolLease)
 	c.Timings.Poll.Default(DefaultPoll)
 	c.Timings.StoreTimeout.Default(DefaultStoreTimeout)
@@ -143,6 +152,7 @@
 	}{
 		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.stopGrace", c.Bounds.StopGrace},
 		{"bounds.retention", c.Bounds.Retention}, {"bounds.maxKeyAge", c.Bounds.MaxKeyAge},
+		{"bounds.maxListAge", c.Bounds.MaxListAge},
 		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poll", c.Timings.Poll},
 		{"timings.storeTimeout", c.Timings.StoreTimeout},
 	} {
@@ -162,6 +172,9 @@
 	if c.Timings.PoolLease < RenewalsPerLease*c.Timings.Poll {
 		f.Add("timings.poolLease", "is %s; it must be at least %d times timings.poll", c.Timings.PoolLease, RenewalsPerLease)
 	}
+	if shortest := OrderTransit + c.Timings.Poll + c.Timings.StoreTimeout; c.Bounds.MaxListAge <= shortest {
+		f.Add("bounds.maxListAge", "is %s; it must be longer than timings.poll, timings.storeTimeout and %s together", c.Bounds.MaxListAge, OrderTransit)
+	}
 	return f
 }
 
--- a/setup/cell_test.go
+++ b/setup/cell_test.go
@@ -30,6 +30,10 @@
 		{"several findings", strings.Replace(strings.Replace(validCell, "edge-1", "Edge 1", 1), "10.200.1.7:8142", "nowhere", 1) +
 			"[timings]\npoll = \"5s\"\n", "name: \"Edge 1\" must be lower-case"},
 		{"a lease shorter than its renewals", validCell + "[timings]\npoolLease = \"500ms\"\n", "timings.poolLease: is 500ms; it must be at least 3 times timings.poll"},
+		{
+			"a list that is always outdated", validCell + "[bounds]\nmaxListAge = \"1.5s\"\n",
+			"bounds.maxListAge: is 1.5s; it must be longer than timings.poll, timings.storeTimeout and 500ms together",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
