Registrations from before an outage of the store counted as current

What callers would see: for up to a heartbeat after an outage of the store, tasks were started on workers by what these had registered before it, however long the outage had been; a worker that had shrunk meanwhile was given too much.

Cause: a list that is read after an outage was taken as current, but workers can't register while the store is down.

TestRegistrationsFromBeforeAnOutageCount failed with "0 != 2" without the marks.

After an outage that is longer than bounds.maxListAge less the new setting bounds.heartbeat, each worker gets tasks again once it has renewed its registration, or 2 s after the outage. Shorter ones change nothing: what a worker registered before is then young enough until its next heartbeat.

--- a/entry/cell/listage_test.go
+++ b/entry/cell/listage_test.go
@@ -53,6 +53,40 @@
 	f.loop.apply(reading)
 }
 
+// unconfirmed returns the number of workers that are unconfirmed.
+func (f *listFixture) unconfirmed() int {
+	count := 0
+	workers, _ := f.loop.inPool("svc")
+	for _, w := range workers {
+		if w.Unconfirmed {
+			count++
+		}
+	}
+	return count
+}
+
+// After a long outage of the store, the list has registrations from before it. A worker that may
+// have shrunk since must get no tasks until it renews its registration.
+func TestRegistrationsFromBeforeAnOutageCount(t *testing.T) {
+	is := is.New(t)
+	f := newListFixture(t)
+	f.clock.Advance(5 * time.Second)
+	f.readWhole(2)
+	is.Equal(f.unconfirmed(), 2)
+	const poll = 500 * time.Millisecond
+	f.clock.Advance(poll)
+	f.readRenewals(3, "i-0")
+	is.Equal(f.unconfirmed(), 1)
+	for passed := poll; passed < reregisterGrace; passed += poll {
+		f.clock.Advance(poll)
+		f.readRenewals(4)
+		is.Equal(f.unconfirmed(), 1)
+	}
+	f.clock.Advance(poll)
+	f.readRenewals(5)
+	is.Equal(f.unconfirmed(), 0)
+}
+
 // A short outage of the store must not stop starts.
 func TestShortOutageStopsStarts(t *testing.T) {
 	is := is.New(t)
@@ -61,6 +95,8 @@
 	f.loop.mu.Lock()
 	is.True(f.clock.Now().Before(f.loop.startsUntil()))
 	f.loop.mu.Unlock()
+	f.readWhole(2)
+	is.Equal(f.unconfirmed(), 0)
 }
 
 // A reading that may lack changes must not make the list count as current.
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -50,8 +50,10 @@
 	// call with which the current outage began.
 	lastAnswerAt     time.Time
 	unavailableSince time.Time
-	// recoveredAt is the time of the first answer after the last outage.
+	// recoveredAt is the time of the first answer after the last outage, and silentSince the time of
+	// the last answer before that outage.
 	recoveredAt time.Time
+	silentSince time.Time
 	// inFlight are the short calls without a result yet, by call number.
 	inFlight map[uint64]storeCall
 	lastCall uint64
@@ -155,7 +157,7 @@
 			s.log.Info("dependency is available again", "dependency", "store", "awayMillis", millisSince(now, s.unavailableSince))
 		}
 		if !s.lastAnswerAt.IsZero() && now.Sub(s.lastAnswerAt) > minOutage {
-			s.recoveredAt = now
+			s.recoveredAt, s.silentSince = now, s.lastAnswerAt
 		}
 		s.available, s.lastAnswerAt = true, now
 		return
@@ -240,6 +242,13 @@
 	return s.recoveredAt
 }
 
+// lastOutage returns when the store's last outage began and ended.
+func (s *Store) lastOutage() (began, ended time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silentSince, s.recoveredAt
+}
+
 // latencyFloor returns the minimum latency of the calls so far.
 func (s *Store) latencyFloor() endive.Interval {
 	s.mu.Lock()
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -162,7 +162,7 @@
 		}
 	}
 	l.evictDelisted()
-	l.updateAge(reading)
+	l.changed = l.updateAge(reading) || l.changed
 	publish := l.changed || !l.ready
 	l.changed, l.ready = false, true
 	l.mu.Unlock()
@@ -198,6 +198,7 @@
 	var workers []endive.FleetWorker
 	for _, w := range l.workers {
 		if w.Pool == pool {
+			w.Unconfirmed = l.age.unconfirmed[w.ID]
 			workers = append(workers, w)
 		}
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -18,6 +18,9 @@
 	// Labels are the labels for the worker's kind and its rack.
 	Labels   []Label
 	Draining bool
+	// Unconfirmed is true if the registration may be from before an outage of the platform's
+	// store, so that the capacity may have shrunk since.
+	Unconfirmed bool
 	// LeavesIn is the minimum time until a draining worker shuts down; 0 if it didn't
 	// announce one.
 	LeavesIn Interval
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -109,7 +109,7 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.adopted && !w.addressReused && !w.info.Draining && w.failedPolls == 0
+	return w.listed && w.adopted && !w.addressReused && !w.info.Draining && !w.info.Unconfirmed && w.failedPolls == 0
 }
 
 // couldRun reports whether a task of a step could run on the worker if nothing else ran there.
--- a/setup/cell.go
+++ b/setup/cell.go
@@ -71,6 +71,8 @@
 	// MaxListAge is how old the list of workers may be when a task starts, since workers may have
 	// shrunk meanwhile.
 	MaxListAge endive.Interval `toml:"maxListAge" json:"maxListAge"`
+	// Heartbeat is the period in which workers renew their registrations.
+	Heartbeat endive.Interval `toml:"heartbeat" json:"heartbeat"`
 }
 
 // CellTimings are the entry's own leases, periods and timeouts.
@@ -93,6 +95,7 @@
 	DefaultRetention    = endive.Interval(2 * time.Minute)
 	DefaultMaxKeyAge    = endive.Interval(5 * time.Second)
 	DefaultMaxListAge   = endive.Interval(4 * time.Second)
+	DefaultWorkerBeat   = endive.Interval(1500 * time.Millisecond)
 )
 
 // OrderTransit is the part of CellBounds.MaxListAge that is kept for the transit of an order to a
@@ -123,6 +126,7 @@
 	c.Bounds.Retention.Default(DefaultRetention)
 	c.Bounds.MaxKeyAge.Default(DefaultMaxKeyAge)
 	c.Bounds.MaxListAge.Default(DefaultMaxListAge)
+	c.Bounds.Heartbeat.Default(DefaultWorkerBeat)
 	c.Timings.PoolLease.Default(DefaultPoolLease)
 	c.Timings.Poll.Default(DefaultPoll)
 	c.Timings.StoreTimeout.Default(DefaultStoreTimeout)
@@ -152,7 +156,7 @@
 	}{
 		{"bounds.maxGrant", c.Bounds.MaxGrant}, {"bounds.stopGrace", c.Bounds.StopGrace},
 		{"bounds.retention", c.Bounds.Retention}, {"bounds.maxKeyAge", c.Bounds.MaxKeyAge},
-		{"bounds.maxListAge", c.Bounds.MaxListAge},
+		{"bounds.maxListAge", c.Bounds.MaxListAge}, {"bounds.heartbeat", c.Bounds.Heartbeat},
 		{"timings.poolLease", c.Timings.PoolLease}, {"timings.poll", c.Timings.Poll},
 		{"timings.storeTimeout", c.Timings.StoreTimeout},
 	} {
