An order to start was repeated on a worker that had shrunk meanwhile

What callers would see: a worker that doesn't guard its capacity was given more than fits it, by an order that was repeated for want of an answer.

Cause: the repetition didn't look at the worker's capacity again.

TestStartRepeatedOnShrunkWorker failed with "w0 uses 8.0 processors of 4.0 processors", 5.7 s after the worker had shrunk.

--- a/flow/capacity.go
+++ b/flow/capacity.go
@@ -50,3 +50,6 @@
 func (m *Machine) sendBy() time.Time {
 	return endive.Earliest(endive.Earliest(m.tenure.leaseEnd, m.listed.StartsUntil), m.now.Add(maxSendDelay))
 }
+
+// holdsItsRuns reports whether the runs on the worker fit its capacity, which may have shrunk.
+func (w *worker) holdsItsRuns() bool { return w.used.Fits(w.info.Capacity) }
--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -211,3 +211,32 @@
 	w.run(22 * time.Second)
 	is.Equal(w.state("last"), endive.WorkflowSucceeded)
 }
+
+// Orders to start a task are lost, and the worker has shrunk since they were decided on. The order
+// must not be repeated there once the holder knows.
+func TestStartRepeatedOnShrunkWorker(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.pollsLists = true
+	worker := w.addWorker("w0", testCapacity)
+	h := w.startHolder()
+	w.run(time.Second)
+	worker.capacities = append(worker.capacities, capacityPeriod{from: w.now, capacity: smallCapacity})
+	w.run(w.now.Sub(w.start) + testHeartbeat)
+	w.sendLists()
+	h.noListUntil = w.now.Add(time.Minute)
+	w.run(5900 * time.Millisecond)
+	w.faults.lostOrder = 1
+	w.submit("large", urgentQueue, largeTask(300*time.Millisecond))
+	w.run(6100 * time.Millisecond)
+	h.noListUntil = time.Time{}
+	worker.reportCapacity()
+	w.run(6500 * time.Millisecond)
+	w.faults.lostOrder = 0
+	w.run(8 * time.Second)
+	w.checkViolations()
+	is.Equal(w.runningTasks("large"), 0)
+	worker.resize(testCapacity)
+	w.run(10 * time.Second)
+	is.Equal(w.state("large"), endive.WorkflowSucceeded)
+}
