The list of workers got outdated while the store was slow

What callers would see: nothing was started while the store was so slow that no reading of a long list ended within the timeout of a usual call, though shorter calls, such as the renewal of the pool's lease, got their answers.

Cause: each reading of the list had bounds for a fast store. That was harmless while a list of any age was used.

TestListOutdatedWhileStoreIsSlow failed with "not true: directory.allowed > usual". A reading now has the longer timeout that other large readings have while the store is slow.

--- a/entry/cell/listage_test.go
+++ b/entry/cell/listage_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -110,3 +111,30 @@
 	f.readRenewals(3)
 	is.Equal(f.loop.startsUntil(), before.Add(time.Second))
 }
+
+// slowDirectory records how long each reading of the list may take.
+type slowDirectory struct {
+	endive.Directory
+	allowed time.Duration
+}
+
+func (d *slowDirectory) Workers(ctx context.Context, _ endive.Revision) (endive.WorkersResponse, error) {
+	deadline, _ := ctx.Deadline()
+	d.allowed = time.Until(deadline)
+	return endive.WorkersResponse{Revision: 1}, nil
+}
+
+// While the store is slow, a long list may take longer to read than the timeout of a usual call. The
+// readings must not all be given up: the list would be outdated, and nothing would start.
+func TestListOutdatedWhileStoreIsSlow(t *testing.T) {
+	is := is.New(t)
+	f := newListFixture(t)
+	directory := &slowDirectory{}
+	f.cell.Directory = directory
+	is.NoErr(f.loop.refresh())
+	usual := time.Duration(f.cell.Settings.Timings.StoreTimeout)
+	is.True(directory.allowed <= usual)
+	f.cell.Store.meanLatency = endive.Interval(300 * time.Millisecond)
+	is.NoErr(f.loop.refresh())
+	is.True(directory.allowed > usual)
+}
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -122,7 +122,8 @@
 
 func (l *workersLoop) fetch(after endive.Revision) (listReading, error) {
 	startedAt := l.cell.Clock.Now()
-	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
+	timeout := l.cell.Store.adaptiveTimeout(time.Duration(l.cell.Settings.Timings.StoreTimeout))
+	ctx, cancel := context.WithTimeout(l.cell.ctx, timeout)
 	defer cancel()
 	response, err := l.cell.Directory.Workers(ctx, after)
 	return listReading{response: response, complete: after == 0, startedAt: startedAt}, err
