--- a/flow/capacity_test.go
+++ b/flow/capacity_test.go
@@ -240,3 +240,43 @@
 	w.run(10 * time.Second)
 	is.Equal(w.state("large"), endive.WorkflowSucceeded)
 }
+
+// Work arrives while all workers are too small for it. It must wait, and start once they have
+// grown, with tickets and without, as a gang too.
+func TestWorkGivenUpWhileWorkersAreSmall(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.addWorkers(6)
+	w.startHolder()
+	w.run(time.Second)
+	for _, worker := range w.workers {
+		worker.resize(smallCapacity)
+	}
+	ids := []endive.JobID{}
+	for _, queue := range []endive.Queue{urgentQueue, adviceQueue} {
+		gang := largeTask(time.Second)
+		gang.Gang, gang.Tasks = true, 2
+		lasting := largeTask(time.Second)
+		lasting.LongRunning = true
+		ids = append(ids,
+			w.submit("single"+string(queue.Name), queue, largeTask(time.Second)),
+			w.submit("gang"+string(queue.Name), queue, gang),
+			w.submit("lasting"+string(queue.Name), queue, lasting))
+	}
+	w.run(10 * time.Second)
+	for _, id := range ids {
+		is.Equal(w.state(id), endive.WorkflowQueued)
+	}
+	for _, worker := range w.workers {
+		worker.resize(testCapacity)
+	}
+	w.run(18 * time.Second)
+	w.checkViolations()
+	for _, id := range ids {
+		if w.jobs[id].workflow.Steps[0].LongRunning {
+			is.Equal(w.runningTasks(id), 1)
+		} else {
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+		}
+	}
+}
