Ends of a restarted worker didn't count that only the roster had had

What callers would see: tasks that had succeeded ran again, and again, on a worker that had crashed and restarted under the same id.

Cause: a new holder that knows a worker from the roster alone, because the platform doesn't list it for a while, polls it and so knows its incarnation. When the worker restarted and was listed before the next poll, the check for a new incarnation was skipped, as for a worker that has never been listed. The holder kept the number of the last end of the earlier incarnation, and took the ends of the new one, which are numbered from 1 again, for known ones.

TestEndsOfUnlistedWorkerThatRestarted failed with "second.0.0.0 starts again after it succeeded".

What counts is now whether the incarnation is known, from the list or from an answer.

--- a/flow/capacityfaults_test.go
+++ b/flow/capacityfaults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,7 +70,7 @@
 
 // scheduleShrinking shrinks random workers until the given time after the simulation's start.
 func (w *simulation) scheduleShrinking(until time.Duration) {
-	for at := time.Second; at < until; at += time.Duration(w.random.Int63n(int64(800 * time.Millisecond))) {
+	for at := time.Second; at < until; at += time.Duration(w.random.Int63n(int64(400 * time.Millisecond))) {
 		w.after(at, w.shrinkWorker)
 	}
 }
@@ -95,14 +96,24 @@
 	}
 }
 
+// capacityRegressionSeeds are seeds that once failed:
+//
+//	210, 2914, 3057: a worker that only the roster had restarted under the same id and was then
+//	          listed; the holder took the ends in its new incarnation for known ones
+var capacityRegressionSeeds = []int64{210, 2914, 3057}
+
 // Workers shrink and grow again beside the other faults. No start may bring a worker over a
 // capacity that it had within capacityAllowance, and all work must end.
 func TestCapacityHoldsWhileWorkersShrink(t *testing.T) {
+	seeds := slices.Clone(capacityRegressionSeeds)
 	for seed := int64(1); seed <= faultSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed, faultsOf(seed))
 			w.scheduleShrinking(14 * time.Second)
-			if seed%2 == 1 {
+			if seed%4 != 1 {
 				w.startListPolls(time.Minute)
 			}
 			playFaults(w)
--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -217,3 +217,27 @@
 	is.Equal(w.starts, 0)
 	is.Equal(w.state("job"), endive.WorkflowCancelled)
 }
+
+// A worker that only the roster has answers a new holder, restarts under the same id and is then
+// listed. The ends of runs in its new incarnation, which are numbered from 1 again, must count.
+func TestEndsOfUnlistedWorkerThatRestarted(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	worker := w.workers["w0"]
+	w.submit("first", urgentQueue, stepOfTasks(4, 400*time.Millisecond))
+	w.submit("long", urgentQueue, stepOfTasks(1, 4*time.Second))
+	w.run(1300 * time.Millisecond)
+	h.kill()
+	worker.unlisted = true
+	w.publishWorkers()
+	second := w.startHolder()
+	w.run(3 * time.Second)
+	is.Equal(w.state("first"), endive.WorkflowSucceeded)
+	is.Equal(second.machine.workers["w0"].lastEnd, endive.EndNumber(4))
+	worker.unlisted = false
+	worker.restart()
+	w.submit("second", urgentQueue, stepOfTasks(2, 400*time.Millisecond))
+	w.run(10 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state("second"), endive.WorkflowSucceeded)
+}
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -193,6 +193,10 @@
 	return &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool)}
 }
 
+// incarnationKnown reports whether the platform's list or an answer has shown which incarnation of
+// the worker it is. A worker of the roster need not be listed.
+func (w *worker) incarnationKnown() bool { return !w.info.StartTime.IsZero() }
+
 // updateWorkers applies the platform's list of workers.
 func (m *Machine) updateWorkers() {
 	if !m.tenure.active {
@@ -217,11 +221,11 @@
 
 func (m *Machine) updateWorker(info endive.FleetWorker) {
 	w := m.workers[info.ID]
-	if w != nil && w.info.ID != "" && info.StartTime.Before(w.info.StartTime) {
+	if w != nil && w.incarnationKnown() && info.StartTime.Before(w.info.StartTime) {
 		// The worker itself has already reported a newer incarnation.
 		return
 	}
-	if w != nil && w.info.ID != "" && info.StartTime.After(w.info.StartTime) {
+	if w != nil && w.incarnationKnown() && info.StartTime.After(w.info.StartTime) {
 		m.beginIncarnation(w, info.StartTime)
 	}
 	if w == nil {
