--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -38,6 +38,8 @@
 	running    map[string]stand.Run
 	done       map[string]int
 	violations []string
+	// mostRunning is the largest number of runs at the same time since the last mostAtOnce.
+	mostRunning int
 	// taskDuration is the run time of each task.
 	taskDuration time.Duration
 	// failingPrefix makes all tasks fail whose names begin with it; empty for none.
@@ -163,6 +165,7 @@
 	settings.Limits.Cores = r.cores
 	if r.poll > 0 {
 		settings.Timings.Poll = r.poll
+		settings.Bounds.MaxListAge = max(settings.Bounds.MaxListAge, 2*r.poll)
 	}
 	if r.settings != nil {
 		r.settings(&settings)
@@ -203,6 +206,7 @@
 		r.violations = append(r.violations, run.Task+" starts after it was done")
 	}
 	r.running[run.Task] = run
+	r.mostRunning = max(r.mostRunning, len(r.running))
 }
 
 // RunEnded implements stand.RunObserver.
--- a/flow/run.go
+++ b/flow/run.go
@@ -94,8 +94,8 @@
 func (m *Machine) allocate(r *run, t *task) {
 	w := r.worker
 	if t == nil {
-		// The run's resources are unknown, so it gets the whole worker and nothing starts beside it.
-		r.need = w.info.Capacity
+		// The run's resources are unknown. It can't be larger than the worker has ever been.
+		r.need = w.largestCapacity
 	} else {
 		r.need = t.step.spec.Reserved()
 		r.spec, r.account = t.step.spec, t.step.occ.job.account
@@ -182,7 +182,7 @@
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
 		LeaseEnd: m.newLeaseEnd(w), Epoch: m.tenure.epoch, Resume: t.checkpoint,
 		Ticket: t.step.tickets.ticketFor(w.id),
-	}, SendBy: endive.Earliest(m.tenure.leaseEnd, m.now.Add(maxSendDelay))})
+	}, SendBy: m.sendBy()})
 }
 
 // maxSendDelay is how long an order to start may take to be sent.
@@ -255,7 +255,7 @@
 	// After a pause of this process, another entry may hold the pool, and a restarted worker
 	// has no epoch by which it would refuse this order. The lease couldn't be calculated either,
 	// since the clock of a restarted worker hasn't been read.
-	retry := r.attempts < maxStartAttempts && m.mayStart() && w.adopted
+	retry := r.attempts < maxStartAttempts && m.mayStart() && w.adopted && w.holdsItsRuns()
 	switch {
 	case e.Result == OrderUnknown:
 		if retry {
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -29,7 +29,7 @@
 	for _, w := range m.sortedWorkers {
 		if w.usable() {
 			w.freeingSoon = m.freedWithin(w, freeingHorizon)
-			m.advice.freeCapacity = m.advice.freeCapacity.Add(w.free()).Add(w.freeingSoon)
+			m.advice.freeCapacity = m.advice.freeCapacity.Add(w.freeSoon())
 		}
 	}
 	m.releaseIsolated()
@@ -240,7 +240,7 @@
 // meetsConstraints reports whether a task of a step may start on a worker as soon as there
 // are free capacity and a ticket.
 func (m *Machine) meetsConstraints(s *step, w *worker) bool {
-	if !w.usable() || w.isolation.active() || m.recorder.roster[w.id] == rosterAbsent || m.now.Before(w.health.avoidUntil) {
+	if !w.usable() || w.isolation.active() || !m.rosterAllowsStarts(w) || m.now.Before(w.health.avoidUntil) {
 		return false
 	}
 	if s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -24,6 +24,9 @@
 	// isn't known.
 	recordedTasks map[endive.TaskID]bool
 	used          endive.Resources
+	// largestCapacity is the largest capacity, in each dimension, under which runs may have been
+	// started on the worker.
+	largestCapacity endive.Resources
 	// serving counts the runs that serve users, and opportunistic the opportunistic ones,
 	// which may slow the serving ones down.
 	serving       int
@@ -110,15 +113,18 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.adopted && !w.addressReused && !w.info.Draining && w.failedPolls == 0
+	return w.listed && w.adopted && !w.addressReused && !w.info.Draining && !w.info.Unconfirmed && w.failedPolls == 0
 }
 
 // couldRun reports whether a task of a step could run on the worker if nothing else ran there.
-func (w *worker) couldRun(s *step) bool {
+func (w *worker) couldRun(s *step) bool { return w.couldRunIn(s, w.info.Capacity) }
+
+// couldRunIn reports the same for a worker that has the given capacity.
+func (w *worker) couldRunIn(s *step, capacity endive.Resources) bool {
 	if w.info.ID == "" {
 		return true
 	}
-	if !s.spec.Reserved().Fits(w.info.Capacity) {
+	if !s.spec.Reserved().Fits(capacity) {
 		return false
 	}
 	if s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
@@ -132,7 +138,7 @@
 	if w.recordedTasks != nil {
 		return w.recordedTasks[t.id]
 	}
-	return w.couldRun(t.step)
+	return w.mayHaveRun(t.step)
 }
 
 // tasksToRecord returns the tasks that may run on a draining worker, and whether they are known.
@@ -189,7 +195,7 @@
 // aren't recorded.
 func (m *Machine) addUnlisted(rosterWorker RosterWorker) {
 	w := newWorker(rosterWorker.ID)
-	w.info.Address, w.info.Capacity = rosterWorker.Address, rosterWorker.Capacity
+	w.setInfo(endive.FleetWorker{Address: rosterWorker.Address, Capacity: rosterWorker.Capacity})
 	m.workers[rosterWorker.ID] = w
 	m.sortWorkers()
 }
@@ -198,6 +204,10 @@
 	return &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool)}
 }
 
+// incarnationKnown reports whether the platform's list or an answer has shown which incarnation of
+// the worker it is. A worker of the roster need not be listed.
+func (w *worker) incarnationKnown() bool { return !w.info.StartTime.IsZero() }
+
 // updateWorkers applies the platform's list of workers.
 func (m *Machine) updateWorkers() {
 	if !m.tenure.active {
@@ -222,11 +232,11 @@
 
 func (m *Machine) updateWorker(info endive.FleetWorker) {
 	w := m.workers[info.ID]
-	if w != nil && w.info.ID != "" && info.StartTime.Before(w.info.StartTime) {
+	if w != nil && w.incarnationKnown() && info.StartTime.Before(w.info.StartTime) {
 		// The worker itself has already reported a newer incarnation.
 		return
 	}
-	if w != nil && w.info.ID != "" && info.StartTime.After(w.info.StartTime) {
+	if w != nil && w.incarnationKnown() && info.StartTime.After(w.info.StartTime) {
 		m.beginIncarnation(w, info.StartTime)
 	}
 	if w == nil {
@@ -236,6 +246,10 @@
 	if !w.listed {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "listed", Reason: info.Capacity.String()})
 	}
+	if w.listed && w.info.Capacity != info.Capacity {
+		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "capacity changed",
+			Reason: "from " + w.info.Capacity.String() + " to " + info.Capacity.String() + "; " + w.used.String() + " in use"})
+	}
 	startedDraining := info.Draining && !w.info.Draining
 	if !info.Draining {
 		m.forgetDraining(w)
@@ -243,7 +257,8 @@
 	if w.addressReused && w.info.Address != info.Address {
 		w.addressReused = false
 	}
-	w.info, w.listed = info, true
+	w.setInfo(info)
+	w.listed = true
 	if startedDraining {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "draining", Reason: "leaves in " + info.LeavesIn.String()})
 		m.evacuate(w)
