--- a/soak/faults.go
+++ b/soak/faults.go
@@ -67,7 +67,7 @@
 	e.signal(signal)
 	e.wait()
 	end.revert = func() {}
-	if err := s.startEntry(e); err != nil {
+	if err := s.startEntry(e, s.nextProgram()); err != nil {
 		fmt.Fprintln(os.Stderr, "soak: can't start an entry:", err)
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -28,6 +28,8 @@
 func main() {
 	app := kingpin.New("soak", usage)
 	entry := app.Flag("entry", "Path of the entry program.").Required().String()
+	earlier := app.Flag("earlier", "Path of an earlier build of the entry program, to run beside the other. The entries start with it; "+
+		"each restart may bring either; at the end all run the build of --entry.").String()
 	seed := app.Flag("seed", "Seed of the sequence of faults.").Default("1").Int64()
 	seconds := app.Flag("seconds", "How long to inject faults, in seconds.").Default("20").Int()
 	entries := app.Flag("entries", "Number of entries.").Default("3").Int()
@@ -35,7 +37,7 @@
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(os.TempDir()).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	s, err := newSoak(*entry, *dir, *seed, *entries, *workers)
+	s, err := newSoak(newUpgrade(*entry, *earlier), *dir, *seed, *entries, *workers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -45,8 +47,8 @@
 	for _, one := range findings {
 		fmt.Println("FINDING", one)
 	}
-	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults, %d findings\n",
-		*seed, s.clients.submitted, s.clients.accepted, s.clients.refused, s.clients.unknown, s.checks.startCount(), s.faultCount, len(findings))
+	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults%s, %d findings\n",
+		*seed, s.clients.submitted, s.clients.accepted, s.clients.refused, s.clients.unknown, s.checks.startCount(), s.faultCount, s.upgrade.report(), len(findings))
 	if len(findings) > 0 {
 		fmt.Println("logs are in", s.dir)
 		os.Exit(1)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// poolName is the name of the pool.
+	poolName = "svc"
 	// taskDuration is the run time of each task.
 	taskDuration = 300 * time.Millisecond
 	// registerInterval is the time between two registrations of a worker.
@@ -31,16 +33,16 @@
 
 // soak is one run of the soak test.
 type soak struct {
-	dir          string
-	entryProgram string
-	rand         *rand.Rand
-	store        *stand.Store
-	entries      []*entry
-	workers      []*worker
-	checks       *checks
-	clients      *clients
-	faultCount   int
-	stopped      chan struct{}
+	dir        string
+	upgrade    *upgrade
+	rand       *rand.Rand
+	store      *stand.Store
+	entries    []*entry
+	workers    []*worker
+	checks     *checks
+	clients    *clients
+	faultCount int
+	stopped    chan struct{}
 }
 
 // entry is one entry process and the proxy through which it reaches the store.
@@ -52,6 +54,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
+	// program is the build that the entry runs.
+	program string
 }
 
 // worker is a worker id with its proxy and the incarnation that runs behind it.
@@ -64,13 +68,13 @@
 	seq         int
 }
 
-func newSoak(program, dir string, seed int64, entries, workers int) (*soak, error) {
+func newSoak(upgrade *upgrade, dir string, seed int64, entries, workers int) (*soak, error) {
 	dir = filepath.Join(dir, fmt.Sprintf("soak-%d-%d", os.Getpid(), seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
 	s := &soak{
-		dir: dir, entryProgram: program, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(),
+		dir: dir, upgrade: upgrade, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(),
 		stopped: make(chan struct{}),
 	}
 	s.clients = newClients(s, seed+1)
@@ -96,6 +100,7 @@
 			return nil, err
 		}
 	}
+	go s.watchHolder()
 	return s, nil
 }
 
@@ -103,7 +108,7 @@
 func (s *soak) configure() error {
 	route := func(name, prefix string, hint map[string]any) map[string]any {
 		return map[string]any{
-			"name": name, "host": "a.example", "prefix": prefix, "service": "svc", "max_attempts": 3, "slack_factor": 2,
+			"name": name, "host": "a.example", "prefix": prefix, "service": poolName, "max_attempts": 3, "slack_factor": 2,
 			"target_latency_ms": 600, "hint": hint,
 		}
 	}
@@ -111,7 +116,7 @@
 	return s.store.Put("op", "", "config", map[string]any{
 		"version":  1,
 		"routes":   []map[string]any{route("quick", "/quick/", nil), route("slow", "/slow/", hint)},
-		"services": []map[string]any{{"name": "svc"}},
+		"services": []map[string]any{{"name": poolName}},
 	})
 }
 
@@ -146,7 +151,7 @@
 func (s *soak) startWorker(w *worker) error {
 	duration := func(string) time.Duration { return taskDuration }
 	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, "svc", s.checks, duration, fails)
+	incarnation := stand.NewWorker(w.id, poolName, s.checks, duration, fails)
 	address, err := s.serve(incarnation)
 	if err != nil {
 		return err
@@ -215,27 +220,34 @@
 		return err
 	}
 	s.entries = append(s.entries, e)
-	return s.startEntry(e)
+	return s.startEntry(e, s.upgrade.firstProgram())
 }
 
 // startEntry starts an entry's process and appends its output to the entry's log file.
-func (s *soak) startEntry(e *entry) error {
+func (s *soak) startEntry(e *entry, program string) error {
 	log, err := os.OpenFile(filepath.Join(s.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(s.entryProgram, "--cell", e.settings)
+	command := exec.Command(program, "--cell", e.settings)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.command = command
+	e.command, e.program = command, program
 	return nil
 }
 
+// currentProgram returns the build that the entry runs.
+func (e *entry) currentProgram() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.program
+}
+
 // signal sends a signal to an entry's process.
 func (e *entry) signal(signal syscall.Signal) {
 	e.mu.Lock()
@@ -270,6 +282,7 @@
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
 	}
 	s.revertFaults()
+	s.replaceEarlier()
 	var unfinished []string
 	for deadline := time.Now().Add(completionTimeout); time.Now().Before(deadline); time.Sleep(time.Second) {
 		if unfinished = s.clients.unfinished(); len(unfinished) == 0 {
