flow: a worker in the roster without its capacity limits nothing that may run there

Callers see: after a pool passes from a holder of a build without accounts to one of today, an account's work may wait longer for its cap, and no longer exceeds it.

Cause: after a takeover, what an earlier holder may have started on workers that haven't answered counts against the caps, at most up to the workers' capacity.

Evidence: TestCapExceededAfterRosterWithoutCapacity: 5 of 15 cores run on the silent worker, the cap is 20, and 5 tasks more started instead of 1 (30 cores of 20).

Why it works: a worker takes part in the limit only if its capacity is known; else all tasks that may run there count, as for each worker that could run anything.

--- a/flow/quotatakeover.go
+++ b/flow/quotatakeover.go
@@ -15,7 +15,7 @@
 		return
 	}
 	m.countRecordedTasks()
-	silent, capacity := m.silentWorkers()
+	silent, capacity, capacityKnown := m.silentWorkers()
 	if len(silent) == 0 {
 		return
 	}
@@ -27,7 +27,10 @@
 			for _, s := range occ.steps {
 				if s.waiting > 0 && couldRunOnAny(s, silent) {
 					use := m.quotas.use(j.account)
-					use.unrecorded = use.unrecorded.Add(s.spec.Reserved().Times(int64(s.waiting))).Min(capacity)
+					use.unrecorded = use.unrecorded.Add(s.spec.Reserved().Times(int64(s.waiting)))
+					if capacityKnown {
+						use.unrecorded = use.unrecorded.Min(capacity)
+					}
 					use.possible = use.possible.Add(s.beyondCapacity())
 				}
 			}
@@ -56,15 +59,19 @@
 }
 
 // silentWorkers returns the workers that haven't answered in this tenure and whose tasks aren't
-// known, and their capacity, which limits what an earlier holder can have started there.
-func (m *Machine) silentWorkers() (silent []*worker, capacity endive.Resources) {
+// known, and their capacity, which limits what an earlier holder can have started there. The
+// capacity isn't known if one of them isn't listed and was recorded by a build that doesn't
+// record capacities.
+func (m *Machine) silentWorkers() (silent []*worker, capacity endive.Resources, capacityKnown bool) {
+	capacityKnown = true
 	for _, w := range m.sortedWorkers {
 		if !w.adopted && w.recordedTasks == nil {
 			silent = append(silent, w)
 			capacity = capacity.Add(w.info.Capacity)
+			capacityKnown = capacityKnown && w.info.Capacity != (endive.Resources{})
 		}
 	}
-	return silent, capacity
+	return silent, capacity, capacityKnown
 }
 
 func couldRunOnAny(s *step, workers []*worker) bool {
