A workflow's account is found where a build without accounts left it out

Callers see: while and after a build without accounts runs beside today's, a workflow can still be read and cancelled by its own account only.

Cause: a holder of writes progress without the account, also that of archived workflows, and an entry of it that stores a relayed submission writes the acceptance without it. Today's code took such a workflow for one that belongs to no account, and showed it to every account, also long after the last entry of that build had gone.

Evidence: TestAccountMissingInRowsOfEarlierBuild, all four cases: the other account's call found the workflow. TestAccountMissingInArchivedProgress: the archived row had no account.

Why it works: where the progress names no account, the acceptance and then the submission are read, which the client's entry wrote. It costs reads only for callers with an account and workflows without one. A holder archives an end with the submission's account.

--- a/entry/cell/accounts_test.go
+++ b/entry/cell/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
 	"endiveroute.example/endive/setup"
 )
 
@@ -165,3 +167,52 @@
 	r.waitFor("the findings are logged", func() bool { return len(r.log.lines("left out")) >= 4 })
 	is.Equal(len(r.log.lines("key-a"))+len(r.log.lines("key-b"))+len(r.log.lines("wrong-key")), 0)
 }
+
+// A holder and an entry of a build without accounts write no account into the rows of progress
+// and acceptance. The workflow of another account must not become readable by that.
+func TestAccountMissingInRowsOfEarlierBuild(t *testing.T) {
+	const id = "00000000000000ab"
+	tests := []struct {
+		name string
+		rows map[string]any
+	}{
+		{"progress", map[string]any{
+			flow.StateKey("svc", id): flow.Progress{State: endive.WorkflowSucceeded}, flow.AcceptedKey("svc", id): flow.Acceptance{Account: "a"},
+		}},
+		{"archived progress", map[string]any{
+			flow.EndedKey("svc", id): flow.Progress{State: endive.WorkflowSucceeded}, flow.AcceptedKey("svc", id): flow.Acceptance{Account: "a"},
+		}},
+		{"acceptance of a relayed submission", map[string]any{
+			flow.AcceptedKey("svc", id): flow.Acceptance{}, flow.JobKey("svc", id): endive.Submission{Account: "a"},
+		}},
+		{"progress and acceptance", map[string]any{
+			flow.StateKey("svc", id): flow.Progress{State: endive.WorkflowRunning}, flow.AcceptedKey("svc", id): flow.Acceptance{},
+			flow.JobKey("svc", id): endive.Submission{Account: "a"},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestCluster(t, 0, 0)
+			r.putConfig(4, twoAccounts("key-a"))
+			c := r.addEntry("entry-0")
+			r.awaitReady()
+			for key, value := range tt.rows {
+				table, partition, name := splitRowKey(key)
+				is.NoErr(r.store.Put(table, partition, name, value))
+			}
+			for key, visible := range map[string]bool{"key-a": true, "key-b": false} {
+				match := c.Match("a.example", "/quick/", key)
+				_, _, err := c.findWorkflow(t.Context(), match.Queue, match.Caller, id)
+				is.Equal(endive.ErrNotFound.Has(err), !visible)
+			}
+		})
+	}
+}
+
+// splitRowKey splits the key of a row into its table, partition and name.
+func splitRowKey(key string) (table, partition, name string) {
+	table, rest, _ := strings.Cut(key, "/")
+	partition, name, _ = strings.Cut(rest, "/")
+	return table, partition, name
+}
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -63,6 +63,9 @@
 	}
 	for _, pool := range pools {
 		progress, found, err := c.findInPool(ctx, pool, id)
+		if found && err == nil && progress.Account == "" && caller.Account != "" {
+			progress.Account, err = c.findOwner(ctx, pool, id)
+		}
 		if err != nil {
 			return progress, pool, err
 		}
@@ -106,6 +109,30 @@
 	return progress, true, nil
 }
 
+// findOwner returns the account of a workflow whose progress names none; empty if it belongs to
+// none. Entries of a build without accounts may have written the progress, the acceptance or
+// both; the submission has what the client's entry wrote.
+func (c *Cell) findOwner(ctx context.Context, pool endive.PoolName, id endive.JobID) (endive.AccountName, error) {
+	for _, key := range []string{flow.AcceptedKey(pool, id), flow.JobKey(pool, id)} {
+		rows, err := c.readWithRetry(ctx, key)
+		if err != nil {
+			return "", err
+		}
+		if len(rows) == 0 {
+			continue
+		}
+		// Both rows name the account alike.
+		acceptance, err := flow.DecodeAcceptance(rows[0])
+		if err != nil {
+			return "", endive.ErrUnavailable.New("cannot decode the account of workflow %s: %w", id, err)
+		}
+		if acceptance.Account != "" {
+			return acceptance.Account, nil
+		}
+	}
+	return "", nil
+}
+
 // readWithRetry reads a row. It retries failed reads while the store is usable.
 func (c *Cell) readWithRetry(ctx context.Context, key string) ([]endive.Row, error) {
 	for {
--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -19,6 +19,9 @@
 		id := endive.JobID(name)
 		recorded, known := progress[id]
 		if known && recorded.State.Ended() {
+			if recorded.Account == "" {
+				recorded.Account = submissionAccount(row.Value)
+			}
 			m.addEndedJob(id, recorded)
 			continue
 		}
@@ -30,6 +33,16 @@
 	m.applyWorkRows(rows)
 }
 
+// submissionAccount returns the account of a submission; empty if it has none or isn't included in
+// a hand-over. A holder of a build without accounts records ends without it.
+func submissionAccount(value []byte) endive.AccountName {
+	var s endive.Submission
+	if len(value) == 0 || json.Unmarshal(value, &s) != nil {
+		return ""
+	}
+	return s.Account
+}
+
 // applyWorkRows applies new rows of the table of work.
 func (m *Machine) applyWorkRows(rows []endive.Row) {
 	// Rows come in the order of their keys, so a cancellation may come before its submission:
--- a/flow/upgrade_test.go
+++ b/flow/upgrade_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
 )
 
 // rewriteRosterAsEarlierBuild rewrites the rows of the roster as a holder writes them that knows
@@ -53,3 +55,26 @@
 	is.Equal(w.runningTasks("later"), 1)
 	w.checkViolations()
 }
+
+// A holder of a build without accounts has recorded the end of a workflow. The row of the archived
+// workflow must name the account again.
+func TestAccountMissingInArchivedProgress(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.accounts = faultAccounts()
+	w.addWorkers(2)
+	h := w.startHolder()
+	w.run(time.Second)
+	w.submitFor("a", "job", urgentQueue, stepOfTasks(1, 300*time.Millisecond))
+	w.run(1600 * time.Millisecond)
+	h.kill()
+	row := w.rows[StateKey(testPool, "job")]
+	row.Value = []byte(`{"state":"succeeded"}`)
+	w.rows[StateKey(testPool, "job")] = row
+	w.startHolder()
+	w.run(20 * time.Second)
+	var ended Progress
+	is.NoErr(decodeRow(w.rows[EndedKey(testPool, "job")].Value, &ended))
+	is.Equal(ended.State, endive.WorkflowSucceeded)
+	is.Equal(ended.Account, endive.AccountName("a"))
+}
