--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
-# Runs the fault soak: scripts/soak.sh FIRST [LAST [SECONDS [EARLIER]]] runs the seeds from
+# Runs the fault soak: scripts/soak.sh FIRST [LAST [SECONDS [EARLIER [CAP]]]] runs the seeds from
 # FIRST to LAST, some at the same time, and fails if a check failed for one of them.
-# EARLIER is the path of an earlier build of the entry program, which runs beside today's.
+# EARLIER is the path of an earlier build of the entry program, which runs beside today's;
+# empty for none. CAP is the cap of each of two client accounts, in thousandths of a processor.
 set -eu
 cd "$(dirname "$0")/.."
 first=${1:-1}
 last=${2:-$first}
 seconds=${3:-15}
 earlier=${4:-}
+account_cap=${5:-0}
 at_once=${SOAK_JOBS:-3}
 mkdir -p bin out
 go build -o bin/ ./entry ./soak
-seq "$first" "$last" | xargs -P "$at_once" -I{} bin/soak --entry bin/entry ${earlier:+--earlier "$earlier"} --dir out --seconds "$seconds" --seed {}
+seq "$first" "$last" | xargs -P "$at_once" -I{} bin/soak --entry bin/entry ${earlier:+--earlier "$earlier"} --cap "$account_cap" --dir out --seconds "$seconds" --seed {}
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -17,10 +17,13 @@
 	started    map[string]bool
 	runs       int
 	violations []string
+	// accountCap is the cap of each account, in thousandths of a processor; 0 without accounts.
+	// peak is the most that an account used.
+	accountCap, peak int
 }
 
-func newChecks() *checks {
-	return &checks{running: make(map[string]stand.Run), done: make(map[string]bool), started: make(map[string]bool)}
+func newChecks(accountCap int) *checks {
+	return &checks{accountCap: accountCap, running: make(map[string]stand.Run), done: make(map[string]bool), started: make(map[string]bool)}
 }
 
 // RunStarted implements stand.RunObserver.
@@ -37,6 +40,7 @@
 		c.violations = append(c.violations, fmt.Sprintf("%s run %d on %s starts after it was done", run.Task, run.Number, run.Worker))
 	}
 	c.running[run.Task] = run
+	c.checkCap(run)
 }
 
 // RunEnded implements stand.RunObserver. It counts a finished task as done before the
@@ -66,6 +70,12 @@
 	return c.runs
 }
 
+func (c *checks) addViolation(violation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, violation)
+}
+
 // findings returns the violations, including runs of refused jobs: those whose
 // submissions were all refused.
 func (c *checks) findings(refused map[string]bool) []string {
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -57,8 +57,8 @@
 // whether it was accepted.
 func (c *clients) submit(id string) {
 	body, err := stand.Job{Payload: "s", Steps: []stand.Step{
-		{Tasks: 1 + c.rand.Intn(5), Processors: 1000, EstimateMillis: 300},
-		{Tasks: 2, Processors: 500, EstimateMillis: 300, After: []int{0}},
+		{Tasks: 1 + c.rand.Intn(5), Processors: firstProcessors, EstimateMillis: 300},
+		{Tasks: 2, Processors: secondProcessors, EstimateMillis: 300, After: []int{0}},
 	}}.RequestBody()
 	if err != nil {
 		panic("soak: can't encode a job: " + err.Error())
@@ -69,7 +69,7 @@
 	c.submitted++
 	c.mu.Unlock()
 	for attempt := 0; attempt < 4; attempt++ {
-		switch status := c.send(http.MethodPost, path, body, nil); status {
+		switch status := c.send(http.MethodPost, path, accountOf(id), body, nil); status {
 		case http.StatusOK:
 			c.record(id, &c.accepted, true, false)
 			if c.rand.Intn(10) == 0 {
@@ -108,18 +108,21 @@
 	c.mu.Lock()
 	delete(c.outstanding, id)
 	c.mu.Unlock()
-	c.send(http.MethodDelete, path, "", nil)
+	c.send(http.MethodDelete, path, accountOf(id), "", nil)
 }
 
-// send sends a request to a random entry and decodes the response body into result. It
+// send sends a request with an account's key to a random entry and decodes the response body into result. It
 // returns the HTTP status, or 0 if there was no valid response.
-func (c *clients) send(method, path, body string, result any) int {
+func (c *clients) send(method, path, key, body string, result any) int {
 	address := c.soak.entries[c.rand.Intn(len(c.soak.entries))].clientAddress
 	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
 	request.Host = "a.example"
+	if c.soak.checks.accountCap > 0 {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0
@@ -135,6 +138,13 @@
 	return response.StatusCode
 }
 
+// checkOwner records a violation if a completed job is shown to another account.
+func (c *clients) checkOwner(id string) {
+	if c.soak.checks.accountCap > 0 && c.send(http.MethodGet, "/quick/"+id, otherAccount(id), "", nil) == http.StatusOK {
+		c.soak.checks.addViolation("job " + id + " is shown to another account")
+	}
+}
+
 // unfinished returns the accepted jobs that aren't reported as completed, with their states.
 func (c *clients) unfinished() []string {
 	c.mu.Lock()
@@ -146,11 +156,12 @@
 	var unfinished []string
 	for _, id := range ids {
 		var state stand.JobState
-		// Any queue's path prefix will do: jobs are looked up by id within the pool.
-		if c.send(http.MethodGet, "/quick/"+id, "", &state) == http.StatusOK && state.Completed() {
+		// Any queue's path prefix will do: jobs are looked up by id.
+		if c.send(http.MethodGet, "/quick/"+id, accountOf(id), "", &state) == http.StatusOK && state.Completed() {
 			c.mu.Lock()
 			delete(c.outstanding, id)
 			c.mu.Unlock()
+			c.checkOwner(id)
 			continue
 		}
 		unfinished = append(unfinished, id+" is "+state.State)
--- a/soak/main.go
+++ b/soak/main.go
@@ -18,8 +18,9 @@
 delays, resets and black-holes connections; kills, pauses, stops and restarts
 entries; restarts workers; and makes the store reject requests, lose responses or
 drop its change history. It checks that no task runs twice at the same time or
-again after it was done, that refused jobs never run, and that all accepted jobs
-complete after the faults have ended.
+again after it was done, that refused jobs never run, that no account exceeds its cap
+or sees the other's jobs, and that all accepted jobs complete after the faults have
+ended.
 
   soak --entry bin/entry --seed 7 --seconds 20
 
@@ -34,10 +35,11 @@
 	seconds := app.Flag("seconds", "How long to inject faults, in seconds.").Default("20").Int()
 	entries := app.Flag("entries", "Number of entries.").Default("3").Int()
 	workers := app.Flag("workers", "Number of workers.").Default("6").Int()
+	accountCap := app.Flag("cap", "Cap of each of two client accounts, in thousandths of a processor; 0 for no accounts.").Default("0").Int()
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(os.TempDir()).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	s, err := newSoak(newUpgrade(*entry, *earlier), *dir, *seed, *entries, *workers)
+	s, err := newSoak(newUpgrade(*entry, *earlier), newChecks(*accountCap), *dir, *seed, *entries, *workers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -49,6 +51,9 @@
 	}
 	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults%s, %d findings\n",
 		*seed, s.clients.submitted, s.clients.accepted, s.clients.refused, s.clients.unknown, s.checks.startCount(), s.faultCount, s.upgrade.report(), len(findings))
+	if *accountCap > 0 {
+		fmt.Printf("seed %d: an account used at most %d of %d\n", *seed, s.checks.peak, *accountCap)
+	}
 	if len(findings) > 0 {
 		fmt.Println("logs are in", s.dir)
 		os.Exit(1)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// poolName is the name of the pool.
-	poolName = "svc"
 	// taskDuration is the run time of each task.
 	taskDuration = 300 * time.Millisecond
 	// registerInterval is the time between two registrations of a worker.
@@ -35,6 +33,7 @@
 type soak struct {
 	dir        string
 	upgrade    *upgrade
+	pools      []string
 	rand       *rand.Rand
 	store      *stand.Store
 	entries    []*entry
@@ -61,6 +60,7 @@
 // worker is a worker id with its proxy and the incarnation that runs behind it.
 type worker struct {
 	id    string
+	pool  string
 	proxy *proxy
 
 	mu          sync.Mutex
@@ -68,13 +68,13 @@
 	seq         int
 }
 
-func newSoak(upgrade *upgrade, dir string, seed int64, entries, workers int) (*soak, error) {
+func newSoak(upgrade *upgrade, checks *checks, dir string, seed int64, entries, workers int) (*soak, error) {
 	dir = filepath.Join(dir, fmt.Sprintf("soak-%d-%d", os.Getpid(), seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
 	s := &soak{
-		dir: dir, upgrade: upgrade, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(),
+		dir: dir, upgrade: upgrade, pools: checks.pools(), rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: checks,
 		stopped: make(chan struct{}),
 	}
 	s.clients = newClients(s, seed+1)
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	for i := range workers {
-		if err := s.addWorker(fmt.Sprintf("i-%d", i)); err != nil {
+		if err := s.addWorker(fmt.Sprintf("i-%d", i), s.pools[i%len(s.pools)]); err != nil {
 			return nil, err
 		}
 	}
@@ -100,24 +100,32 @@
 			return nil, err
 		}
 	}
-	go s.watchHolder()
+	go s.watchHolders()
 	return s, nil
 }
 
 // configure stores the configuration of the queues and the service.
 func (s *soak) configure() error {
-	route := func(name, prefix string, hint map[string]any) map[string]any {
+	route := func(name, prefix, pool string, hint map[string]any) map[string]any {
 		return map[string]any{
-			"name": name, "host": "a.example", "prefix": prefix, "service": poolName, "max_attempts": 3, "slack_factor": 2,
+			"name": name, "host": "a.example", "prefix": prefix, "service": pool, "max_attempts": 3, "slack_factor": 2,
 			"target_latency_ms": 600, "hint": hint,
 		}
 	}
 	hint := map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000}
-	return s.store.Put("op", "", "config", map[string]any{
+	var pools []map[string]any
+	for _, pool := range s.pools {
+		pools = append(pools, map[string]any{"name": pool})
+	}
+	config := map[string]any{
 		"version":  1,
-		"routes":   []map[string]any{route("quick", "/quick/", nil), route("slow", "/slow/", hint)},
-		"services": []map[string]any{{"name": poolName}},
-	})
+		"routes":   []map[string]any{route("quick", "/quick/", s.pools[0], nil), route("slow", "/slow/", s.pools[len(s.pools)-1], hint)},
+		"services": pools,
+	}
+	if accounts := s.checks.accounts(); accounts != nil {
+		config["tenants"] = accounts
+	}
+	return s.store.Put("op", "", "config", config)
 }
 
 // serve starts an HTTP server for handler in this process and returns its address.
@@ -138,8 +146,8 @@
 
 func (s *server) run() { _ = http.Serve(s.listener, s.handler) }
 
-func (s *soak) addWorker(id string) error {
-	w := &worker{id: id}
+func (s *soak) addWorker(id, pool string) error {
+	w := &worker{id: id, pool: pool}
 	if err := s.startWorker(w); err != nil {
 		return err
 	}
@@ -151,7 +159,7 @@
 func (s *soak) startWorker(w *worker) error {
 	duration := func(string) time.Duration { return taskDuration }
 	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, poolName, s.checks, duration, fails)
+	incarnation := stand.NewWorker(w.id, w.pool, s.checks, duration, fails)
 	address, err := s.serve(incarnation)
 	if err != nil {
 		return err
--- a/soak/upgrade.go
+++ b/soak/upgrade.go
@@ -8,11 +8,12 @@
 	"syscall"
 	"time"
 
+	"endiveroute.example/endive"
 	"endiveroute.example/endive/elect"
 )
 
 const (
-	// holderPollInterval is the time between two looks at the lease of the pool.
+	// holderPollInterval is the time between two looks at the leases of the pools.
 	holderPollInterval = 10 * time.Millisecond
 	// replacePause is the pause between two entries that are replaced at the end.
 	replacePause = time.Second
@@ -22,15 +23,20 @@
 type upgrade struct {
 	newer, earlier string
 
-	mu sync.Mutex
-	// epoch and holder are the epoch of the pool's lease and the build of its holder.
-	epoch    uint64
-	holder   string
-	handOver map[string]int
+	mu      sync.Mutex
+	holders map[string]poolHolder
+	// changes counts the changes of holders by the builds of both.
+	changes map[string]int
+}
+
+// poolHolder is the epoch of a pool's lease and the build of its holder.
+type poolHolder struct {
+	epoch endive.Epoch
+	build string
 }
 
 func newUpgrade(newer, earlier string) *upgrade {
-	return &upgrade{newer: newer, earlier: earlier, handOver: make(map[string]int)}
+	return &upgrade{newer: newer, earlier: earlier, holders: make(map[string]poolHolder), changes: make(map[string]int)}
 }
 
 // firstProgram returns the program with which the entries start.
@@ -64,8 +70,8 @@
 	}
 }
 
-// watchHolder counts the changes of the pool's holder, by the builds of both holders.
-func (s *soak) watchHolder() {
+// watchHolders counts the changes of the pools' holders, by the builds of both holders.
+func (s *soak) watchHolders() {
 	ticker := time.NewTicker(holderPollInterval)
 	defer ticker.Stop()
 	for {
@@ -74,30 +80,33 @@
 			return
 		case <-ticker.C:
 		}
-		var lease elect.Lease
-		if json.Unmarshal(s.store.Get(elect.Table, poolName, "holder"), &lease) == nil && lease.Epoch > 0 {
-			s.recordHolder(lease)
+		for _, pool := range s.pools {
+			var lease elect.Lease
+			if json.Unmarshal(s.store.Get(elect.Table, pool, "holder"), &lease) == nil {
+				s.recordHolder(pool, lease)
+			}
 		}
 	}
 }
 
 // recordHolder counts the holder of a new epoch.
-func (s *soak) recordHolder(lease elect.Lease) {
-	s.upgrade.mu.Lock()
-	defer s.upgrade.mu.Unlock()
-	if uint64(lease.Epoch) == s.upgrade.epoch {
+func (s *soak) recordHolder(pool string, lease elect.Lease) {
+	u := s.upgrade
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	old := u.holders[pool]
+	if lease.Epoch == old.epoch {
 		return
 	}
-	s.upgrade.epoch = uint64(lease.Epoch)
 	for _, e := range s.entries {
 		if e.name != string(lease.Holder) {
 			continue
 		}
-		build := s.upgrade.build(e.currentProgram())
-		if s.upgrade.holder != "" {
-			s.upgrade.handOver[s.upgrade.holder+" to "+build]++
+		build := u.build(e.currentProgram())
+		if old.build != "" {
+			u.changes[old.build+" to "+build]++
 		}
-		s.upgrade.holder = build
+		u.holders[pool] = poolHolder{epoch: lease.Epoch, build: build}
 	}
 }
 
@@ -108,12 +117,12 @@
 	return "earlier"
 }
 
-// report returns the changes of the pool's holder, by builds; empty without an earlier build.
+// report returns the changes of the pools' holders, by builds; empty without an earlier build.
 func (u *upgrade) report() string {
 	if u.earlier == "" {
 		return ""
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return fmt.Sprintf(", holders %v", u.handOver)
+	return fmt.Sprintf(", holders %v", u.changes)
 }
