soak: an entry that ends by itself is a finding

Callers see: a line "FINDING entry-N ended by itself" with how the process ended.

Cause: an entry that had ended looked like one that doesn't answer.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,11 +53,31 @@
 	storeProxy    *proxy
 
 	mu      sync.Mutex
-	command *exec.Cmd
+	process *entryProcess
 	// program is the build that the entry runs.
 	program string
 }
 
+// entryProcess is a process of an entry.
+type entryProcess struct {
+	command *exec.Cmd
+	checks  *checks
+	entry   string
+	// ended is closed once the process has ended.
+	ended chan struct{}
+	// ending is true once the process was sent a signal that ends it.
+	ending atomic.Bool
+}
+
+// run waits for the process to end, and records a violation if no signal was sent to end it.
+func (p *entryProcess) run() {
+	err := p.command.Wait()
+	if !p.ending.Load() {
+		p.checks.addViolation(fmt.Sprintf("%s ended by itself: %v", p.entry, err))
+	}
+	close(p.ended)
+}
+
 // worker is a worker id with its proxy and the incarnation that runs behind it.
 type worker struct {
 	id    string
@@ -243,9 +264,11 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	process := &entryProcess{command: command, checks: s.checks, entry: e.name, ended: make(chan struct{})}
+	go process.run()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.command, e.program = command, program
+	e.process, e.program = process, program
 	return nil
 }
 
@@ -260,21 +283,24 @@
 func (e *entry) signal(signal syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.command != nil {
-		// An error means that the process has already exited.
-		_ = e.command.Process.Signal(signal)
+	if e.process == nil {
+		return
+	}
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		e.process.ending.Store(true)
 	}
+	// An error means that the process has already exited.
+	_ = e.process.command.Process.Signal(signal)
 }
 
 // wait waits for an entry's process to end.
 func (e *entry) wait() {
 	e.mu.Lock()
-	command := e.command
-	e.command = nil
+	process := e.process
+	e.process = nil
 	e.mu.Unlock()
-	if command != nil {
-		// The injected fault causes the exit, so that the exit status is ignored.
-		_ = command.Wait()
+	if process != nil {
+		<-process.ended
 	}
 }
 
