--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -254,3 +254,20 @@
 		}
 	}
 }
+
+// A pool needs something of a cap and has no part of it. The next holder panicked when it took over
+// such a row, and the one after it, too.
+func TestPanicAtRowWithNeedsAndNoParts(t *testing.T) {
+	is := is.New(t)
+	store := newTestStore()
+	store.commit(endive.Transaction{Writes: []endive.Write{
+		{Key: partsKey("p"), Value: encodeParts(parts{Epoch: 1, Needs: map[endive.AccountName]amounts{"a": {500}}})},
+	}})
+	p := newStored("p", 2, store)
+	change, ok := p.Update(store.now, nil)
+	is.True(ok)
+	is.Equal(change.Reason, "epoch 2")
+	p.HandleCommitted(store.now, store.commit(change.Transaction))
+	run(store, map[*Stored]endive.QuotaUse{p: {Waiting: processors(500)}}, 3)
+	is.True(limitOf(p) >= 500)
+}
