system: the reason and the stack of a panic reach the standard error

Callers see: an entry that exits with status 70 writes the reason and the stack to its standard error.

Cause: the line with the reason went to the log, which is written in the background every 50 ms, and the process exited before. The stack was nowhere.

TestPanicExitsProcess now looks for both.

Why it works: the write is done before the exit, in the goroutine that panicked.

--- a/entry/system/actorsystem.go
+++ b/entry/system/actorsystem.go
@@ -2,8 +2,11 @@
 package system
 
 import (
+	"fmt"
+	"io"
 	"log/slog"
 	"os"
+	"runtime/debug"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/hashicorp/go-hclog"
@@ -23,7 +26,7 @@
 }
 
 // New returns a System that logs panics only.
-func New(log hclog.Logger) *System { return newSystem(&panicHandler{log: log, exit: os.Exit}) }
+func New(log hclog.Logger) *System { return newSystem(&panicHandler{log: log, stderr: os.Stderr, exit: os.Exit}) }
 
 func newSystem(handler *panicHandler) *System {
 	actors := actor.NewActorSystem(actor.WithLoggerFactory(newDiscardLogger))
@@ -49,12 +52,16 @@
 
 // panicHandler exits the process after a panic.
 type panicHandler struct {
-	log  hclog.Logger
-	exit func(status int)
+	log hclog.Logger
+	// stderr gets the reason and the stack. The log may be written in the background, and what
+	// isn't written at the exit is lost.
+	stderr io.Writer
+	exit   func(status int)
 }
 
 func (e *panicHandler) handlePanic(reason any) actor.Directive {
 	e.log.Error("state machine panicked; exiting the process", "reason", reason)
+	_, _ = fmt.Fprintf(e.stderr, "state machine panicked: %v\n%s", reason, debug.Stack())
 	e.exit(ExitPanic)
 	return actor.StopDirective
 }
--- a/entry/system/actorsystem_test.go
+++ b/entry/system/actorsystem_test.go
@@ -22,13 +22,14 @@
 	}
 }
 
-// A panic in an actor must exit the process, and the log must contain the reason.
+// A panic in an actor must exit the process. The log must contain the reason, and the standard error
+// the stack too, since a log that is written in the background loses its last lines.
 func TestPanicExitsProcess(t *testing.T) {
 	is := is.New(t)
-	var logged bytes.Buffer
+	var logged, stderr bytes.Buffer
 	exitStatus := make(chan int, 1)
 	log := hclog.New(&hclog.LoggerOptions{Output: &logged, JSONFormat: true})
-	handler := &panicHandler{log: log, exit: func(status int) { exitStatus <- status }}
+	handler := &panicHandler{log: log, stderr: &stderr, exit: func(status int) { exitStatus <- status }}
 	s := newSystem(handler)
 	s.Send(s.Spawn(panickingActor{}), "panic")
 	select {
@@ -38,5 +39,7 @@
 		t.Fatal("process did not exit")
 	}
 	is.True(bytes.Contains(logged.Bytes(), []byte("half-way")))
+	is.True(bytes.Contains(stderr.Bytes(), []byte("half-way")))
+	is.True(bytes.Contains(stderr.Bytes(), []byte("panickingActor.Receive")))
 	s.Shutdown()
 }
