--- a/quota/rows.go
+++ b/quota/rows.go
@@ -41,6 +41,19 @@
 	return p.Epoch == other.Epoch && maps.Equal(p.Parts, other.Parts) && maps.Equal(p.Needs, other.Needs)
 }
 
+// addMissing adds an empty part for each need without a part. The build 99b8d0f can't take over a
+// row that has needs and no parts.
+func (p *parts) addMissing() {
+	if p.Parts == nil && len(p.Needs) > 0 {
+		p.Parts = make(map[endive.AccountName]amounts)
+	}
+	for name := range p.Needs {
+		if _, ok := p.Parts[name]; !ok {
+			p.Parts[name] = amounts{}
+		}
+	}
+}
+
 // exceeds reports whether the part of any account is larger than in the other row.
 func (p parts) exceeds(other parts) bool {
 	for name, part := range p.Parts {
@@ -99,6 +112,7 @@
 	if err := json.Unmarshal(row.Value, &decoded.parts); err != nil {
 		decoded.parts = parts{}
 	}
+	decoded.addMissing()
 	return endive.PoolName(pool), decoded, true
 }
 
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -206,6 +206,7 @@
 			next.Needs[account.Name] = need
 		}
 	}
+	next.addMissing()
 	return next
 }
 
--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -271,3 +271,21 @@
 	run(store, map[*Stored]endive.QuotaUse{p: {Waiting: processors(500)}}, 3)
 	is.True(limitOf(p) >= 500)
 }
+
+// While entries of the build 99b8d0f run beside today's, no row may be written that ends their
+// processes: one with needs and no parts.
+func TestNoRowWithNeedsAndNoParts(t *testing.T) {
+	is := is.New(t)
+	store := newTestStore()
+	p, q := newStored("p", 1, store), newStored("q", 1, store)
+	run(store, map[*Stored]endive.QuotaUse{p: {Running: processors(1000)}, q: {}}, 4)
+	run(store, map[*Stored]endive.QuotaUse{p: {Running: processors(1000)}, q: {Waiting: processors(300)}}, 4)
+	is.Equal(string(store.rows[partsKey("q")].Value), `{"epoch":1,"parts":{"a":[0,0,0]},"needs":{"a":[310,0,0]}}`)
+
+	store.commit(endive.Transaction{Writes: []endive.Write{{Key: partsKey("q"), Value: []byte(`{"epoch":1,"needs":{"a":[310,0,0]}}`)}}})
+	next := newStored("q", 2, store)
+	change, ok := next.Update(store.now, nil)
+	is.True(ok)
+	next.HandleCommitted(store.now, store.commit(change.Transaction))
+	is.Equal(string(store.rows[partsKey("q")].Value), `{"epoch":2,"parts":{"a":[0,0,0]},"needs":{"a":[310,0,0]}}`)
+}
