flow: a hand-over passes on the rows as they are stored

Callers see: when a pool passes over a holder of an earlier build in a planned stop, fields of newer builds in rows that it hasn't rewritten aren't lost (from today's build on).

Evidence: TestHandOverDropsFieldsOfLaterBuild: the field of a later build was missing.

Why it works: the value that was read is kept and handed over, until a row is written.

--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -8,9 +8,16 @@
 	"endiveroute.example/endive"
 )
 
+// storedProgress is a workflow's recorded progress with the value of its row. A hand-over passes on
+// the value, which may have fields of a later build.
+type storedProgress struct {
+	Progress
+	value []byte
+}
+
 // applySnapshotRows creates the jobs from all rows of the table of work and the recorded
 // progress of their workflows.
-func (m *Machine) applySnapshotRows(rows []endive.Row, progress map[endive.JobID]Progress) {
+func (m *Machine) applySnapshotRows(rows []endive.Row, progress map[endive.JobID]storedProgress) {
 	for _, row := range rows {
 		kind, name := workRow(m.pool, row.Key)
 		if kind != kindJob || row.Deleted {
@@ -22,12 +29,12 @@
 			if recorded.Account == "" {
 				recorded.Account = submissionAccount(row.Value)
 			}
-			m.addEndedJob(id, recorded)
+			m.addEndedJob(id, recorded.Progress)
 			continue
 		}
-		m.addJob(id, row.Value, recorded, true)
+		m.addJob(id, row.Value, recorded.Progress, true)
 		if j := m.jobs[id]; j != nil && known {
-			j.stateValue = encodeRow(recorded)
+			j.stateValue = recorded.value
 		}
 	}
 	m.applyWorkRows(rows)
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -75,11 +75,11 @@
 	m.tenure.loaded = true
 	m.tenure.revision = e.Revision
 	m.quotas.division.TakeOver(e.QuotaParts)
-	progress := make(map[endive.JobID]Progress)
+	progress := make(map[endive.JobID]storedProgress)
 	for _, row := range e.StateRows {
 		id, decoded, ok := m.decodeProgress(row)
 		if ok {
-			progress[id] = decoded
+			progress[id] = storedProgress{Progress: decoded, value: row.Value}
 		}
 	}
 	m.recorder.roster = make(map[endive.WorkerID]rosterStatus)
--- a/flow/upgrade_test.go
+++ b/flow/upgrade_test.go
@@ -78,3 +78,21 @@
 	is.Equal(ended.State, endive.WorkflowSucceeded)
 	is.Equal(ended.Account, endive.AccountName("a"))
 }
+
+// A holder hands over a row that it has only read, with fields of a later build: the next holder,
+// of that build, must get them.
+func TestHandOverDropsFieldsOfLaterBuild(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	id := w.submit("job", urgentQueue, stepOfTasks(40, 20*time.Second))
+	w.run(3 * time.Second)
+	h.kill()
+	row := w.rows[StateKey(testPool, id)]
+	row.Value = withUnknownFields(t, row.Value)
+	w.rows[row.Key] = row
+	second := w.startHolder()
+	w.run(3500 * time.Millisecond)
+	snapshot := second.machine.snapshot()
+	is.Equal(len(snapshot.StateRows), 1)
+	is.Equal(string(snapshot.StateRows[0].Value), string(row.Value))
+}
