--- a/entry/system/actorsystem.go
+++ b/entry/system/actorsystem.go
@@ -26,7 +26,9 @@
 }
 
 // New returns a System that logs panics only.
-func New(log hclog.Logger) *System { return newSystem(&panicHandler{log: log, stderr: os.Stderr, exit: os.Exit}) }
+func New(log hclog.Logger) *System {
+	return newSystem(&panicHandler{log: log, stderr: os.Stderr, exit: os.Exit})
+}
 
 func newSystem(handler *panicHandler) *System {
 	actors := actor.NewActorSystem(actor.WithLoggerFactory(newDiscardLogger))
