soak: an entry's ports aren't taken while it is restarted

Callers see: no finding "ended by itself: exit status 1" for a port that another process on the machine has.

Cause: entries' ports came from the range from which the kernel chooses ports for connections, so that another process could get one between two starts of an entry.

Why it works: the ports are below that range.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -220,14 +222,27 @@
 	}
 }
 
-// freeAddress returns a loopback address with an unused port.
+const (
+	// firstPort and portCount are the ports of entries: below those that the kernel chooses itself,
+	// so that no other connection gets an entry's port while the entry is restarted.
+	firstPort = 12_000
+	portCount = 20_000
+	// maxPortTries limits the ports that are tried.
+	maxPortTries = 100
+)
+
+// freeAddress returns a loopback address with an unused port. The port doesn't depend on the
+// seed, since soaks run side by side.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range maxPortTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+randv2.IntN(portCount)))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 func (s *soak) addEntry(i int, store, advice string) error {
