--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -222,7 +222,11 @@
 func (w *world) update(i int) {
 	s := w.pools[i]
 	use := endive.QuotaUse{Running: processors(w.running[i] + w.phantom[i]), Waiting: processors(w.waiting[i])}
-	change, ok := s.Update(w.now, map[endive.AccountName]endive.QuotaUse{"a": use})
+	uses := map[endive.AccountName]endive.QuotaUse{"a": use}
+	if !s.begun && w.rng.IntN(2) == 0 {
+		uses = nil // as of a holder that hasn't loaded the pool's work
+	}
+	change, ok := s.Update(w.now, uses)
 	if !ok {
 		return
 	}
