--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -293,3 +293,27 @@
 	next.HandleCommitted(store.now, store.commit(change.Transaction))
 	is.Equal(string(store.rows[partsKey("q")].Value), `{"epoch":2,"parts":{"a":[0,0,0]},"needs":{"a":[310,0,0]}}`)
 }
+
+// A malformed row of parts must not end the process of the holder that takes the pool over, nor of
+// those that read it.
+func TestMalformedRows(t *testing.T) {
+	values := []string{
+		``, `null`, `[]`, `{}`, `{"parts":null,"needs":{"a":[1]}}`, `{"epoch":1,"parts":{},"needs":{}}`, `{"epoch":"x"}`, `{"parts":{"a":null}}`,
+		`{"parts":{"other":[1,2,3,4]}}`, `{"epoch":1,"needs":{"other":[1,2,3]}}`, `{"epoch":-1}`,
+	}
+	for _, value := range values {
+		t.Run(value, func(t *testing.T) {
+			is := is.New(t)
+			store := newTestStore()
+			store.commit(endive.Transaction{Writes: []endive.Write{{Key: partsKey("p"), Value: []byte(value)}, {Key: growthKey, Value: []byte(value)}}})
+			p, q := newStored("p", 2, store), newStored("q", 1, store)
+			if change, ok := p.Update(store.now, nil); ok {
+				p.HandleCommitted(store.now, store.commit(change.Transaction))
+			}
+			run(store, map[*Stored]endive.QuotaUse{p: {Waiting: processors(400)}, q: {Waiting: processors(400)}}, 6)
+			is.True(limitOf(p) >= 400)
+			is.True(limitOf(q) >= 400)
+			is.True(limitOf(p)+limitOf(q) <= capOfA)
+		})
+	}
+}
