entry: the line "started" names the revision of the build

Callers see: a field revision in the line "started" of entries that run workflows; unknown if the build has no version control information, as here, where GOFLAGS is -buildvcs=false.

Cause: while two builds run side by side, no log said which one an entry runs.

Evidence: TestRevisionOf; go version -m of a build with -buildvcs=true has the revision.

--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -83,7 +83,7 @@
 	for _, s := range p.servers {
 		go s.run()
 	}
-	p.log.Info("started", "settings", p.settings.String())
+	p.log.Info("started", "revision", revision(), "settings", p.settings.String())
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
