--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -8,9 +8,16 @@
 	"endiveroute.example/endive"
 )
 
+// storedProgress is a workflow's recorded progress with the value of its row. A hand-over passes on
+// the value, which may have fields of a later build.
+type storedProgress struct {
+	Progress
+	value []byte
+}
+
 // applySnapshotRows creates the jobs from all rows of the table of work and the recorded
 // progress of their workflows.
-func (m *Machine) applySnapshotRows(rows []endive.Row, progress map[endive.JobID]Progress) {
+func (m *Machine) applySnapshotRows(rows []endive.Row, progress map[endive.JobID]storedProgress) {
 	for _, row := range rows {
 		kind, name := workRow(m.pool, row.Key)
 		if kind != kindJob || row.Deleted {
@@ -19,17 +26,30 @@
 		id := endive.JobID(name)
 		recorded, known := progress[id]
 		if known && recorded.State.Ended() {
-			m.addEndedJob(id, recorded)
+			if recorded.Account == "" {
+				recorded.Account = submissionAccount(row.Value)
+			}
+			m.addEndedJob(id, recorded.Progress)
 			continue
 		}
-		m.addJob(id, row.Value, recorded, true)
+		m.addJob(id, row.Value, recorded.Progress, true)
 		if j := m.jobs[id]; j != nil && known {
-			j.stateValue = encodeRow(recorded)
+			j.stateValue = recorded.value
 		}
 	}
 	m.applyWorkRows(rows)
 }
 
+// submissionAccount returns the account of a submission; empty if it has none or isn't included in
+// a hand-over. A holder of a build without accounts records ends without it.
+func submissionAccount(value []byte) endive.AccountName {
+	var s endive.Submission
+	if len(value) == 0 || json.Unmarshal(value, &s) != nil {
+		return ""
+	}
+	return s.Account
+}
+
 // applyWorkRows applies new rows of the table of work.
 func (m *Machine) applyWorkRows(rows []endive.Row) {
 	// Rows come in the order of their keys, so a cancellation may come before its submission:
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -41,6 +41,19 @@
 	return p.Epoch == other.Epoch && maps.Equal(p.Parts, other.Parts) && maps.Equal(p.Needs, other.Needs)
 }
 
+// addMissing adds an empty part for each need without a part. The build 99b8d0f can't take over a
+// row that has needs and no parts.
+func (p *parts) addMissing() {
+	if p.Parts == nil && len(p.Needs) > 0 {
+		p.Parts = make(map[endive.AccountName]amounts)
+	}
+	for name := range p.Needs {
+		if _, ok := p.Parts[name]; !ok {
+			p.Parts[name] = amounts{}
+		}
+	}
+}
+
 // exceeds reports whether the part of any account is larger than in the other row.
 func (p parts) exceeds(other parts) bool {
 	for name, part := range p.Parts {
@@ -60,10 +73,10 @@
 	if p.Epoch != old.Epoch {
 		changes = append(changes, "epoch "+strconv.FormatUint(uint64(p.Epoch), 10))
 	}
-	names := maps.Clone(p.Parts)
-	maps.Copy(names, old.Parts)
-	maps.Copy(names, p.Needs)
-	maps.Copy(names, old.Needs)
+	names := make(map[endive.AccountName]amounts)
+	for _, amountsByName := range []map[endive.AccountName]amounts{p.Parts, old.Parts, p.Needs, old.Needs} {
+		maps.Copy(names, amountsByName)
+	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		from, to := old.Parts[name], p.Parts[name]
 		switch {
@@ -99,6 +112,7 @@
 	if err := json.Unmarshal(row.Value, &decoded.parts); err != nil {
 		decoded.parts = parts{}
 	}
+	decoded.addMissing()
 	return endive.PoolName(pool), decoded, true
 }
 
--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -222,7 +222,11 @@
 func (w *world) update(i int) {
 	s := w.pools[i]
 	use := endive.QuotaUse{Running: processors(w.running[i] + w.phantom[i]), Waiting: processors(w.waiting[i])}
-	change, ok := s.Update(w.now, map[endive.AccountName]endive.QuotaUse{"a": use})
+	uses := map[endive.AccountName]endive.QuotaUse{"a": use}
+	if !s.begun && w.rng.IntN(2) == 0 {
+		uses = nil // as of a holder that hasn't loaded the pool's work
+	}
+	change, ok := s.Update(w.now, uses)
 	if !ok {
 		return
 	}
@@ -254,3 +258,62 @@
 		}
 	}
 }
+
+// A pool needs something of a cap and has no part of it. The next holder panicked when it took over
+// such a row, and the one after it, too.
+func TestPanicAtRowWithNeedsAndNoParts(t *testing.T) {
+	is := is.New(t)
+	store := newTestStore()
+	store.commit(endive.Transaction{Writes: []endive.Write{
+		{Key: partsKey("p"), Value: encodeParts(parts{Epoch: 1, Needs: map[endive.AccountName]amounts{"a": {500}}})},
+	}})
+	p := newStored("p", 2, store)
+	change, ok := p.Update(store.now, nil)
+	is.True(ok)
+	is.Equal(change.Reason, "epoch 2")
+	p.HandleCommitted(store.now, store.commit(change.Transaction))
+	run(store, map[*Stored]endive.QuotaUse{p: {Waiting: processors(500)}}, 3)
+	is.True(limitOf(p) >= 500)
+}
+
+// While entries of the build 99b8d0f run beside today's, no row may be written that ends their
+// processes: one with needs and no parts.
+func TestNoRowWithNeedsAndNoParts(t *testing.T) {
+	is := is.New(t)
+	store := newTestStore()
+	p, q := newStored("p", 1, store), newStored("q", 1, store)
+	run(store, map[*Stored]endive.QuotaUse{p: {Running: processors(1000)}, q: {}}, 4)
+	run(store, map[*Stored]endive.QuotaUse{p: {Running: processors(1000)}, q: {Waiting: processors(300)}}, 4)
+	is.Equal(string(store.rows[partsKey("q")].Value), `{"epoch":1,"parts":{"a":[0,0,0]},"needs":{"a":[310,0,0]}}`)
+
+	store.commit(endive.Transaction{Writes: []endive.Write{{Key: partsKey("q"), Value: []byte(`{"epoch":1,"needs":{"a":[310,0,0]}}`)}}})
+	next := newStored("q", 2, store)
+	change, ok := next.Update(store.now, nil)
+	is.True(ok)
+	next.HandleCommitted(store.now, store.commit(change.Transaction))
+	is.Equal(string(store.rows[partsKey("q")].Value), `{"epoch":2,"parts":{"a":[0,0,0]},"needs":{"a":[310,0,0]}}`)
+}
+
+// A malformed row of parts must not end the process of the holder that takes the pool over, nor of
+// those that read it.
+func TestMalformedRows(t *testing.T) {
+	values := []string{
+		``, `null`, `[]`, `{}`, `{"parts":null,"needs":{"a":[1]}}`, `{"epoch":1,"parts":{},"needs":{}}`, `{"epoch":"x"}`, `{"parts":{"a":null}}`,
+		`{"parts":{"other":[1,2,3,4]}}`, `{"epoch":1,"needs":{"other":[1,2,3]}}`, `{"epoch":-1}`,
+	}
+	for _, value := range values {
+		t.Run(value, func(t *testing.T) {
+			is := is.New(t)
+			store := newTestStore()
+			store.commit(endive.Transaction{Writes: []endive.Write{{Key: partsKey("p"), Value: []byte(value)}, {Key: growthKey, Value: []byte(value)}}})
+			p, q := newStored("p", 2, store), newStored("q", 1, store)
+			if change, ok := p.Update(store.now, nil); ok {
+				p.HandleCommitted(store.now, store.commit(change.Transaction))
+			}
+			run(store, map[*Stored]endive.QuotaUse{p: {Waiting: processors(400)}, q: {Waiting: processors(400)}}, 6)
+			is.True(limitOf(p) >= 400)
+			is.True(limitOf(q) >= 400)
+			is.True(limitOf(p)+limitOf(q) <= capOfA)
+		})
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,16 +34,17 @@
 
 // soak is one run of the soak test.
 type soak struct {
-	dir          string
-	entryProgram string
-	rand         *rand.Rand
-	store        *stand.Store
-	entries      []*entry
-	workers      []*worker
-	checks       *checks
-	clients      *clients
-	faultCount   int
-	stopped      chan struct{}
+	dir        string
+	upgrade    *upgrade
+	pools      []string
+	rand       *rand.Rand
+	store      *stand.Store
+	entries    []*entry
+	workers    []*worker
+	checks     *checks
+	clients    *clients
+	faultCount int
+	stopped    chan struct{}
 }
 
 // entry is one entry process and the proxy through which it reaches the store.
@@ -51,12 +55,35 @@
 	storeProxy    *proxy
 
 	mu      sync.Mutex
+	process *entryProcess
+	// program is the build that the entry runs.
+	program string
+}
+
+// entryProcess is a process of an entry.
+type entryProcess struct {
 	command *exec.Cmd
+	checks  *checks
+	entry   string
+	// ended is closed once the process has ended.
+	ended chan struct{}
+	// ending is true once the process was sent a signal that ends it.
+	ending atomic.Bool
+}
+
+// run waits for the process to end, and records a violation if no signal was sent to end it.
+func (p *entryProcess) run() {
+	err := p.command.Wait()
+	if !p.ending.Load() {
+		p.checks.addViolation(fmt.Sprintf("%s ended by itself: %v", p.entry, err))
+	}
+	close(p.ended)
 }
 
 // worker is a worker id with its proxy and the incarnation that runs behind it.
 type worker struct {
 	id    string
+	pool  string
 	proxy *proxy
 
 	mu          sync.Mutex
@@ -64,13 +91,13 @@
 	seq         int
 }
 
-func newSoak(program, dir string, seed int64, entries, workers int) (*soak, error) {
+func newSoak(upgrade *upgrade, checks *checks, dir string, seed int64, entries, workers int) (*soak, error) {
 	dir = filepath.Join(dir, fmt.Sprintf("soak-%d-%d", os.Getpid(), seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
 	s := &soak{
-		dir: dir, entryProgram: program, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(),
+		dir: dir, upgrade: upgrade, pools: checks.pools(), rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: checks,
 		stopped: make(chan struct{}),
 	}
 	s.clients = newClients(s, seed+1)
@@ -86,7 +113,7 @@
 		return nil, err
 	}
 	for i := range workers {
-		if err := s.addWorker(fmt.Sprintf("i-%d", i)); err != nil {
+		if err := s.addWorker(fmt.Sprintf("i-%d", i), s.pools[i%len(s.pools)]); err != nil {
 			return nil, err
 		}
 	}
@@ -96,23 +123,32 @@
 			return nil, err
 		}
 	}
+	go s.watchHolders()
 	return s, nil
 }
 
 // configure stores the configuration of the queues and the service.
 func (s *soak) configure() error {
-	route := func(name, prefix string, hint map[string]any) map[string]any {
+	route := func(name, prefix, pool string, hint map[string]any) map[string]any {
 		return map[string]any{
-			"name": name, "host": "a.example", "prefix": prefix, "service": "svc", "max_attempts": 3, "slack_factor": 2,
+			"name": name, "host": "a.example", "prefix": prefix, "service": pool, "max_attempts": 3, "slack_factor": 2,
 			"target_latency_ms": 600, "hint": hint,
 		}
 	}
 	hint := map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000}
-	return s.store.Put("op", "", "config", map[string]any{
+	var pools []map[string]any
+	for _, pool := range s.pools {
+		pools = append(pools, map[string]any{"name": pool})
+	}
+	config := map[string]any{
 		"version":  1,
-		"routes":   []map[string]any{route("quick", "/quick/", nil), route("slow", "/slow/", hint)},
-		"services": []map[string]any{{"name": "svc"}},
-	})
+		"routes":   []map[string]any{route("quick", "/quick/", s.pools[0], nil), route("slow", "/slow/", s.pools[len(s.pools)-1], hint)},
+		"services": pools,
+	}
+	if accounts := s.checks.accounts(); accounts != nil {
+		config["tenants"] = accounts
+	}
+	return s.store.Put("op", "", "config", config)
 }
 
 // serve starts an HTTP server for handler in this process and returns its address.
@@ -133,8 +169,8 @@
 
 func (s *server) run() { _ = http.Serve(s.listener, s.handler) }
 
-func (s *soak) addWorker(id string) error {
-	w := &worker{id: id}
+func (s *soak) addWorker(id, pool string) error {
+	w := &worker{id: id, pool: pool}
 	if err := s.startWorker(w); err != nil {
 		return err
 	}
@@ -146,7 +182,7 @@
 func (s *soak) startWorker(w *worker) error {
 	duration := func(string) time.Duration { return taskDuration }
 	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, "svc", s.checks, duration, fails)
+	incarnation := stand.NewWorker(w.id, w.pool, s.checks, duration, fails)
 	address, err := s.serve(incarnation)
 	if err != nil {
 		return err
@@ -186,14 +222,27 @@
 	}
 }
 
-// freeAddress returns a loopback address with an unused port.
+const (
+	// firstPort and portCount are the ports of entries: below those that the kernel chooses itself,
+	// so that no other connection gets an entry's port while the entry is restarted.
+	firstPort = 12_000
+	portCount = 20_000
+	// maxPortTries limits the ports that are tried.
+	maxPortTries = 100
+)
+
+// freeAddress returns a loopback address with an unused port. The port doesn't depend on the
+// seed, since soaks run side by side.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range maxPortTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+randv2.IntN(portCount)))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 func (s *soak) addEntry(i int, store, advice string) error {
@@ -215,46 +264,58 @@
 		return err
 	}
 	s.entries = append(s.entries, e)
-	return s.startEntry(e)
+	return s.startEntry(e, s.upgrade.firstProgram())
 }
 
 // startEntry starts an entry's process and appends its output to the entry's log file.
-func (s *soak) startEntry(e *entry) error {
+func (s *soak) startEntry(e *entry, program string) error {
 	log, err := os.OpenFile(filepath.Join(s.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(s.entryProgram, "--cell", e.settings)
+	command := exec.Command(program, "--cell", e.settings)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
 	}
+	process := &entryProcess{command: command, checks: s.checks, entry: e.name, ended: make(chan struct{})}
+	go process.run()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.command = command
+	e.process, e.program = process, program
 	return nil
 }
 
+// currentProgram returns the build that the entry runs.
+func (e *entry) currentProgram() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.program
+}
+
 // signal sends a signal to an entry's process.
 func (e *entry) signal(signal syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.command != nil {
-		// An error means that the process has already exited.
-		_ = e.command.Process.Signal(signal)
+	if e.process == nil {
+		return
+	}
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		e.process.ending.Store(true)
 	}
+	// An error means that the process has already exited.
+	_ = e.process.command.Process.Signal(signal)
 }
 
 // wait waits for an entry's process to end.
 func (e *entry) wait() {
 	e.mu.Lock()
-	command := e.command
-	e.command = nil
+	process := e.process
+	e.process = nil
 	e.mu.Unlock()
-	if command != nil {
-		// The injected fault causes the exit, so that the exit status is ignored.
-		_ = command.Wait()
+	if process != nil {
+		<-process.ended
 	}
 }
 
@@ -270,6 +331,7 @@
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
 	}
 	s.revertFaults()
+	s.replaceEarlier()
 	var unfinished []string
 	for deadline := time.Now().Add(completionTimeout); time.Now().Before(deadline); time.Sleep(time.Second) {
 		if unfinished = s.clients.unfinished(); len(unfinished) == 0 {
