--- a/entry/cell/shardscan_test.go
+++ b/entry/cell/shardscan_test.go
@@ -30,7 +30,7 @@
 	rows := &refusingRows{}
 	c := &Cell{Deps: Deps{Store: NewStore(rows, endive.SystemClock{}, hclog.NewNullLogger())}}
 	c.ctx = t.Context()
-	ctx, cancel := context.WithTimeout(t.Context(), 3*retryDelay)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*retryDelay/2)
 	defer cancel()
 	results := make(chan shardResult, 1)
 	(&shardScan{cell: c, timeout: endive.Interval(time.Second), prefix: "work.svc/000/", results: results}).run(ctx)
