--- a/flow/crash.go
+++ b/flow/crash.go
@@ -262,9 +262,16 @@
 	return true
 }
 
-// settlePendingRuns settles the pending runs of earlier holders.
+// settlePendingRuns settles the pending runs of earlier holders, in the order of their tasks.
 func (m *Machine) settlePendingRuns() {
-	for _, t := range m.tasks {
-		m.settlePendingRun(t)
+	var pending []endive.TaskID
+	for id, t := range m.tasks {
+		if t.crashes.pending.number > 0 {
+			pending = append(pending, id)
+		}
+	}
+	slices.Sort(pending)
+	for _, id := range pending {
+		m.settlePendingRun(m.tasks[id])
 	}
 }
