--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -180,3 +180,69 @@
 		w.publishWorkers()
 	})
 }
+
+// Deadly tasks beside lost and late orders, lost writes, workers that crash for other reasons or are
+// cut off, and a takeover mustn't be started again and again, nor make harmless workflows fail.
+func TestDeadlyTasksUnderFaults(t *testing.T) {
+	for seed := range int64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDeadlyFaults(t, seed) })
+	}
+}
+
+func runDeadlyFaults(t *testing.T, seed int64) {
+	w := newSimulation(t, seed, faults{
+		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03,
+	})
+	w.trace = *followTasks
+	w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 0.8}
+	w.addWorkers(10)
+	current := w.startHolder()
+	var harmless, deadly []endive.JobID
+	for i := range 24 {
+		w.run(time.Second + time.Duration(i)*500*time.Millisecond)
+		id := w.submitNth(i)
+		if i%6 == 2 || i%6 == 4 {
+			w.jobs[id].deadly = endive.TaskID(string(id) + ".0.0.0")
+			deadly = append(deadly, id)
+		} else {
+			harmless = append(harmless, id)
+		}
+		w.injectWorkerFault()
+		if i == 12 && seed%2 == 0 {
+			current.kill()
+			current = w.startHolder()
+		}
+	}
+	w.faults = faults{}
+	w.run(60 * time.Second)
+	w.checkViolations()
+	w.checkDeadlyFailed(deadly)
+	for _, id := range harmless {
+		longRunning := w.jobs[id].workflow.Steps[0].LongRunning
+		if state := w.state(id); state == endive.WorkflowFailed || !state.Ended() && !longRunning {
+			t.Errorf("job %s is %s", id, state)
+		}
+	}
+}
+
+// checkDeadlyFailed fails the test if a deadly job hasn't failed.
+func (w *simulation) checkDeadlyFailed(ids []endive.JobID) {
+	w.t.Helper()
+	for _, id := range ids {
+		if state := w.state(id); state != endive.WorkflowFailed {
+			w.t.Errorf("job %s is %s, want failed", id, state)
+		}
+	}
+}
+
+// injectWorkerFault crashes a worker, cuts one off for a while, or does nothing.
+func (w *simulation) injectWorkerFault() {
+	worker := w.workers[endive.WorkerID(fmt.Sprintf("w%d", w.random.Intn(10)))]
+	switch w.random.Intn(8) {
+	case 0:
+		worker.crash()
+	case 1, 2:
+		worker.unreachable = true
+		w.after(3*time.Second, func() { worker.unreachable = false })
+	}
+}
