--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -23,7 +23,8 @@
 	waitsForAdvice        waitReason = "an advice request is in flight"
 	waitsToRequest        waitReason = "it may not request advice yet"
 	waitsForEarlierHolder waitReason = "an earlier holder may have started it on a worker that doesn't answer"
-	waitsForMembers       waitReason = "its members don't all fit at the same time"
+	waitsForDrains        waitReason = "its members don't all fit at the same time, and workers are drained for it"
+	waitsForMembers       waitReason = "its members don't all fit at the same time, and no workers are drained for it"
 	waitsForIsolation     waitReason = "it may crash its worker, and no worker can be kept from other starts for it yet"
 	waitsToRetry          waitReason = "its tasks may not start again yet"
 )
@@ -85,8 +86,12 @@
 
 // gangWaitReason returns what a gang waits for that can't start now.
 func (m *Machine) gangWaitReason(s *step) waitReason {
-	if s.gang.reservedWorkers == nil && s.tickets.surveyed() && !s.tickets.requestInFlight(m.now) {
+	switch {
+	case s.gang.reservedWorkers != nil || !s.tickets.surveyed() || s.tickets.requestInFlight(m.now):
+		return m.adviceWaitReason(s)
+	case len(s.gang.drainedWorkers) > 0:
+		return waitsForDrains
+	default:
 		return waitsForMembers
 	}
-	return m.adviceWaitReason(s)
 }
