A gang asks about other workers after 6 s, however busy the advice service is

A gang whose known eligible workers don't suffice asked about others only while requests used less than half of their limit, which in a busy pool they never do: it waited for ever for advice.

--- a/flow/gangreserve.go
+++ b/flow/gangreserve.go
@@ -23,6 +23,9 @@
 	// reserveHorizon is added to the base response time of an advice request to get the
 	// time within which reserved capacity must become free.
 	reserveHorizon = 100 * time.Millisecond
+	// maxSurveyAge is how old a gang's last advice request may get while the known eligible workers
+	// don't suffice.
+	maxSurveyAge = 6 * time.Second
 	// gangSearchInterval is the minimum time between two searches for a gang's workers.
 	gangSearchInterval = 50 * time.Millisecond
 )
@@ -137,9 +140,15 @@
 }
 
 // mayResurvey reports whether a gang that fits nowhere may request advice about more workers:
-// some time after its last request, and if other requests use less than half of the limit.
+// some time after its last request if other requests use less than half of the limit, and
+// later whatever they use. Otherwise a gang would never learn of other workers in a busy pool.
 func (m *Machine) mayResurvey(s *step) bool {
-	return m.hasUnknownWorkers(s) && m.now.Sub(s.tickets.requestedAt) > adviceCooldown && m.advice.inFlightCost+m.advice.plannedCost < m.maxInFlightCost()/2
+	if !m.hasUnknownWorkers(s) {
+		return false
+	}
+	since := m.now.Sub(s.tickets.requestedAt)
+	spare := m.advice.inFlightCost+m.advice.plannedCost < m.maxInFlightCost()/2
+	return since > adviceCooldown && spare || since > maxSurveyAge
 }
 
 // hasUnknownWorkers reports whether there are workers whose eligibility for a step is unknown.
