quota: a takeover of a pool that only needs a part doesn't end the process

Callers saw every entry go down, one after the other, each with exit status 70, and come down again after its restart, until the row changed: no entry could hold the pool. A pool that has no part of any cap and needs one has a row with needs alone. Its parts are left out of the JSON, so that the next holder reads a nil map. Its first write repeats the row under its own epoch, and the description of the change copied all names into a clone of that nil map.

TestTakeoverOfPoolThatOnlyNeeds failed before with 'assignment to entry in nil map'. The property test never wrote the epoch alone, as a holder does that is still loading; now it does, and failed in the same way. It passes since the names go into a map of their own.

--- a/quota/rows.go
+++ b/quota/rows.go
@@ -60,10 +60,11 @@
 	if p.Epoch != old.Epoch {
 		changes = append(changes, "epoch "+strconv.FormatUint(uint64(p.Epoch), 10))
 	}
-	names := maps.Clone(p.Parts)
-	maps.Copy(names, old.Parts)
-	maps.Copy(names, p.Needs)
-	maps.Copy(names, old.Needs)
+	// A row without parts or needs has a nil map.
+	names := make(map[endive.AccountName]amounts)
+	for _, named := range []map[endive.AccountName]amounts{p.Parts, old.Parts, p.Needs, old.Needs} {
+		maps.Copy(names, named)
+	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		from, to := old.Parts[name], p.Parts[name]
 		switch {
--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -153,6 +153,28 @@
 	is.True(limitOf(p)+limitOf(q) <= 300)
 }
 
+// A pool has no part of a cap yet, only a need for one, when another holder takes it over: the
+// holder must not panic, as each holder after it would.
+func TestTakeoverOfPoolThatOnlyNeeds(t *testing.T) {
+	is := is.New(t)
+	store := newTestStore()
+	p, q := newStored("p", 1, store), newStored("q", 1, store)
+	all := map[*Stored]endive.QuotaUse{p: {Running: processors(capOfA)}, q: {}}
+	run(store, all, 4)
+	all[q] = endive.QuotaUse{Waiting: processors(500)}
+	run(store, all, 4)
+	next := newStored("q", 2, store)
+	change, ok := next.Update(store.now, nil)
+	is.True(ok)
+	is.Equal(change.Reason, "epoch 2")
+	next.HandleCommitted(store.now, store.commit(change.Transaction))
+	delete(all, q)
+	all[p], all[next] = endive.QuotaUse{Running: processors(400)}, endive.QuotaUse{Waiting: processors(500)}
+	run(store, all, 4)
+	is.Equal(limitOf(p)+limitOf(next), int64(capOfA))
+	is.True(limitOf(next) >= 500)
+}
+
 // world plays two pools with holders that change, calls whose answers are lost or that are
 // carried out late, feeds that lag, and caps that change.
 type world struct {
@@ -167,6 +189,8 @@
 	waiting [2]int64
 	// phantom is what a holder still counts of what an earlier one may have started.
 	phantom [2]int64
+	// loading is true while a new holder doesn't know yet what runs and waits.
+	loading [2]bool
 	late    []endive.Transaction
 }
 
@@ -182,6 +206,7 @@
 		w.pools[i].SetAccounts(accountA(w.cap), 2)
 		w.pools[i].Begin(w.epochs[i])
 		w.phantom[i] = w.rng.Int64N(2 * capOfA)
+		w.loading[i] = true
 	case 1:
 		s.HandleRows(w.store.all(), true)
 	case 10:
@@ -207,7 +232,7 @@
 func (w *world) startRuns(i int) {
 	allowance, _ := w.pools[i].Allowance("a")
 	start := min(w.waiting[i], int64(allowance.Limit.Processors)-w.running[i]-w.phantom[i])
-	if start <= 0 {
+	if start <= 0 || w.loading[i] {
 		return
 	}
 	before := w.running[0] + w.running[1]
@@ -222,7 +247,11 @@
 func (w *world) update(i int) {
 	s := w.pools[i]
 	use := endive.QuotaUse{Running: processors(w.running[i] + w.phantom[i]), Waiting: processors(w.waiting[i])}
-	change, ok := s.Update(w.now, map[endive.AccountName]endive.QuotaUse{"a": use})
+	uses := map[endive.AccountName]endive.QuotaUse{"a": use}
+	if w.loading[i] {
+		uses, w.loading[i] = nil, w.rng.IntN(2) == 0
+	}
+	change, ok := s.Update(w.now, uses)
 	if !ok {
 		return
 	}
