Metrics by account: what each runs, waits for and may run

Operators could see in the logs that accounts wait for their caps, but had no figure to draw or to alarm on. The holder of a pool reports its accounts with each status, about once a second: accountRunning, accountWaiting, accountPart and accountCap, for the five accounts that run most; the rest is summed as (others), so that hundreds of accounts don't become thousands of lines. The lines disappear when the tenure ends. A tally scope can't do that, since its series stay for the life of the process, so gauge.Page has groups of values that are replaced as a whole.

--- a/entry/cell/accounts_test.go
+++ b/entry/cell/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/elect"
 	"endiveroute.example/endive/setup"
 )
 
@@ -165,3 +167,27 @@
 	r.waitFor("the findings are logged", func() bool { return len(r.log.lines("left out")) >= 4 })
 	is.Equal(len(r.log.lines("key-a"))+len(r.log.lines("key-b"))+len(r.log.lines("wrong-key")), 0)
 }
+
+// The holder's metrics tell what each account runs, waits for and may run, and disappear when it
+// isn't the holder any more.
+func TestMetricsOfAccounts(t *testing.T) {
+	is := is.New(t)
+	r := newTestCluster(t, 2, 0)
+	r.taskDuration = 0
+	r.putConfig(4, []map[string]any{{"name": "a", "api_keys": []string{"key-a"}, "cap": map[string]int{"cpu": 3000}}})
+	c := r.addEntry("entry-0")
+	r.awaitReady()
+	r.key = "key-a"
+	r.submitAccepted(c, "/quick/", "00000000000000aa", 5, false)
+	want := func(name string, value string) string {
+		return name + `{account="a",pool="svc",resource="processors"} ` + value + "\n"
+	}
+	r.waitFor("the account is reported", func() bool {
+		page := c.Counters.page.String()
+		return strings.Contains(page, want("accountRunning", "3")) && strings.Contains(page, want("accountWaiting", "2")) &&
+			strings.Contains(page, want("accountPart", "3")) && strings.Contains(page, want("accountCap", "3"))
+	})
+	c.poolNamed("svc").send(electMachine, elect.Release{})
+	r.waitFor("the account isn't reported any more", func() bool { return c.Counters.page.String() == "" })
+	is.Equal(len(r.violations), 0)
+}
--- a/entry/cell/actions.go
+++ b/entry/cell/actions.go
@@ -49,6 +49,8 @@
 		go (&stopCall{pool: p, order: a.Order}).run()
 	case flow.RequestAdvice:
 		p.cell.adviceRouter.route(adviceRequest{step: a.Step, workers: a.Workers, pool: p, fromHolder: true, cost: a.Cost})
+	case flow.AccountsUsed:
+		p.cell.Counters.recordAccounts(p.name, a)
 	case flow.Decision:
 		p.logDecision(a)
 	}
--- a/entry/cell/candidates_test.go
+++ b/entry/cell/candidates_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/gauge"
 	"endiveroute.example/endive/setup"
 )
 
@@ -86,7 +87,7 @@
 	log, clock := hclog.NewNullLogger(), endive.SystemClock{}
 	c := New(Deps{
 		Settings: setup.CellSettings{Name: "entry-0"}, Clock: clock, Platform: fixedClock{}, Log: log,
-		Counters: NewCounters(tally.NoopScope), Store: NewStore(nil, clock, log),
+		Counters: NewCounters(gauge.New(), tally.NoopScope), Store: NewStore(nil, clock, log),
 	})
 	defer c.Close()
 	c.peers.discovered = true
--- a/entry/cell/counters.go
+++ b/entry/cell/counters.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/gauge"
 	"endiveroute.example/endive/flow"
 )
 
@@ -16,6 +17,8 @@
 	stepCount     tally.Counter
 	stepTime      tally.Counter
 	submitLatency tally.Histogram
+	// page has the metrics that scope can't have, since they disappear again.
+	page *gauge.Page
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms.
@@ -24,10 +27,10 @@
 	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second,
 }
 
-// NewCounters registers the metrics in a scope.
-func NewCounters(scope tally.Scope) *Counters {
+// NewCounters registers the metrics in a scope of a page.
+func NewCounters(page *gauge.Page, scope tally.Scope) *Counters {
 	return &Counters{
-		scope: scope, stepCount: scope.Counter("machineSteps"), stepTime: scope.Counter("machineMicroseconds"),
+		page: page, scope: scope, stepCount: scope.Counter("machineSteps"), stepTime: scope.Counter("machineMicroseconds"),
 		submitLatency: scope.Histogram("submitSeconds", latencyBuckets),
 	}
 }
--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/gauge"
 	"endiveroute.example/endive/guard"
 	plat "endiveroute.example/endive/platform"
 	"endiveroute.example/endive/platform/stand"
@@ -169,7 +170,7 @@
 	}
 	clock := endive.NewBootClock()
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Output: r.log, JSONFormat: true, Level: hclog.Info})
-	counters := NewCounters(tally.NoopScope)
+	counters := NewCounters(gauge.New(), tally.NoopScope)
 	guarded := guard.Settings{}
 	guarded.Defaults()
 	client := plat.NewClient(guarded, clock, counters)
--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -99,7 +99,7 @@
 		MaxConnections: cellMaxConnections, MaxIdle: p.settings.Limits.Descriptors / idleShare, DialTimeout: cellDialTimeout, IdleTimeout: cellIdleTimeout,
 	}
 	settings.Defaults()
-	counts := cell.NewCounters(scope)
+	counts := cell.NewCounters(p.metricsPage, scope)
 	p.client = plat.NewClient(settings, p.clock, counts)
 	clock := plat.NewStoreClock(p.clock)
 	rows := cell.NewStore(plat.NewStore(p.client, p.settings.Platform.Store, clock), p.clock, p.log)
--- a/entry/gauge/page.go
+++ b/entry/gauge/page.go
@@ -22,10 +22,14 @@
 type Page struct {
 	mu     sync.Mutex
 	series map[string]*series
+	// groups are the series of each group of values that Replace sets.
+	groups map[string]map[string]*series
 }
 
 // New returns an empty Page, to be used as the CachedReporter of a tally root scope.
-func New() *Page { return &Page{series: make(map[string]*series)} }
+func New() *Page {
+	return &Page{series: make(map[string]*series), groups: make(map[string]map[string]*series)}
+}
 
 // NewScope returns a root scope that reports to this page, and the function that closes it.
 func (p *Page) NewScope(interval time.Duration) (tally.Scope, func() error) {
@@ -49,8 +53,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var page strings.Builder
-	for _, key := range slices.Sorted(maps.Keys(p.series)) {
-		p.series[key].write(&page)
+	all := p.allSeries()
+	for _, key := range slices.Sorted(maps.Keys(all)) {
+		all[key].write(&page)
 	}
 	return page.String()
 }
@@ -89,14 +94,13 @@
 
 // seriesFor returns the series with a name and tags. It creates the series if needed.
 func (p *Page) seriesFor(name string, tags map[string]string) *series {
-	text := formatTags(tags)
+	one := &series{page: p, name: name, tags: formatTags(tags), buckets: make(map[float64]*bucket)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := name + "\x00" + text
-	if p.series[key] == nil {
-		p.series[key] = &series{page: p, name: name, tags: text, buckets: make(map[float64]*bucket)}
+	if p.series[one.key()] == nil {
+		p.series[one.key()] = one
 	}
-	return p.series[key]
+	return p.series[one.key()]
 }
 
 // formatTags formats tags, without the braces, in alphabetical order.
--- a/entry/gauge/page_test.go
+++ b/entry/gauge/page_test.go
@@ -50,3 +50,19 @@
 waiting 1.5
 `)
 }
+
+func TestReplacedValuesDisappear(t *testing.T) {
+	is := is.New(t)
+	page := gauge.New()
+	value := func(account string, value float64) gauge.Value {
+		return gauge.Value{Name: "used", Tags: map[string]string{"account": account}, Value: value}
+	}
+	page.Replace("pool-1", []gauge.Value{value("a", 1), value("b", 2)})
+	page.Replace("pool-2", []gauge.Value{value("c", 0)})
+	is.Equal(page.String(), "used{account=\"a\"} 1\nused{account=\"b\"} 2\nused{account=\"c\"} 0\n")
+	page.Replace("pool-1", []gauge.Value{value("d", 3)})
+	is.Equal(page.String(), "used{account=\"c\"} 0\nused{account=\"d\"} 3\n")
+	page.Replace("pool-2", nil)
+	page.Replace("pool-1", nil)
+	is.Equal(page.String(), "")
+}
--- a/entry/gauge/series.go
+++ b/entry/gauge/series.go
@@ -26,6 +26,9 @@
 	buckets  map[float64]*bucket
 }
 
+// key returns the key by which a page sorts its series.
+func (s *series) key() string { return s.name + "\x00" + s.tags }
+
 // bucket counts the histogram samples above the previous bound and up to its own bound.
 type bucket struct {
 	series *series
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -134,6 +134,7 @@
 		status := m.status.current
 		sent.status = &status
 		m.logUsage()
+		m.reportAccounts()
 		txn.Writes = append(txn.Writes, endive.Write{Key: StatusKey(m.pool), Value: encodeRow(status)})
 	}
 	rec.inFlight = sent
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -48,6 +48,7 @@
 	if e.HandOver && m.tenure.loaded {
 		m.handOver()
 	}
+	m.emit(AccountsUsed{})
 	m.reset()
 }
 
@@ -59,6 +60,7 @@
 	epoch := m.tenure.epoch
 	m.logDecision(Decision{Kind: DecisionTenure, Outcome: "fenced", Reason: "epoch " + formatInt(int64(epoch)) + " was refused by " + source})
 	m.emit(Fenced{Epoch: epoch})
+	m.emit(AccountsUsed{})
 	m.reset()
 }
 
