endive show accounts

Shows what the accounts of a cell run, wait for and may run in each pool. It reads the metrics of all given entries, since only the holder of a pool has its accounts. Tests of the command with lines of quoted names, torn lines and none.

--- a/endive/cmds/run_test.go
+++ b/endive/cmds/run_test.go
@@ -55,6 +55,17 @@
 	jobFile    = "name = \"cut\"\nteam = \"cutters\"\npool = \"planner\"\nkey = \"k1\"\n[need]\nprocessors = 1\n"
 )
 
+// accountMetrics are lines about two accounts among others.
+const accountMetrics = `accountCap{account="a \"b\"",pool="svc",resource="processors"} 6
+accountPart{account="a \"b\"",pool="svc",resource="processors"} 4.5
+accountRunning{account="(others)",pool="svc",resource="processors"} 0.5
+accountRunning{account="a \"b\"",pool="svc",resource="processors"} 3
+accountRunning{account="torn
+accountWaiting{account="a \"b\"",pool="svc",resource="memory"} 1073741824
+calls{call="Poll",status="200"} 44
+processMicroseconds 7
+`
+
 func TestRun(t *testing.T) {
 	tests := []struct {
 		name string
@@ -100,6 +111,10 @@
 		{"instances", "show instances", "", []string{`200 - {"instances":[{"id":"x1","kind":"executor","service":"cut","state":"live"}]}`}, StatusOK, nil, "x1        executor  live   false    -       -     -     cut  -", ""},
 		{"workers", "show workers", "", []string{`200 - {"workers":[{"id":"w1","quarantined":"3 unlike jobs failed"}]}`}, StatusOK, nil, "3 unlike jobs failed", ""},
 		{"slices", "show slices", "", []string{`200 - {"slices":[{"id":"planner.de","holder":"entry-3","epoch":4}]}`}, StatusOK, nil, "planner.de  entry-3  4", ""},
+		{"accounts", "show accounts", "", []string{"200 - " + accountMetrics}, StatusOK, []string{"GET /metrics"},
+			"svc   (others)  0.5 processors, 0.0 GiB, 0 accelerators  0.0 processors, 0.0 GiB, 0 accelerators  -", ""},
+		{"accounts in JSON", "show accounts --json", "", []string{"200 - " + accountMetrics}, StatusOK, nil, `"name": "a \"b\""`, ""},
+		{"no accounts", "show accounts", "", []string{"200 - processMicroseconds 7\n"}, StatusOK, nil, "none\n", ""},
 		{"slots", "show slots --json", "", []string{`200 - {"slots":[{"executor":"x1","slots":8,"lent":2}]}`}, StatusOK, nil, `"lent": 2`, ""},
 		{"settings", "settings check ../../setup/sample.toml", "", nil, StatusOK, nil, "The settings are good: entry entry-1", ""},
 		{"settings wrong", "settings check FILE --json", "nmae = \"a\"", nil, StatusInvalid, nil, "", `"place": "nmae"`},
--- a/endive/cmds/show.go
+++ b/endive/cmds/show.go
@@ -14,10 +14,11 @@
 
 // defineShow defines the commands that show the state of an entry.
 func (p *program) defineShow() {
-	group := p.app.Command("show", "State of entries, instances, workers, slices and slots, as an entry has it.")
+	group := p.app.Command("show", "State of entries, instances, workers, slices, accounts and slots, as an entry has it.")
 	p.add(group, "entries", "Show the entries.", showHelp, &showEntries{})
 	p.add(group, "instances", "Show the workers and executors, live or not.", showHelp, &showInstances{})
 	p.add(group, "workers", "Show the workers with their committed resources.", showHelp, &showWorkers{})
 	p.add(group, "slices", "Show the slices with their holders and queues.", showHelp, &showSlices{})
+	p.add(group, "accounts", "Show what the client accounts of a cell use.", showAccountsHelp, &showAccounts{})
 	p.add(group, "slots", "Show how the slots of executors are distributed over the entries.", showHelp, &showSlots{})
 }
