A panic of a state machine is the log's last line

docs/OPERATIONS.md says that the last line of the log names the reason of exit status 70.

TestPanicExitsProcess now reads what was flushed, as the entry's own log is buffered; without the call it fails at the check of the reason.

--- a/entry/cell/candidates_test.go
+++ b/entry/cell/candidates_test.go
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	log, clock := hclog.NewNullLogger(), endive.SystemClock{}
 	c := New(Deps{
-		Settings: setup.CellSettings{Name: "entry-0"}, Clock: clock, Platform: fixedClock{}, Log: log,
+		Settings: setup.CellSettings{Name: "entry-0"}, Clock: clock, Platform: fixedClock{}, Log: log, FlushLog: func() {},
 		Counters: NewCounters(gauge.New(), tally.NoopScope), Store: NewStore(nil, clock, log),
 	})
 	defer c.Close()
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -39,7 +39,7 @@
 func New(deps Deps) *Cell {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Cell{
-		Deps: deps, system: system.New(deps.Log), ctx: ctx, cancel: cancel,
+		Deps: deps, system: system.New(deps.Log, deps.FlushLog), ctx: ctx, cancel: cancel,
 		pools: make(map[endive.PoolName]*pool),
 	}
 	c.config = &configLoop{cell: c}
--- a/entry/cell/dependencies.go
+++ b/entry/cell/dependencies.go
@@ -19,8 +19,10 @@
 	Incarnation endive.Incarnation
 	Clock       endive.Clock
 	// Platform estimates the time of the store's clock.
-	Platform  endive.PlatformClock
-	Log       hclog.Logger
+	Platform endive.PlatformClock
+	Log      hclog.Logger
+	// FlushLog writes out all lines of Log.
+	FlushLog  func()
 	Counters  *Counters
 	Store     *Store
 	Directory endive.Directory
--- a/entry/shell/shell.go
+++ b/entry/shell/shell.go
@@ -96,7 +96,7 @@
 	s.members.Store(&endive.MembersChanged{Self: s.self})
 	s.readyUntil.Store(&time.Time{})
 	s.mesh = peer.New(s.self, s, &peerMeter{self: s.self, scope: deps.Scope}, deps.Log)
-	s.system = system.New(s.log)
+	s.system = system.New(s.log, func() {})
 	s.spawnRoles()
 	return s
 }
--- a/entry/system/actorsystem.go
+++ b/entry/system/actorsystem.go
@@ -22,8 +22,11 @@
 	root *actor.RootContext
 }
 
-// New returns a System that logs panics only.
-func New(log hclog.Logger) *System { return newSystem(&panicHandler{log: log, exit: os.Exit}) }
+// New returns a System that logs panics only. After a panic it calls flushLog, which must write out
+// all lines, before the process exits.
+func New(log hclog.Logger, flushLog func()) *System {
+	return newSystem(&panicHandler{log: log, flushLog: flushLog, exit: os.Exit})
+}
 
 func newSystem(handler *panicHandler) *System {
 	actors := actor.NewActorSystem(actor.WithLoggerFactory(newDiscardLogger))
@@ -49,12 +52,14 @@
 
 // panicHandler exits the process after a panic.
 type panicHandler struct {
-	log  hclog.Logger
-	exit func(status int)
+	log      hclog.Logger
+	flushLog func()
+	exit     func(status int)
 }
 
 func (e *panicHandler) handlePanic(reason any) actor.Directive {
 	e.log.Error("state machine panicked; exiting the process", "reason", reason)
+	e.flushLog()
 	e.exit(ExitPanic)
 	return actor.StopDirective
 }
--- a/entry/system/actorsystem_test.go
+++ b/entry/system/actorsystem_test.go
@@ -28,7 +28,10 @@
 	var logged bytes.Buffer
 	exitStatus := make(chan int, 1)
 	log := hclog.New(&hclog.LoggerOptions{Output: &logged, JSONFormat: true})
-	handler := &panicHandler{log: log, exit: func(status int) { exitStatus <- status }}
+	// The log is buffered, as that of the entry program is.
+	var written bytes.Buffer
+	flush := func() { written.Write(logged.Bytes()) }
+	handler := &panicHandler{log: log, flushLog: flush, exit: func(status int) { exitStatus <- status }}
 	s := newSystem(handler)
 	s.Send(s.Spawn(panickingActor{}), "panic")
 	select {
@@ -37,6 +40,6 @@
 	case <-time.After(timeout):
 		t.Fatal("process did not exit")
 	}
-	is.True(bytes.Contains(logged.Bytes(), []byte("half-way")))
+	is.True(bytes.Contains(written.Bytes(), []byte("half-way")))
 	s.Shutdown()
 }
