A long poll confirms the configuration as of its answer

With strict keys and a bounds.maxKeyAge below some 3 s, callers got 503 ("can't confirm that the key is still valid") for much of the time though nothing was wrong; and every entry asked another one for a newer configuration twice a second. A poll waits up to 1.5 s for news and confirmed the time at which it was sent, so between two answers the configuration looked 1.5 to 3 s old.

The store's answers have its time. It is converted to the earliest local time, as for leases, and never exceeds the time of arrival. An answer without time or from before the request confirms the sending, as before.

--- a/directory.go
+++ b/directory.go
@@ -9,6 +9,8 @@
 	// Findings are the parts of the configuration that are invalid and were left out.
 	Findings Findings
 	Revision Revision
+	// Now is the platform's time as of the answer; 0 if it isn't known.
+	Now PlatformTime
 }
 
 // WorkersResponse lists the changes in the list of workers.
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -72,10 +72,19 @@
 			l.cell.sleep(retryDelay)
 			continue
 		}
-		l.confirm(sentAt)
+		l.confirm(endive.Latest(sentAt, l.answeredAt(response)))
 	}
 }
 
+// answeredAt returns the earliest time at which the store can have given an answer; zero if it
+// isn't known. A long poll is answered long after it was sent.
+func (l *configLoop) answeredAt(response endive.ConfigResponse) time.Time {
+	if response.Now == 0 {
+		return time.Time{}
+	}
+	return endive.Earliest(l.cell.Clock.Now(), l.cell.Platform.Earliest(response.Now))
+}
+
 func (l *configLoop) fetch(after endive.Revision) (endive.ConfigResponse, error) {
 	wait := time.Duration(configPollWait) + time.Duration(l.cell.Settings.Timings.StoreTimeout)
 	ctx, cancel := context.WithTimeout(l.cell.ctx, wait)
