With strict keys, the configuration is confirmed well before it is too old

An entry with strictKeys and a maxKeyAge of less than the 1.5 s of a long poll refused sound calls with 503 before each poll's end. The poll now waits half of maxKeyAge at most; above 3 s, so for the default of 5 s, nothing changes.

TestLongPollOutlastsMaxKeyAge failed before: 1.5s != 500ms.

--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -86,10 +86,20 @@
 }
 
 func (l *configLoop) fetch(after endive.Revision) (endive.ConfigResponse, error) {
-	wait := time.Duration(configPollWait) + time.Duration(l.cell.Settings.Timings.StoreTimeout)
-	ctx, cancel := context.WithTimeout(l.cell.ctx, wait)
+	wait := l.pollWait()
+	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(wait)+time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
-	return l.cell.Directory.Config(ctx, after, configPollWait)
+	return l.cell.Directory.Config(ctx, after, wait)
+}
+
+// pollWait returns the maximum wait of one long poll. With strict keys, the configuration has to be
+// confirmed well before it is too old.
+func (l *configLoop) pollWait() endive.Interval {
+	bounds := l.cell.Settings.Bounds
+	if !bounds.StrictKeys {
+		return configPollWait
+	}
+	return min(configPollWait, bounds.MaxKeyAge/2)
 }
 
 func (l *configLoop) apply(config *endive.CellConfig) {
--- a/entry/cell/configloop_test.go
+++ b/entry/cell/configloop_test.go
@@ -81,3 +81,26 @@
 		})
 	}
 }
+
+// An entry with strict keys must confirm the configuration more often than it may refuse calls for
+// want of that.
+func TestLongPollOutlastsMaxKeyAge(t *testing.T) {
+	tests := []struct {
+		name      string
+		strict    bool
+		maxKeyAge time.Duration
+		want      endive.Interval
+	}{
+		{"short", true, time.Second, endive.Interval(500 * time.Millisecond)},
+		{"long", true, 5 * time.Second, configPollWait},
+		{"not strict", false, time.Second, configPollWait},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			bounds := setup.CellBounds{StrictKeys: tt.strict, MaxKeyAge: endive.Interval(tt.maxKeyAge)}
+			loop := &configLoop{cell: &Cell{Deps: Deps{Settings: setup.CellSettings{Bounds: bounds}}}}
+			is.Equal(loop.pollWait(), tt.want)
+		})
+	}
+}
