soak: two client accounts, on two pools

Nobody had played keys and caps on real processes. The soak now has an account without a cap and a hot one whose keys are withdrawn and whose cap changes every 1 to 4 s, beside the kills and cuts, and a second pool, so that caps are divided. It checks by what the fake workers run that no start exceeds the cap with the overage and one task more, that withdrawn and unknown keys open nothing, and that no account reads or cancels another's job. An entry that ends by itself is a finding now, also if a later fault starts it again: a panic would have hidden in a restart.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -11,6 +11,9 @@
 // checks records the runs on all workers and the rules that they violate. It
 // implements stand.RunObserver.
 type checks struct {
+	// usage also gets all runs.
+	usage *stand.Usage
+
 	mu         sync.Mutex
 	running    map[string]stand.Run
 	done       map[string]bool
@@ -25,6 +28,7 @@
 
 // RunStarted implements stand.RunObserver.
 func (c *checks) RunStarted(run stand.Run) {
+	c.usage.RunStarted(run)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs++
@@ -42,6 +46,7 @@
 // RunEnded implements stand.RunObserver. It counts a finished task as done before the
 // worker has reported the end; markEndsLost reverts that if the worker is killed first.
 func (c *checks) RunEnded(run stand.Run) {
+	c.usage.RunEnded(run)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.running, run.Task)
@@ -68,13 +73,15 @@
 
 // findings returns the violations, including runs of refused jobs: those whose
 // submissions were all refused.
-func (c *checks) findings(refused map[string]bool) []string {
+func (c *checks) findings(refused ...map[string]bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := append([]string(nil), c.violations...)
-	for job := range refused {
-		if c.started[job] {
-			found = append(found, "job "+job+" was refused and runs")
+	for _, jobs := range refused {
+		for job := range jobs {
+			if c.started[job] {
+				found = append(found, "job "+job+" was refused and runs")
+			}
 		}
 	}
 	return found
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -19,13 +19,16 @@
 	requestTimeout = 3 * time.Second
 	// submitInterval is the time between two submissions or attempts.
 	submitInterval = 120 * time.Millisecond
+	// clientHost is the host of all calls.
+	clientHost = "a.example"
 )
 
-// clients submit, query and cancel jobs over persistent connections.
+// clients submit, query and cancel jobs of one account over persistent connections.
 type clients struct {
-	soak *soak
-	http *http.Client
-	rand *rand.Rand
+	soak    *soak
+	account string
+	http    *http.Client
+	rand    *rand.Rand
 
 	mu        sync.Mutex
 	submitted int
@@ -38,9 +41,9 @@
 	onlyRefused map[string]bool
 }
 
-func newClients(s *soak, seed int64) *clients {
+func newClients(s *soak, account string, seed int64) *clients {
 	return &clients{
-		soak: s, http: &http.Client{Timeout: requestTimeout}, rand: rand.New(rand.NewSource(seed)),
+		soak: s, account: account, http: &http.Client{Timeout: requestTimeout}, rand: rand.New(rand.NewSource(seed)),
 		outstanding: make(map[string]bool), onlyRefused: make(map[string]bool),
 	}
 }
@@ -56,14 +59,13 @@
 // submit submits one job, with up to four attempts at random entries, and records
 // whether it was accepted.
 func (c *clients) submit(id string) {
-	body, err := stand.Job{Payload: "s", Steps: []stand.Step{
-		{Tasks: 1 + c.rand.Intn(5), Processors: 1000, EstimateMillis: 300},
-		{Tasks: 2, Processors: 500, EstimateMillis: 300, After: []int{0}},
-	}}.RequestBody()
+	job := newJob(c.rand, 5)
+	body, err := job.RequestBody()
 	if err != nil {
 		panic("soak: can't encode a job: " + err.Error())
 	}
-	path := []string{"/quick/", "/slow/"}[c.rand.Intn(2)] + id
+	c.soak.accounts.usage.AddJob(id, c.account, job)
+	path := []string{"/quick/", "/slow/", "/bulk/"}[c.rand.Intn(3)] + id
 	refused := true
 	c.mu.Lock()
 	c.submitted++
@@ -76,7 +78,7 @@
 				c.cancel(path, id)
 			}
 			return
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
 		default:
 			refused = false
 		}
@@ -89,6 +91,25 @@
 	c.record(id, &c.unknown, false, false)
 }
 
+// newJob returns a random job whose first step has at most maxTasks tasks.
+func newJob(r *rand.Rand, maxTasks int) stand.Job {
+	return stand.Job{Payload: "s", Steps: []stand.Step{
+		{Tasks: 1 + r.Intn(maxTasks), Processors: 1000, EstimateMillis: 300},
+		{Tasks: 2, Processors: []int{500, 500, 2500}[r.Intn(3)], EstimateMillis: 300, After: []int{0}},
+	}}
+}
+
+// anyOutstanding returns the id of an accepted job that hasn't been seen completed; empty if there
+// is none.
+func (c *clients) anyOutstanding() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.outstanding {
+		return id
+	}
+	return ""
+}
+
 // record counts the result of a submission.
 func (c *clients) record(id string, counter *int, accepted, refused bool) {
 	c.mu.Lock()
@@ -111,15 +132,21 @@
 	c.send(http.MethodDelete, path, "", nil)
 }
 
-// send sends a request to a random entry and decodes the response body into result. It
-// returns the HTTP status, or 0 if there was no valid response.
+// send sends a request with the account's key to a random entry and decodes the response body
+// into result. It returns the HTTP status, or 0 if there was no valid response.
 func (c *clients) send(method, path, body string, result any) int {
-	address := c.soak.entries[c.rand.Intn(len(c.soak.entries))].clientAddress
-	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	e := c.soak.entries[c.rand.Intn(len(c.soak.entries))]
+	return c.sendTo(e, method, path, c.soak.accounts.key(c.account), body, result)
+}
+
+// sendTo sends a request with a key to an entry, as send does.
+func (c *clients) sendTo(e *entry, method, path, key, body string, result any) int {
+	request, err := http.NewRequest(method, "http://"+e.clientAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
-	request.Host = "a.example"
+	request.Host = clientHost
+	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0
@@ -153,7 +180,7 @@
 			c.mu.Unlock()
 			continue
 		}
-		unfinished = append(unfinished, id+" is "+state.State)
+		unfinished = append(unfinished, "job "+id+" is "+state.State)
 	}
 	return unfinished
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -19,7 +19,10 @@
 entries; restarts workers; and makes the store reject requests, lose responses or
 drop its change history. It checks that no task runs twice at the same time or
 again after it was done, that refused jobs never run, and that all accepted jobs
-complete after the faults have ended.
+complete after the faults have ended. Meanwhile it withdraws keys of a client account
+and changes its cap, and checks that the account's runs stay within the cap, and that
+withdrawn keys and other accounts' jobs can't be used. An entry that ends by itself is
+a finding, also if it is started again.
 
   soak --entry bin/entry --seed 7 --seconds 20
 
@@ -45,6 +48,7 @@
 	for _, one := range findings {
 		fmt.Println("FINDING", one)
 	}
+	fmt.Println(s.accounts.summary())
 	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults, %d findings\n",
 		*seed, s.clients.submitted, s.clients.accepted, s.clients.refused, s.clients.unknown, s.checks.startCount(), s.faultCount, len(findings))
 	if len(findings) > 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +29,8 @@
 	maxFaultPause = 900 * time.Millisecond
 	// maxFaultDuration is the longest duration of a fault.
 	maxFaultDuration = 3 * time.Second
+	// minPort and maxPort bound the ports of the entries.
+	minPort, maxPort = 10000, 32000
 )
 
 // soak is one run of the soak test.
@@ -39,6 +43,8 @@
 	workers      []*worker
 	checks       *checks
 	clients      *clients
+	hot          *clients
+	accounts     *accounts
 	faultCount   int
 	stopped      chan struct{}
 }
@@ -57,6 +63,7 @@
 // worker is a worker id with its proxy and the incarnation that runs behind it.
 type worker struct {
 	id    string
+	pool  string
 	proxy *proxy
 
 	mu          sync.Mutex
@@ -73,8 +80,11 @@
 		dir: dir, entryProgram: program, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(),
 		stopped: make(chan struct{}),
 	}
-	s.clients = newClients(s, seed+1)
-	if err := s.configure(); err != nil {
+	s.accounts = newAccounts(s, seed)
+	s.checks.usage = s.accounts.usage
+	s.clients = newClients(s, steadyAccount, seed+1)
+	s.hot = newClients(s, hotAccount, -seed)
+	if err := s.accounts.change(hotCaps[0], true); err != nil {
 		return nil, err
 	}
 	store, err := s.serve(s.store)
@@ -86,7 +96,12 @@
 		return nil, err
 	}
 	for i := range workers {
-		if err := s.addWorker(fmt.Sprintf("i-%d", i)); err != nil {
+		if err := s.addWorker(fmt.Sprintf("i-%d", i), "svc"); err != nil {
+			return nil, err
+		}
+	}
+	for i := range bulkWorkers {
+		if err := s.addWorker(fmt.Sprintf("b-%d", i), bulkPool); err != nil {
 			return nil, err
 		}
 	}
@@ -99,22 +114,6 @@
 	return s, nil
 }
 
-// configure stores the configuration of the queues and the service.
-func (s *soak) configure() error {
-	route := func(name, prefix string, hint map[string]any) map[string]any {
-		return map[string]any{
-			"name": name, "host": "a.example", "prefix": prefix, "service": "svc", "max_attempts": 3, "slack_factor": 2,
-			"target_latency_ms": 600, "hint": hint,
-		}
-	}
-	hint := map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000}
-	return s.store.Put("op", "", "config", map[string]any{
-		"version":  1,
-		"routes":   []map[string]any{route("quick", "/quick/", nil), route("slow", "/slow/", hint)},
-		"services": []map[string]any{{"name": "svc"}},
-	})
-}
-
 // serve starts an HTTP server for handler in this process and returns its address.
 func (s *soak) serve(handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -133,8 +132,8 @@
 
 func (s *server) run() { _ = http.Serve(s.listener, s.handler) }
 
-func (s *soak) addWorker(id string) error {
-	w := &worker{id: id}
+func (s *soak) addWorker(id, pool string) error {
+	w := &worker{id: id, pool: pool}
 	if err := s.startWorker(w); err != nil {
 		return err
 	}
@@ -146,7 +145,7 @@
 func (s *soak) startWorker(w *worker) error {
 	duration := func(string) time.Duration { return taskDuration }
 	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, "svc", s.checks, duration, fails)
+	incarnation := stand.NewWorker(w.id, w.pool, s.checks, duration, fails)
 	address, err := s.serve(incarnation)
 	if err != nil {
 		return err
@@ -186,14 +185,20 @@
 	}
 }
 
-// freeAddress returns a loopback address with an unused port.
+// freeAddress returns a loopback address with an unused port below those that the system assigns
+// by itself. The port has to stay free while an entry is restarted.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", minPort+randv2.IntN(maxPort-minPort))
+		listener, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return address, listener.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 func (s *soak) addEntry(i int, store, advice string) error {
@@ -211,6 +216,7 @@
 	e.settings = filepath.Join(s.dir, e.name+".toml")
 	settings := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\n[listen]\ncallers = %q\nhealth = %q\npeers = %q\nmetrics = %q\n"+
 		"[platform]\nstore = %q\nadvice = %q\n[limits]\ncores = 1\n", e.name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), advice)
+	settings += s.accounts.settings()
 	if err := os.WriteFile(e.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
@@ -265,6 +271,8 @@
 	defer cancel()
 	time.Sleep(2 * time.Second)
 	go s.clients.run(ctx)
+	go s.hot.run(ctx)
+	go s.accounts.run(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rand.Int63n(int64(maxFaultPause))))
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
@@ -272,13 +280,17 @@
 	s.revertFaults()
 	var unfinished []string
 	for deadline := time.Now().Add(completionTimeout); time.Now().Before(deadline); time.Sleep(time.Second) {
-		if unfinished = s.clients.unfinished(); len(unfinished) == 0 {
+		unfinished = append(s.clients.unfinished(), s.hot.unfinished()...)
+		unfinished = append(unfinished, s.accounts.unsettled()...)
+		if len(unfinished) == 0 {
 			break
 		}
 	}
-	found := s.checks.findings(s.clients.onlyRefused)
+	found := s.checks.findings(s.clients.onlyRefused, s.hot.onlyRefused, s.accounts.refused)
+	found = append(found, s.accounts.findings()...)
+	found = append(found, s.logFindings()...)
 	for _, job := range unfinished {
-		found = append(found, "at the end job "+job)
+		found = append(found, "at the end "+job)
 	}
 	return found
 }
