quota: an entry of an earlier version takes over a pool that only needs a part

During an upgrade entries of both versions hold pools in turn. Rows now always have the field, as {}, which they read well. A row that an entry of the earlier version has written itself still ends the earlier entries that take it over.

TestEarlierVersionTakesOverPoolThatOnlyNeeds failed before, since the field was left out. Mixed fleets weren't played.

--- a/quota/rows.go
+++ b/quota/rows.go
@@ -32,7 +32,7 @@
 	Epoch endive.Epoch `json:"epoch"`
 	// Parts is what each account may use in the pool. Needs is what the account uses and would
 	// use there, for the accounts whose part is too small.
-	Parts map[endive.AccountName]amounts `json:"parts,omitempty"`
+	Parts map[endive.AccountName]amounts `json:"parts"`
 	Needs map[endive.AccountName]amounts `json:"needs,omitempty"`
 }
 
@@ -103,7 +103,12 @@
 	return endive.PoolName(pool), decoded, true
 }
 
+// encodeParts encodes a row. It always has the field for the parts, since entries of earlier
+// versions can't take over a pool without it.
 func encodeParts(p parts) []byte {
+	if p.Parts == nil {
+		p.Parts = map[endive.AccountName]amounts{}
+	}
 	data, err := json.Marshal(p)
 	if err != nil {
 		panic("quota: a row can't be encoded: " + err.Error())
--- a/quota/stored_test.go
+++ b/quota/stored_test.go
@@ -175,6 +175,27 @@
 	is.True(limitOf(next) >= 500)
 }
 
+// An entry of an earlier version, beside those of this one during an upgrade, panics when it takes
+// over a pool whose row has no field for the parts.
+func TestEarlierVersionTakesOverPoolThatOnlyNeeds(t *testing.T) {
+	needs := map[endive.AccountName]amounts{"a": {500}}
+	tests := []struct {
+		name string
+		row  parts
+		want string
+	}{
+		{"nil", parts{Epoch: 2, Needs: needs}, `{"epoch":2,"parts":{},"needs":{"a":[500,0,0]}}`},
+		{"empty", parts{Epoch: 2, Parts: map[endive.AccountName]amounts{}, Needs: needs}, `{"epoch":2,"parts":{},"needs":{"a":[500,0,0]}}`},
+		{"a part", parts{Epoch: 2, Parts: map[endive.AccountName]amounts{"a": {1, 2, 3}}}, `{"epoch":2,"parts":{"a":[1,2,3]}}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(string(encodeParts(tt.row)), tt.want)
+		})
+	}
+}
+
 // world plays two pools with holders that change, calls whose answers are lost or that are
 // carried out late, feeds that lag, and caps that change.
 type world struct {
