--- a/entry/cell/accounts_test.go
+++ b/entry/cell/accounts_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/elect"
 	"endiveroute.example/endive/flow"
 	"endiveroute.example/endive/setup"
 )
@@ -216,3 +217,27 @@
 	partition, name, _ = strings.Cut(rest, "/")
 	return table, partition, name
 }
+
+// The holder's metrics tell what each account runs, waits for and may run, and disappear when it
+// isn't the holder any more.
+func TestMetricsOfAccounts(t *testing.T) {
+	is := is.New(t)
+	r := newTestCluster(t, 2, 0)
+	r.taskDuration = 0
+	r.putConfig(4, []map[string]any{{"name": "a", "api_keys": []string{"key-a"}, "cap": map[string]int{"cpu": 3000}}})
+	c := r.addEntry("entry-0")
+	r.awaitReady()
+	r.key = "key-a"
+	r.submitAccepted(c, "/quick/", "00000000000000aa", 5, false)
+	want := func(name string, value string) string {
+		return name + `{account="a",pool="svc",resource="processors"} ` + value + "\n"
+	}
+	r.waitFor("the account is reported", func() bool {
+		page := c.Counters.page.String()
+		return strings.Contains(page, want("accountRunning", "3")) && strings.Contains(page, want("accountWaiting", "2")) &&
+			strings.Contains(page, want("accountPart", "3")) && strings.Contains(page, want("accountCap", "3"))
+	})
+	c.poolNamed("svc").send(electMachine, elect.Release{})
+	r.waitFor("the account isn't reported any more", func() bool { return c.Counters.page.String() == "" })
+	is.Equal(len(r.violations), 0)
+}
--- a/entry/cell/candidates_test.go
+++ b/entry/cell/candidates_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/gauge"
 	"endiveroute.example/endive/setup"
 )
 
@@ -85,8 +86,8 @@
 	is := is.New(t)
 	log, clock := hclog.NewNullLogger(), endive.SystemClock{}
 	c := New(Deps{
-		Settings: setup.CellSettings{Name: "entry-0"}, Clock: clock, Platform: fixedClock{}, Log: log,
-		Counters: NewCounters(tally.NoopScope), Store: NewStore(nil, clock, log),
+		Settings: setup.CellSettings{Name: "entry-0"}, Clock: clock, Platform: fixedClock{}, Log: log, FlushLog: func() {},
+		Counters: NewCounters(gauge.New(), tally.NoopScope), Store: NewStore(nil, clock, log),
 	})
 	defer c.Close()
 	c.peers.discovered = true
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -72,15 +72,34 @@
 			l.cell.sleep(retryDelay)
 			continue
 		}
-		l.confirm(sentAt)
+		l.confirm(endive.Latest(sentAt, l.answeredAt(response)))
 	}
 }
 
+// answeredAt returns the earliest time at which the store can have given an answer; zero if it
+// isn't known. A long poll is answered long after it was sent.
+func (l *configLoop) answeredAt(response endive.ConfigResponse) time.Time {
+	if response.Now == 0 {
+		return time.Time{}
+	}
+	return endive.Earliest(l.cell.Clock.Now(), l.cell.Platform.Earliest(response.Now))
+}
+
 func (l *configLoop) fetch(after endive.Revision) (endive.ConfigResponse, error) {
-	wait := time.Duration(configPollWait) + time.Duration(l.cell.Settings.Timings.StoreTimeout)
-	ctx, cancel := context.WithTimeout(l.cell.ctx, wait)
+	wait := l.pollWait()
+	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(wait)+time.Duration(l.cell.Settings.Timings.StoreTimeout))
 	defer cancel()
-	return l.cell.Directory.Config(ctx, after, configPollWait)
+	return l.cell.Directory.Config(ctx, after, wait)
+}
+
+// pollWait returns the maximum wait of one long poll. With strict keys, the configuration has to be
+// confirmed well before it is too old.
+func (l *configLoop) pollWait() endive.Interval {
+	bounds := l.cell.Settings.Bounds
+	if !bounds.StrictKeys {
+		return configPollWait
+	}
+	return min(configPollWait, bounds.MaxKeyAge/2)
 }
 
 func (l *configLoop) apply(config *endive.CellConfig) {
--- a/entry/system/actorsystem.go
+++ b/entry/system/actorsystem.go
@@ -25,9 +25,10 @@
 	root *actor.RootContext
 }
 
-// New returns a System that logs panics only.
-func New(log hclog.Logger) *System {
-	return newSystem(&panicHandler{log: log, stderr: os.Stderr, exit: os.Exit})
+// New returns a System that logs panics only. After a panic it calls flushLog, which must write out
+// all lines, before the process exits.
+func New(log hclog.Logger, flushLog func()) *System {
+	return newSystem(&panicHandler{log: log, flushLog: flushLog, stderr: os.Stderr, exit: os.Exit})
 }
 
 func newSystem(handler *panicHandler) *System {
@@ -54,16 +55,17 @@
 
 // panicHandler exits the process after a panic.
 type panicHandler struct {
-	log hclog.Logger
-	// stderr gets the reason and the stack. The log may be written in the background, and what
-	// isn't written at the exit is lost.
+	log      hclog.Logger
+	flushLog func()
+	// stderr gets the reason and the stack, also if nobody reads the log.
 	stderr io.Writer
 	exit   func(status int)
 }
 
 func (e *panicHandler) handlePanic(reason any) actor.Directive {
-	e.log.Error("state machine panicked; exiting the process", "reason", reason)
 	_, _ = fmt.Fprintf(e.stderr, "state machine panicked: %v\n%s", reason, debug.Stack())
+	e.log.Error("state machine panicked; exiting the process", "reason", reason)
+	e.flushLog()
 	e.exit(ExitPanic)
 	return actor.StopDirective
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -11,23 +11,24 @@
 // checks records the runs on all workers and the rules that they violate. It
 // implements stand.RunObserver.
 type checks struct {
+	// usage also gets all runs.
+	usage *stand.Usage
+
 	mu         sync.Mutex
 	running    map[string]stand.Run
 	done       map[string]bool
 	started    map[string]bool
 	runs       int
 	violations []string
-	// accountCap is the cap of each account, in thousandths of a processor; 0 without accounts.
-	// peak is the most that an account used.
-	accountCap, peak int
 }
 
-func newChecks(accountCap int) *checks {
-	return &checks{accountCap: accountCap, running: make(map[string]stand.Run), done: make(map[string]bool), started: make(map[string]bool)}
+func newChecks() *checks {
+	return &checks{running: make(map[string]stand.Run), done: make(map[string]bool), started: make(map[string]bool)}
 }
 
 // RunStarted implements stand.RunObserver.
 func (c *checks) RunStarted(run stand.Run) {
+	c.usage.RunStarted(run)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs++
@@ -40,12 +41,12 @@
 		c.violations = append(c.violations, fmt.Sprintf("%s run %d on %s starts after it was done", run.Task, run.Number, run.Worker))
 	}
 	c.running[run.Task] = run
-	c.checkCap(run)
 }
 
 // RunEnded implements stand.RunObserver. It counts a finished task as done before the
 // worker has reported the end; markEndsLost reverts that if the worker is killed first.
 func (c *checks) RunEnded(run stand.Run) {
+	c.usage.RunEnded(run)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.running, run.Task)
@@ -78,13 +79,15 @@
 
 // findings returns the violations, including runs of refused jobs: those whose
 // submissions were all refused.
-func (c *checks) findings(refused map[string]bool) []string {
+func (c *checks) findings(refused ...map[string]bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := append([]string(nil), c.violations...)
-	for job := range refused {
-		if c.started[job] {
-			found = append(found, "job "+job+" was refused and runs")
+	for _, jobs := range refused {
+		for job := range jobs {
+			if c.started[job] {
+				found = append(found, "job "+job+" was refused and runs")
+			}
 		}
 	}
 	return found
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -19,13 +19,16 @@
 	requestTimeout = 3 * time.Second
 	// submitInterval is the time between two submissions or attempts.
 	submitInterval = 120 * time.Millisecond
+	// clientHost is the host of all calls.
+	clientHost = "a.example"
 )
 
-// clients submit, query and cancel jobs over persistent connections.
+// clients submit, query and cancel jobs of one account over persistent connections.
 type clients struct {
-	soak *soak
-	http *http.Client
-	rand *rand.Rand
+	soak    *soak
+	account string
+	http    *http.Client
+	rand    *rand.Rand
 
 	mu        sync.Mutex
 	submitted int
@@ -38,9 +41,9 @@
 	onlyRefused map[string]bool
 }
 
-func newClients(s *soak, seed int64) *clients {
+func newClients(s *soak, account string, seed int64) *clients {
 	return &clients{
-		soak: s, http: &http.Client{Timeout: requestTimeout}, rand: rand.New(rand.NewSource(seed)),
+		soak: s, account: account, http: &http.Client{Timeout: requestTimeout}, rand: rand.New(rand.NewSource(seed)),
 		outstanding: make(map[string]bool), onlyRefused: make(map[string]bool),
 	}
 }
@@ -56,27 +59,26 @@
 // submit submits one job, with up to four attempts at random entries, and records
 // whether it was accepted.
 func (c *clients) submit(id string) {
-	body, err := stand.Job{Payload: "s", Steps: []stand.Step{
-		{Tasks: 1 + c.rand.Intn(5), Processors: firstProcessors, EstimateMillis: 300},
-		{Tasks: 2, Processors: secondProcessors, EstimateMillis: 300, After: []int{0}},
-	}}.RequestBody()
+	job := newJob(c.rand, 5)
+	body, err := job.RequestBody()
 	if err != nil {
 		panic("soak: can't encode a job: " + err.Error())
 	}
-	path := []string{"/quick/", "/slow/"}[c.rand.Intn(2)] + id
+	c.soak.accounts.usage.AddJob(id, c.account, job)
+	path := []string{"/quick/", "/slow/", "/bulk/"}[c.rand.Intn(3)] + id
 	refused := true
 	c.mu.Lock()
 	c.submitted++
 	c.mu.Unlock()
 	for attempt := 0; attempt < 4; attempt++ {
-		switch status := c.send(http.MethodPost, path, accountOf(id), body, nil); status {
+		switch status := c.send(http.MethodPost, path, body, nil); status {
 		case http.StatusOK:
 			c.record(id, &c.accepted, true, false)
 			if c.rand.Intn(10) == 0 {
 				c.cancel(path, id)
 			}
 			return
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
 		default:
 			refused = false
 		}
@@ -89,6 +91,25 @@
 	c.record(id, &c.unknown, false, false)
 }
 
+// newJob returns a random job whose first step has at most maxTasks tasks.
+func newJob(r *rand.Rand, maxTasks int) stand.Job {
+	return stand.Job{Payload: "s", Steps: []stand.Step{
+		{Tasks: 1 + r.Intn(maxTasks), Processors: 1000, EstimateMillis: 300},
+		{Tasks: 2, Processors: []int{500, 500, 2500}[r.Intn(3)], EstimateMillis: 300, After: []int{0}},
+	}}
+}
+
+// anyOutstanding returns the id of an accepted job that hasn't been seen completed; empty if there
+// is none.
+func (c *clients) anyOutstanding() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.outstanding {
+		return id
+	}
+	return ""
+}
+
 // record counts the result of a submission.
 func (c *clients) record(id string, counter *int, accepted, refused bool) {
 	c.mu.Lock()
@@ -108,19 +129,25 @@
 	c.mu.Lock()
 	delete(c.outstanding, id)
 	c.mu.Unlock()
-	c.send(http.MethodDelete, path, accountOf(id), "", nil)
+	c.send(http.MethodDelete, path, "", nil)
 }
 
-// send sends a request with an account's key to a random entry and decodes the response body into result. It
-// returns the HTTP status, or 0 if there was no valid response.
-func (c *clients) send(method, path, key, body string, result any) int {
-	address := c.soak.entries[c.rand.Intn(len(c.soak.entries))].clientAddress
-	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+// send sends a request with the account's key to a random entry and decodes the response body
+// into result. It returns the HTTP status, or 0 if there was no valid response.
+func (c *clients) send(method, path, body string, result any) int {
+	return c.sendTo(c.anyEntry(), method, path, c.soak.accounts.key(c.account), body, result)
+}
+
+func (c *clients) anyEntry() *entry { return c.soak.entries[c.rand.Intn(len(c.soak.entries))] }
+
+// sendTo sends a request with a key to an entry, as send does; empty for no key.
+func (c *clients) sendTo(e *entry, method, path, key, body string, result any) int {
+	request, err := http.NewRequest(method, "http://"+e.clientAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
-	request.Host = "a.example"
-	if c.soak.checks.accountCap > 0 {
+	request.Host = clientHost
+	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
 	response, err := c.http.Do(request)
@@ -140,7 +167,8 @@
 
 // checkOwner records a violation if a completed job is shown to another account.
 func (c *clients) checkOwner(id string) {
-	if c.soak.checks.accountCap > 0 && c.send(http.MethodGet, "/quick/"+id, otherAccount(id), "", nil) == http.StatusOK {
+	other := c.soak.accounts.key(otherAccount(c.account))
+	if other != "" && c.sendTo(c.anyEntry(), http.MethodGet, "/quick/"+id, other, "", nil) == http.StatusOK {
 		c.soak.checks.addViolation("job " + id + " is shown to another account")
 	}
 }
@@ -157,14 +185,14 @@
 	for _, id := range ids {
 		var state stand.JobState
 		// Any queue's path prefix will do: jobs are looked up by id.
-		if c.send(http.MethodGet, "/quick/"+id, accountOf(id), "", &state) == http.StatusOK && state.Completed() {
+		if c.send(http.MethodGet, "/quick/"+id, "", &state) == http.StatusOK && state.Completed() {
 			c.mu.Lock()
 			delete(c.outstanding, id)
 			c.mu.Unlock()
 			c.checkOwner(id)
 			continue
 		}
-		unfinished = append(unfinished, id+" is "+state.State)
+		unfinished = append(unfinished, "job "+id+" is "+state.State)
 	}
 	return unfinished
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,13 +36,14 @@
 type soak struct {
 	dir        string
 	upgrade    *upgrade
-	pools      []string
 	rand       *rand.Rand
 	store      *stand.Store
 	entries    []*entry
 	workers    []*worker
 	checks     *checks
 	clients    *clients
+	hot        *clients
+	accounts   *accounts
 	faultCount int
 	stopped    chan struct{}
 }
@@ -65,6 +66,7 @@
 	command *exec.Cmd
 	checks  *checks
 	entry   string
+	build   string
 	// ended is closed once the process has ended.
 	ended chan struct{}
 	// ending is true once the process was sent a signal that ends it.
@@ -75,7 +77,7 @@
 func (p *entryProcess) run() {
 	err := p.command.Wait()
 	if !p.ending.Load() {
-		p.checks.addViolation(fmt.Sprintf("%s ended by itself: %v", p.entry, err))
+		p.checks.addViolation(fmt.Sprintf("%s of the %s build ended by itself: %v", p.entry, p.build, err))
 	}
 	close(p.ended)
 }
@@ -91,17 +93,20 @@
 	seq         int
 }
 
-func newSoak(upgrade *upgrade, checks *checks, dir string, seed int64, entries, workers int) (*soak, error) {
+func newSoak(upgrade *upgrade, accounts bool, dir string, seed int64, entries, workers int) (*soak, error) {
 	dir = filepath.Join(dir, fmt.Sprintf("soak-%d-%d", os.Getpid(), seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
 	s := &soak{
-		dir: dir, upgrade: upgrade, pools: checks.pools(), rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: checks,
+		dir: dir, upgrade: upgrade, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(),
 		stopped: make(chan struct{}),
 	}
-	s.clients = newClients(s, seed+1)
-	if err := s.configure(); err != nil {
+	s.accounts = newAccounts(s, accounts, seed)
+	s.checks.usage = s.accounts.usage
+	s.clients = newClients(s, steadyAccount, seed+1)
+	s.hot = newClients(s, hotAccount, -seed)
+	if err := s.accounts.change(hotCaps[0], true); err != nil {
 		return nil, err
 	}
 	store, err := s.serve(s.store)
@@ -113,7 +118,12 @@
 		return nil, err
 	}
 	for i := range workers {
-		if err := s.addWorker(fmt.Sprintf("i-%d", i), s.pools[i%len(s.pools)]); err != nil {
+		if err := s.addWorker(fmt.Sprintf("i-%d", i), mainPool); err != nil {
+			return nil, err
+		}
+	}
+	for i := range bulkWorkers {
+		if err := s.addWorker(fmt.Sprintf("b-%d", i), bulkPool); err != nil {
 			return nil, err
 		}
 	}
@@ -127,30 +137,6 @@
 	return s, nil
 }
 
-// configure stores the configuration of the queues and the service.
-func (s *soak) configure() error {
-	route := func(name, prefix, pool string, hint map[string]any) map[string]any {
-		return map[string]any{
-			"name": name, "host": "a.example", "prefix": prefix, "service": pool, "max_attempts": 3, "slack_factor": 2,
-			"target_latency_ms": 600, "hint": hint,
-		}
-	}
-	hint := map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000}
-	var pools []map[string]any
-	for _, pool := range s.pools {
-		pools = append(pools, map[string]any{"name": pool})
-	}
-	config := map[string]any{
-		"version":  1,
-		"routes":   []map[string]any{route("quick", "/quick/", s.pools[0], nil), route("slow", "/slow/", s.pools[len(s.pools)-1], hint)},
-		"services": pools,
-	}
-	if accounts := s.checks.accounts(); accounts != nil {
-		config["tenants"] = accounts
-	}
-	return s.store.Put("op", "", "config", config)
-}
-
 // serve starts an HTTP server for handler in this process and returns its address.
 func (s *soak) serve(handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -260,6 +246,7 @@
 	e.settings = filepath.Join(s.dir, e.name+".toml")
 	settings := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\n[listen]\ncallers = %q\nhealth = %q\npeers = %q\nmetrics = %q\n"+
 		"[platform]\nstore = %q\nadvice = %q\n[limits]\ncores = 1\n", e.name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), advice)
+	settings += s.accounts.settings()
 	if err := os.WriteFile(e.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
@@ -279,7 +266,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	process := &entryProcess{command: command, checks: s.checks, entry: e.name, ended: make(chan struct{})}
+	process := &entryProcess{command: command, checks: s.checks, entry: e.name, build: s.upgrade.build(program), ended: make(chan struct{})}
 	go process.run()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -326,6 +313,8 @@
 	defer cancel()
 	time.Sleep(2 * time.Second)
 	go s.clients.run(ctx)
+	go s.hot.run(ctx)
+	go s.accounts.run(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rand.Int63n(int64(maxFaultPause))))
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
@@ -334,13 +323,17 @@
 	s.replaceEarlier()
 	var unfinished []string
 	for deadline := time.Now().Add(completionTimeout); time.Now().Before(deadline); time.Sleep(time.Second) {
-		if unfinished = s.clients.unfinished(); len(unfinished) == 0 {
+		unfinished = append(s.clients.unfinished(), s.hot.unfinished()...)
+		unfinished = append(unfinished, s.accounts.unsettled()...)
+		if len(unfinished) == 0 {
 			break
 		}
 	}
-	found := s.checks.findings(s.clients.onlyRefused)
+	found := s.checks.findings(s.clients.onlyRefused, s.hot.onlyRefused, s.accounts.refused)
+	found = append(found, s.accounts.findings()...)
+	found = append(found, s.logFindings()...)
 	for _, job := range unfinished {
-		found = append(found, "at the end job "+job)
+		found = append(found, "at the end "+job)
 	}
 	return found
 }
