--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/entry/gauge"
 	"endiveroute.example/endive/guard"
 	plat "endiveroute.example/endive/platform"
 	"endiveroute.example/endive/platform/stand"
@@ -172,7 +173,7 @@
 	}
 	clock := endive.NewBootClock()
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Output: r.log, JSONFormat: true, Level: hclog.Info})
-	counters := NewCounters(tally.NoopScope)
+	counters := NewCounters(gauge.New(), tally.NoopScope)
 	guarded := guard.Settings{}
 	guarded.Defaults()
 	client := plat.NewClient(guarded, clock, counters)
@@ -184,7 +185,7 @@
 	}
 	c := New(Deps{
 		Settings: settings, Incarnation: endive.Incarnation(fmt.Sprintf("%s-%d", name, len(r.cells))), Clock: clock, Platform: platform,
-		Log: log, Counters: counters, Store: rows, Directory: directory, Fleet: plat.NewFleet(client),
+		Log: log, FlushLog: func() {}, Counters: counters, Store: rows, Directory: directory, Fleet: plat.NewFleet(client),
 		Advisor: plat.NewAdvisor(client, r.advice),
 	})
 	c.Start(listener)
--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -99,12 +99,12 @@
 		MaxConnections: cellMaxConnections, MaxIdle: p.settings.Limits.Descriptors / idleShare, DialTimeout: cellDialTimeout, IdleTimeout: cellIdleTimeout,
 	}
 	settings.Defaults()
-	counts := cell.NewCounters(scope)
+	counts := cell.NewCounters(p.metricsPage, scope)
 	p.client = plat.NewClient(settings, p.clock, counts)
 	clock := plat.NewStoreClock(p.clock)
 	rows := cell.NewStore(plat.NewStore(p.client, p.settings.Platform.Store, clock), p.clock, p.log)
 	return cell.New(cell.Deps{
-		Settings: p.settings, Incarnation: newIncarnation(), Clock: p.clock, Platform: clock, Log: p.log, Counters: counts,
+		Settings: p.settings, Incarnation: newIncarnation(), Clock: p.clock, Platform: clock, Log: p.log, FlushLog: p.logWriter.Close, Counters: counts,
 		Store: rows, Directory: plat.NewDirectory(rows), Fleet: plat.NewFleet(p.client),
 		Advisor: plat.NewAdvisor(p.client, p.settings.Platform.Advice),
 	})
--- a/entry/system/actorsystem_test.go
+++ b/entry/system/actorsystem_test.go
@@ -22,14 +22,17 @@
 	}
 }
 
-// A panic in an actor must exit the process. The log must contain the reason, and the standard error
-// the stack too, since a log that is written in the background loses its last lines.
+// A panic in an actor must exit the process. The log that is written out must contain the reason,
+// and the standard error the stack too, since it doesn't depend on who reads the log.
 func TestPanicExitsProcess(t *testing.T) {
 	is := is.New(t)
 	var logged, stderr bytes.Buffer
 	exitStatus := make(chan int, 1)
 	log := hclog.New(&hclog.LoggerOptions{Output: &logged, JSONFormat: true})
-	handler := &panicHandler{log: log, stderr: &stderr, exit: func(status int) { exitStatus <- status }}
+	// The log is buffered, as that of the entry program is.
+	var written bytes.Buffer
+	flush := func() { written.Write(logged.Bytes()) }
+	handler := &panicHandler{log: log, flushLog: flush, stderr: &stderr, exit: func(status int) { exitStatus <- status }}
 	s := newSystem(handler)
 	s.Send(s.Spawn(panickingActor{}), "panic")
 	select {
@@ -38,7 +41,7 @@
 	case <-time.After(timeout):
 		t.Fatal("process did not exit")
 	}
-	is.True(bytes.Contains(logged.Bytes(), []byte("half-way")))
+	is.True(bytes.Contains(written.Bytes(), []byte("half-way")))
 	is.True(bytes.Contains(stderr.Bytes(), []byte("half-way")))
 	is.True(bytes.Contains(stderr.Bytes(), []byte("panickingActor.Receive")))
 	s.Shutdown()
--- a/soak/upgrade.go
+++ b/soak/upgrade.go
@@ -80,7 +80,7 @@
 			return
 		case <-ticker.C:
 		}
-		for _, pool := range s.pools {
+		for _, pool := range []string{mainPool, bulkPool} {
 			var lease elect.Lease
 			if json.Unmarshal(s.store.Get(elect.Table, pool, "holder"), &lease) == nil {
 				s.recordHolder(pool, lease)
