--- a/flow/crash.go
+++ b/flow/crash.go
@@ -22,7 +22,8 @@
 	// run not to be a suspect.
 	crashWindow = 500 * time.Millisecond
 	// maxCrashes is the number of crashes after which a task is given up. maxIsolatedCrashes is that
-	// number for crashes after isolated starts, while no worker crashes without a suspect.
+	// number for crashes after isolated starts, while no worker crashes without a suspect: with the
+	// first crash, after which the starts are isolated, the task has then started three times.
 	maxCrashes         = 4
 	maxIsolatedCrashes = 2
 	// unexplainedMemory is how long a crash without a suspect makes other crashes less convincing.
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -43,7 +43,7 @@
 		m.waitLog.position++
 		return
 	}
-	s.placedAll()
+	s.restartWait()
 	s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
 	n := m.nextRun(s.tasks...)
 	s.gang.run = n
--- a/flow/isolation.go
+++ b/flow/isolation.go
@@ -4,15 +4,16 @@
 
 // isolation keeps other starts away from a worker on which a suspected task starts alone.
 type isolation struct {
-	// task is the task that the worker is kept for until expiry; nil for none.
-	task   *task
-	expiry time.Time
-	// run is the isolated run, until the worker has been seen alive long enough after its start.
-	run *run
+	// keptFor is the task that the worker is kept for until expiry; nil for none.
+	keptFor *task
+	expiry  time.Time
+	// soleRun is the run that was started alone, until the worker has been seen alive long enough
+	// after its start.
+	soleRun *run
 }
 
 // active reports whether nothing else may start on the worker.
-func (i *isolation) active() bool { return i.task != nil || i.run != nil }
+func (i *isolation) active() bool { return i.keptFor != nil || i.soleRun != nil }
 
 // chooseIsolated returns a worker on which a suspected task can start alone, or nil. If there is
 // none, it keeps a suitable worker from other starts, so that there soon is one. It also reports
@@ -63,16 +64,16 @@
 
 // keepFor keeps a worker from other starts for a task.
 func (m *Machine) keepFor(t *task, w *worker) {
-	w.isolation.task, w.isolation.expiry = t, m.now.Add(isolationTimeout)
+	w.isolation.keptFor, w.isolation.expiry = t, m.now.Add(isolationTimeout)
 	t.crashes.keptOn = w
 	m.isolatedWorkers++
 }
 
 // release lets other work start on a worker that is kept for a task.
 func (w *worker) release() {
-	if w.isolation.task != nil {
-		w.isolation.task.crashes.keptOn = nil
-		w.isolation.task = nil
+	if w.isolation.keptFor != nil {
+		w.isolation.keptFor.crashes.keptOn = nil
+		w.isolation.keptFor = nil
 	}
 }
 
@@ -94,7 +95,7 @@
 // isolate marks a run as started alone.
 func (m *Machine) isolate(r *run) {
 	r.isolated = true
-	r.worker.isolation = isolation{run: r}
+	r.worker.isolation = isolation{soleRun: r}
 	m.isolatedWorkers++
 	m.setPending(r)
 }
@@ -113,7 +114,7 @@
 func (m *Machine) releaseIsolated() {
 	m.isolatedWorkers = 0
 	for _, w := range m.sortedWorkers {
-		t := w.isolation.task
+		t := w.isolation.keptFor
 		if t != nil && (t.run != nil || t.state != taskWaiting || t.step.occ.job.state.Ended() || !w.usable() || !m.now.Before(w.isolation.expiry)) {
 			w.release()
 		}
@@ -126,14 +127,14 @@
 // updateIsolation ends the isolation of a worker that has answered long enough after the start, and
 // starts the task that the worker is kept for once no run there is a suspect.
 func (m *Machine) updateIsolation(w *worker) {
-	if w.isolation.task != nil {
+	if w.isolation.keptFor != nil {
 		m.passDue = true
 	}
-	r := w.isolation.run
+	r := w.isolation.soleRun
 	if r == nil || r.mayHaveCrashed() {
 		return
 	}
-	w.isolation.run = nil
+	w.isolation.soleRun = nil
 	m.passDue = true
 	m.clearSuspect(r.task)
 }
--- a/flow/run.go
+++ b/flow/run.go
@@ -119,8 +119,8 @@
 // succeeded.
 func (m *Machine) removeRun(r *run) {
 	w := r.worker
-	if w.isolation.run == r {
-		w.isolation.run = nil
+	if w.isolation.soleRun == r {
+		w.isolation.soleRun = nil
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -147,7 +147,7 @@
 // others.
 func (m *Machine) handleWaiting(s *step, p placement) {
 	if p.started > 0 {
-		s.placedAll()
+		s.restartWait()
 	}
 	switch {
 	case p.unplaced > 0:
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -19,14 +19,14 @@
 type waitReason string
 
 const (
-	waitsForCapacity      waitReason = "no free capacity is left by work that goes first"
+	waitsForCapacity      waitReason = "work that goes first leaves no capacity on workers that may run it"
 	waitsForAdvice        waitReason = "an advice request is in flight"
 	waitsToRequest        waitReason = "it may not request advice yet"
 	waitsForEarlierHolder waitReason = "an earlier holder may have started it on a worker that doesn't answer"
 	waitsForDrains        waitReason = "its members don't all fit at the same time, and workers are drained for it"
 	waitsForMembers       waitReason = "its members don't all fit at the same time, and no workers are drained for it"
 	waitsForIsolation     waitReason = "it may crash its worker, and no worker can be kept from other starts for it yet"
-	waitsToRetry          waitReason = "its tasks may not start again yet"
+	waitsToRetry          waitReason = "its tasks pause before they start again, or their last end isn't recorded yet"
 )
 
 // waitLog limits the lines about waiting steps.
@@ -69,8 +69,8 @@
 		m.advice.freeCapacity.String() + " left in this pass; " + formatInt(int64(len(s.tickets.eligible))) + " workers may run it"})
 }
 
-// placedAll records that no startable task of a step waits.
-func (s *step) placedAll() { s.waitingSince = time.Time{} }
+// restartWait makes the wait of a step begin anew, since some of its tasks have started.
+func (s *step) restartWait() { s.waitingSince = time.Time{} }
 
 // adviceWaitReason returns what a step waits for whose tasks would fit.
 func (m *Machine) adviceWaitReason(s *step) waitReason {
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -180,7 +180,7 @@
 	}
 	w.lossRecorded = false
 	w.release()
-	w.isolation.run = nil
+	w.isolation.soleRun = nil
 	w.info.StartTime = startTime
 	w.incarnations++
 	w.adopted, w.addressReused = false, false
