--- /dev/null
+++ b/flow/fakejob_test.go
@@ -0,0 +1,63 @@
+package flow
+
+import (
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// faults are the probabilities of faults of orders, writes, tasks and advice requests.
+type faults struct {
+	lostOrder, lostAnswer, lateOrder      float64
+	lostWrite, lostWriteAnswer, lateWrite float64
+	failedTask, lostAdvice                float64
+	// storePartitions is true if workers may lose the connection to the store and to later
+	// holders.
+	storePartitions bool
+}
+
+// fakeJob is a submission with the settings of its simulation.
+type fakeJob struct {
+	workflow    endive.Workflow
+	policy      endive.Queue
+	account     endive.AccountName
+	cancelledAt time.Time
+	// durationFactor is the ratio of the tasks' run times to their estimates; 0 counts as 1.
+	durationFactor float64
+	// lapses is true if the lease of each run expires soon after its start.
+	lapses bool
+	// longRunningEnd is how each run of a long-running task ends soon after its start; empty if it
+	// doesn't.
+	longRunningEnd endive.EndKind
+	// deadly is the id of the task that crashes each worker that starts it; empty for none.
+	deadly endive.TaskID
+}
+
+// timedEvent is a function that is called at a time.
+type timedEvent struct {
+	at       time.Time
+	order    int
+	callback func()
+}
+
+// eventHeap is a heap of events in the order of their times.
+type eventHeap []timedEvent
+
+func (a eventHeap) Len() int { return len(a) }
+
+func (a eventHeap) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+func (a eventHeap) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].order < a[j].order
+}
+
+func (a *eventHeap) Push(x any) { *a = append(*a, x.(timedEvent)) }
+
+func (a *eventHeap) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -10,7 +10,7 @@
 	"endiveroute.example/endive"
 )
 
-// Work that waits behind other work was not in the log at all: nothing told why.
+// Work that waits behind other work had no line in the log that gave the reason.
 func TestLongWaitIsLogged(t *testing.T) {
 	is := is.New(t)
 	w, h := newSimulationWithHolder(t, faults{}, 1)
