--- a/flow/gang.go
+++ b/flow/gang.go
@@ -55,12 +55,7 @@
 // chooseGang returns a worker for each member, or nil if some member fits nowhere. Members
 // that are slow in different racks are placed in one rack if possible.
 func (m *Machine) chooseGang(s *step) []*worker {
-	return m.chooseGangAmong(s, func(w *worker) endive.Resources {
-		if !s.tickets.valid(w.id, m.now) && m.needsTicket(s) {
-			return endive.Resources{}
-		}
-		return w.free()
-	})
+	return m.chooseGangAmong(s, func(w *worker) (endive.Resources, bool) { return w.free(), m.hasTicket(s, w) })
 }
 
 // eligibleWorkers returns the workers that are known to be eligible for a step; all workers
@@ -85,8 +80,8 @@
 }
 
 // chooseGangAmong returns a worker for each member, or nil, like chooseGang. capacity returns what
-// of a worker's capacity members may use.
-func (m *Machine) chooseGangAmong(s *step, capacity func(*worker) endive.Resources) []*worker {
+// of a worker's capacity members may use, and whether they may use the worker at all.
+func (m *Machine) chooseGangAmong(s *step, capacity func(*worker) (endive.Resources, bool)) []*worker {
 	places, total := m.gangPlaces(s, capacity)
 	if total < len(s.tasks) {
 		return nil
@@ -103,7 +98,7 @@
 
 // gangPlaces returns the workers on which members of a gang fit, and how many fit in total. In a
 // backlog most searches end here: many gangs wait, each for many workers.
-func (m *Machine) gangPlaces(s *step, capacity func(*worker) endive.Resources) ([]gangPlace, int) {
+func (m *Machine) gangPlaces(s *step, capacity func(*worker) (endive.Resources, bool)) ([]gangPlace, int) {
 	var places []gangPlace
 	total := 0
 	need := s.spec.Reserved()
@@ -111,7 +106,11 @@
 		if !m.meetsConstraints(s, w) {
 			continue
 		}
-		if count := w.placesIn(s, need, capacity(w)); count > 0 {
+		available, ok := capacity(w)
+		if !ok {
+			continue
+		}
+		if count := w.placesIn(s, need, available); count > 0 {
 			places = append(places, gangPlace{worker: w, places: count})
 			total += count
 		}
--- a/flow/gangreserve.go
+++ b/flow/gangreserve.go
@@ -74,7 +74,7 @@
 func (m *Machine) reserveGang(s *step) {
 	m.delayGangSearch(s)
 	s.gang.drainedWorkers = nil
-	s.gang.reservedWorkers = m.chooseGangAmong(s, func(w *worker) endive.Resources { return m.capacitySoon(s, w) })
+	s.gang.reservedWorkers = m.chooseGangAmong(s, func(w *worker) (endive.Resources, bool) { return m.capacitySoon(s, w), true })
 	if s.gang.reservedWorkers == nil {
 		m.gangsWaiting = true
 		m.advice.shortOfCapacity = true
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -234,7 +234,12 @@
 
 // fits reports whether a task of a step may start on a worker now.
 func (m *Machine) fits(s *step, w *worker) bool {
-	return s.spec.Reserved().Fits(w.free()) && m.meetsConstraints(s, w) && (!m.needsTicket(s) || s.tickets.valid(w.id, m.now))
+	return s.spec.Reserved().Fits(w.free()) && m.meetsConstraints(s, w) && m.hasTicket(s, w)
+}
+
+// hasTicket reports whether a step has a ticket that a worker will accept, or needs none.
+func (m *Machine) hasTicket(s *step, w *worker) bool {
+	return !m.needsTicket(s) || s.tickets.valid(w.id, m.now)
 }
 
 // meetsConstraints reports whether a task of a step may start on a worker as soon as there
