--- a/flow/crash.go
+++ b/flow/crash.go
@@ -158,11 +158,16 @@
 	}
 	w.lossRecorded = true
 	for _, r := range suspects {
-		m.recordTaskCrash(r.task, r.number, r.isolated)
-		r.task.crashes.address = w.info.Address
+		m.recordRunCrash(r)
 	}
 }
 
+// recordRunCrash counts the crash of a run's worker against the run's task.
+func (m *Machine) recordRunCrash(r *run) {
+	m.recordTaskCrash(r.task, r.number, r.isolated)
+	r.task.crashes.address = r.worker.info.Address
+}
+
 // recordTaskCrash counts a crash under a run against its task, and gives the task up once the
 // crashes show that it is their cause.
 func (m *Machine) recordTaskCrash(t *task, n endive.RunNumber, isolated bool) {
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -241,8 +241,7 @@
 			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
 			m.removeRun(r)
 			if r.suspect && r.task != nil {
-				m.recordTaskCrash(r.task, r.number, r.isolated)
-				r.task.crashes.address = w.info.Address
+				m.recordRunCrash(r)
 			}
 			if r.task != nil {
 				m.abortGang(r.task.step, "a member of the gang is absent")
