--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -65,7 +65,11 @@
 
 func (c *pollCall) run() {
 	report, answer, err := c.pool.cell.Fleet.Poll(c.pool.cell.ctx, c.order)
-	c.pool.sendToFlow(flow.PollResult{Worker: c.order.Worker.ID, Result: orderResult(err), Report: report, Answer: answer})
+	result := flow.PollResult{Worker: c.order.Worker.ID, Result: orderResult(err), Report: report, Answer: answer}
+	if err != nil {
+		result.Failure = err.Error()
+	}
+	c.pool.sendToFlow(result)
 }
 
 // commitCall commits a transaction for one of the pool's machines.
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -24,6 +24,8 @@
 	// confirmedAt is the latest time at which the store surely had no newer version than
 	// latest; nil before the first read.
 	confirmedAt atomic.Pointer[time.Time]
+	// failedReads counts the failed reads since the last that succeeded.
+	failedReads int
 }
 
 // current returns the newest configuration, or nil before the first is read.
@@ -59,9 +61,11 @@
 			continue
 		}
 		if err != nil {
+			l.logFailure(sentAt, err)
 			l.cell.sleep(retryDelay)
 			continue
 		}
+		l.logRecovery(sentAt)
 		after = response.Revision
 		if response.Config != nil {
 			l.apply(response.Config)
@@ -76,6 +80,23 @@
 	}
 }
 
+// failuresPerLogLine is the number of failed reads in a row for which one line is logged.
+const failuresPerLogLine = 10
+
+func (l *configLoop) logFailure(sentAt time.Time, err error) {
+	if l.failedReads%failuresPerLogLine == 0 {
+		l.cell.Log.Warn("can't read the configuration", "tookMillis", millisSince(l.cell.Clock.Now(), sentAt), "failedBefore", l.failedReads, "error", err.Error())
+	}
+	l.failedReads++
+}
+
+func (l *configLoop) logRecovery(sentAt time.Time) {
+	if l.failedReads > 0 {
+		l.cell.Log.Info("the configuration can be read again", "tookMillis", millisSince(l.cell.Clock.Now(), sentAt), "failedBefore", l.failedReads)
+	}
+	l.failedReads = 0
+}
+
 // answeredAt returns the earliest time at which the store can have given an answer; zero if it
 // isn't known. A long poll is answered long after it was sent.
 func (l *configLoop) answeredAt(response endive.ConfigResponse) time.Time {
--- a/entry/cell/peerconfig.go
+++ b/entry/cell/peerconfig.go
@@ -56,6 +56,8 @@
 	sentAt := l.cell.Clock.Now()
 	ask := &wire.RelayAsk{Kind: wire.RelayKind_RELAY_CONFIG, ConfigVersion: int64(l.cell.config.current().Version)}
 	answer := l.cell.relayClient.send(l.cell.ctx, entry, ask, peerConfigTimeout)
+	l.cell.Log.Info("asked another entry for the configuration", "entry", string(entry), "answered", answer != nil,
+		"bytes", len(answer.GetConfig()), "tookMillis", millisSince(l.cell.Clock.Now(), sentAt), "ageMillis", l.cell.config.age().Milliseconds())
 	if answer.GetStatus() != wire.RelayStatus_RELAY_DONE {
 		return
 	}
--- a/flow/events.go
+++ b/flow/events.go
@@ -90,8 +90,10 @@
 type PollResult struct {
 	Worker endive.WorkerID
 	Result OrderResult
-	Report endive.PollReport
-	Answer endive.OrderAnswer
+	// Failure says for the log what failed; empty if the poll was answered.
+	Failure string
+	Report  endive.PollReport
+	Answer  endive.OrderAnswer
 }
 
 // StartResult is the answer to a StartRun.
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -79,13 +79,26 @@
 		return
 	}
 	if w.failedPolls == 0 {
-		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: reason + ", " + formatInt(int64(len(w.runs))) + " runs on the worker"})
+		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: m.describeFailure(w, e, reason)})
 	}
 	m.setSuspectsPending(w)
 	w.failedPolls++
 	w.poll.nextAt = m.now.Add(pollRetryDelay * time.Duration(min(w.failedPolls, 6)))
 }
 
+// describeFailure returns the reason of a failed poll for the log: how long it took, what failed, and
+// how long ago the worker was last heard.
+func (m *Machine) describeFailure(w *worker, e PollResult, reason string) string {
+	text := reason + " after " + m.now.Sub(w.poll.sentAt).Round(time.Millisecond).String() + ", " + formatInt(int64(len(w.runs))) + " runs on the worker"
+	if !w.clock.receivedAt.IsZero() {
+		text += ", last answer " + m.now.Sub(w.clock.receivedAt).Round(time.Millisecond).String() + " ago"
+	}
+	if e.Failure != "" {
+		text += "; " + e.Failure
+	}
+	return text
+}
+
 // applyEnds processes the ends of runs that a worker lists and that are new. The capacity of
 // each ended run is free from now on.
 func (m *Machine) applyEnds(w *worker, ends []endive.EndReport) {
--- a/guard/attempt.go
+++ b/guard/attempt.go
@@ -53,6 +53,23 @@
 	return sent
 }
 
+// Progress describes how far the attempt came, for the log: whether it had a connection, how old
+// that was, and whether bytes were sent on it.
+func (a *Attempt) Progress(now time.Time) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.sentOn != nil:
+		return "sent on a connection opened " + now.Sub(a.sentOn.openedAt).Round(time.Millisecond).String() + " ago"
+	case len(a.conns) > 0:
+		return "not sent, with a connection"
+	case a.untracked:
+		return "on an untracked connection"
+	default:
+		return "no connection"
+	}
+}
+
 func (a *Attempt) gotConn(info httptrace.GotConnInfo) {
 	c, ok := info.Conn.(*Conn)
 	if !ok {
