--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -45,7 +45,7 @@
 				return
 			}
 			answered = true
-			if worker.unreachable || worker.incarnation != incarnation || w.chance(w.faults.lostAnswer) {
+			if worker.unreachable || worker.answersLost || worker.incarnation != incarnation || w.chance(w.faults.lostAnswer) {
 				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Result: OrderUnknown}) })
 				return
 			}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -20,6 +20,8 @@
 	incarnation int
 	unreachable bool
 	unlisted    bool
+	// answersLost is true while the worker receives polls but its answers don't arrive in time.
+	answersLost bool
 	// unreachableFrom is the first epoch whose holder can't reach the worker; 0 if all
 	// holders can.
 	unreachableFrom endive.Epoch
