A live worker that is only silent isn't given up; late answers to polls count

Cause: over a congested link a poll's answer takes longer than 700 ms. The leases weren't renewed after the first failed poll, and when they had expired the tasks started elsewhere, though the worker was alive and had listed their success. TestSucceededTaskStartsAgainBehindSlowLink failed before (2 starts), and so did TestLateAnswersAreIgnored and TestLeasesOfLiveSilentWorkerExpire. TestProbesAreLimited names the poll in its results, as the holder now needs that; its checks are the same.

--- a/entry/cell/actions.go
+++ b/entry/cell/actions.go
@@ -42,7 +42,7 @@
 	case flow.Commit:
 		go (&commitCall{pool: p, machine: flowMachine, transaction: a.Transaction}).run()
 	case flow.PollWorker:
-		go (&pollCall{pool: p, order: a.Order}).run()
+		go (&pollCall{pool: p, order: a.Order, poll: a.Poll}).run()
 	case flow.StartRun:
 		go (&startCall{pool: p, order: a.Order, sendDeadline: a.SendBy}).run()
 	case flow.StopRun:
--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -57,21 +57,40 @@
 	c.pool.sendToFlow(flow.StopResult{Worker: c.order.Worker.ID, Task: c.order.Task, Run: c.order.Run, Result: orderResult(err), Answer: answer})
 }
 
-// pollCall sends a poll to a worker.
+// pollOverdueDelay is how long after the end of its wait a poll may be unanswered before the worker
+// counts as silent.
+const pollOverdueDelay = 700 * time.Millisecond
+
+// pollCall sends a poll to a worker. If the answer is overdue, it reports that, and reports the answer
+// when it arrives.
 type pollCall struct {
 	pool  *pool
 	order endive.PollOrder
+	poll  flow.PollID
 }
 
 func (c *pollCall) run() {
+	overdue := time.AfterFunc(time.Duration(c.order.Wait)+pollOverdueDelay, c.reportOverdue)
 	report, answer, err := c.pool.cell.Fleet.Poll(c.pool.cell.ctx, c.order)
-	result := flow.PollResult{Worker: c.order.Worker.ID, Result: orderResult(err), Report: report, Answer: answer}
+	overdue.Stop()
+	result := c.result(orderResult(err))
+	result.Report, result.Answer = report, answer
 	if err != nil {
 		result.Failure = err.Error()
 	}
 	c.pool.sendToFlow(result)
 }
 
+func (c *pollCall) reportOverdue() {
+	result := c.result(flow.OrderUnknown)
+	result.Failure = "the answer is overdue"
+	c.pool.sendToFlow(result)
+}
+
+func (c *pollCall) result(result flow.OrderResult) flow.PollResult {
+	return flow.PollResult{Worker: c.order.Worker.ID, Poll: c.poll, Result: result}
+}
+
 // commitCall commits a transaction for one of the pool's machines.
 type commitCall struct {
 	pool        *pool
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -167,6 +167,7 @@
 	publish := l.changed || !l.ready
 	l.changed, l.ready = false, true
 	l.mu.Unlock()
+	l.reportHeard(reading)
 	if publish {
 		l.publishAll()
 	} else {
--- a/flow/actions.go
+++ b/flow/actions.go
@@ -12,7 +12,11 @@
 
 // PollWorker sends an order that renews the leases on a worker and requests a report of the
 // running and ended runs there. The answer is a PollResult.
-type PollWorker struct{ Order endive.PollOrder }
+type PollWorker struct {
+	Order endive.PollOrder
+	// Poll identifies the poll; its results repeat it.
+	Poll PollID
+}
 
 // StartRun sends an order to start a task. The answer is a StartResult.
 type StartRun struct {
--- a/flow/events.go
+++ b/flow/events.go
@@ -70,6 +70,13 @@
 // IsEvent marks WorkersConfirmed as an event.
 func (WorkersConfirmed) IsEvent() {}
 
+// WorkersHeard reports which workers have renewed their registrations at the platform since the
+// list of workers was read before.
+type WorkersHeard struct{ Workers []endive.WorkerID }
+
+// IsEvent marks WorkersHeard as an event.
+func (WorkersHeard) IsEvent() {}
+
 // OrderResult is the result of sending an order to a worker.
 type OrderResult string
 
@@ -86,9 +93,14 @@
 	OrderUnknown OrderResult = "unknown"
 )
 
-// PollResult is the answer to a PollWorker.
+// PollID identifies a poll of a worker: it is the step of the machine in which the poll was sent.
+type PollID uint64
+
+// PollResult is the answer to a PollWorker. A poll that isn't answered in time has two results: the
+// first is OrderUnknown, the second is what came of it later.
 type PollResult struct {
 	Worker endive.WorkerID
+	Poll   PollID
 	Result OrderResult
 	// Failure says for the log what failed; empty if the poll was answered.
 	Failure string
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -22,6 +22,8 @@
 	unlisted    bool
 	// answersLost is true while the worker receives polls but its answers don't arrive in time.
 	answersLost bool
+	// answerDelay is by how much the answers of the worker are late; above the timeout of a poll, or 0.
+	answerDelay time.Duration
 	// unreachableFrom is the first epoch whose holder can't reach the worker; 0 if all
 	// holders can.
 	unreachableFrom endive.Epoch
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -143,6 +143,9 @@
 	case WorkersConfirmed:
 		m.listed.StartsUntil = e.StartsUntil
 		return
+	case WorkersHeard:
+		m.recordHeard(e.Workers)
+		return
 	case AdviceClientsChanged:
 		m.adviceClients = e.Count
 		return
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -43,7 +43,7 @@
 	}
 	leasesEnd := w.leasesExpireAt()
 	if w.failedPolls > 0 && len(w.runs) > 0 && !leasesEnd.IsZero() && !m.now.Before(leasesEnd) && m.surelySilent(w, leasesEnd) {
-		m.dropRuns(w, "its leases have expired")
+		m.dropExpiredRuns(w)
 	}
 	if !w.listed && m.tenure.takeoverDone && len(w.runs) == 0 && len(w.unrecordedEnds) == 0 {
 		delete(m.workers, w.id)
@@ -54,6 +54,9 @@
 	if w.failedPolls > 0 && len(w.runs) > 0 && leasesEnd.After(m.now) {
 		w.dueAt = endive.Earliest(w.dueAt, leasesEnd)
 	}
+	if w.mayStillReport(m.now) && w.reportsUntil().After(m.now) {
+		w.dueAt = endive.Earliest(w.dueAt, w.reportsUntil())
+	}
 	return false
 }
 
@@ -81,13 +84,13 @@
 		maxWait = suspectPollWait(m.now, w.suspectsUntil())
 	}
 	order := endive.PollOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
-	if w.renewsLeases() {
+	if w.renewsLeases(m.now) {
 		order.LeaseEnd = m.newLeaseEnd(w)
 	}
 	w.poll.inFlight = true
-	w.poll.sentStep = m.stepCount
+	w.poll.id = PollID(m.stepCount)
 	w.poll.sentAt, w.poll.immediate = m.now, maxWait == 0
-	m.emit(PollWorker{Order: order})
+	m.emit(PollWorker{Order: order, Poll: w.poll.id})
 }
 
 // unconfirmedPollWait is how long a worker may hold back its answer to a poll to wait for the
@@ -106,9 +109,10 @@
 }
 
 // renewsLeases reports whether polls renew the worker's leases. If the worker doesn't answer,
-// its leases are left to expire, so that its tasks can start on other workers.
-func (w *worker) renewsLeases() bool {
-	return w.adopted && w.failedPolls == 0 && len(w.runs) > 0
+// its leases are left to expire, so that its tasks can start on other workers, unless a late answer
+// or the platform shows that the worker is alive.
+func (w *worker) renewsLeases(now time.Time) bool {
+	return w.adopted && len(w.runs) > 0 && (w.failedPolls == 0 || now.Before(w.renewedUntil()))
 }
 
 // newLeaseEnd returns the end, on the worker's clock, of a lease that begins now, and records
@@ -126,9 +130,9 @@
 // acknowledgedEnd returns the number of the newest reported end of a run that the worker may
 // delete; 0 for none. A worker that hasn't answered lately may have restarted and numbered its
 // ends from 1 again. Acknowledging an old number would make the worker delete ends that the
-// holder hasn't received.
+// holder hasn't received. A late answer is from an unknown time.
 func (w *worker) acknowledgedEnd(now time.Time) endive.EndNumber {
-	if !w.adopted || w.failedPolls > 0 || now.Sub(w.clock.receivedAt) > maxAckAge {
+	if !w.adopted || w.failedPolls > 0 || w.answersLate || now.Sub(w.clock.receivedAt) > maxAckAge {
 		return 0
 	}
 	return w.recordedEnd()
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -10,14 +10,22 @@
 
 // handlePollResult applies a worker's answer to a poll, or counts a failed poll.
 func (m *Machine) handlePollResult(e PollResult) {
-	m.endProbe(e.Worker)
 	w := m.workers[e.Worker]
-	if w == nil || !w.poll.inFlight {
+	if w == nil {
+		m.endProbe(e.Worker)
 		return
 	}
-	w.poll.inFlight = false
+	current := w.poll.inFlight && w.poll.id == e.Poll
+	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
+	if !current && (!answered || !w.acceptsLateReport(e.Report)) {
+		return
+	}
+	if current {
+		m.endProbe(e.Worker)
+		w.poll.inFlight = false
+	}
 	m.markChanged(w)
-	if e.Result != OrderAnswered || e.Answer.Refused != endive.RefusalNone {
+	if !answered {
 		m.handlePollFailure(w, e)
 		return
 	}
@@ -33,12 +41,12 @@
 	} else if startTime.After(w.info.StartTime) {
 		m.beginIncarnation(w, startTime)
 	}
-	if w.poll.immediate {
+	if current && w.poll.immediate {
 		w.recordRoundTrip(m.now.Sub(w.poll.sentAt))
 	}
-	w.clock = clockReading{workerTime: e.Report.Clock, receivedAt: m.now}
+	w.recordAnswer(m.now, e.Report.Clock, !current)
 	m.applyEnds(w, e.Report.Ended)
-	m.reconcileRuns(w, e.Report.Running)
+	m.reconcileRuns(w, e.Poll, e.Report.Running)
 	if !w.adopted {
 		w.adopted = true
 		m.passDue = true
@@ -60,45 +68,6 @@
 	m.clearPending(w)
 }
 
-// handlePollFailure schedules the next poll after a failed one, and handles a terminated worker
-// and a higher epoch.
-func (m *Machine) handlePollFailure(w *worker, e PollResult) {
-	reason := string(e.Result)
-	if e.Result == OrderAnswered {
-		reason = string(e.Answer.Refused)
-	}
-	switch e.Answer.Refused {
-	case endive.RefusalEpoch:
-		m.handleFenced("worker " + string(w.id))
-		return
-	case endive.RefusalIncarnation:
-		w.addressReused = true
-	}
-	if m.hasTerminated(w, e) {
-		m.handleTerminated(w, reason)
-		return
-	}
-	if w.failedPolls == 0 {
-		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: m.describeFailure(w, e, reason)})
-	}
-	m.setSuspectsPending(w)
-	w.failedPolls++
-	w.poll.nextAt = m.now.Add(pollRetryDelay * time.Duration(min(w.failedPolls, 6)))
-}
-
-// describeFailure returns the reason of a failed poll for the log: how long it took, what failed, and
-// how long ago the worker was last heard.
-func (m *Machine) describeFailure(w *worker, e PollResult, reason string) string {
-	text := reason + " after " + m.now.Sub(w.poll.sentAt).Round(time.Millisecond).String() + ", " + formatInt(int64(len(w.runs))) + " runs on the worker"
-	if !w.clock.receivedAt.IsZero() {
-		text += ", last answer " + m.now.Sub(w.clock.receivedAt).Round(time.Millisecond).String() + " ago"
-	}
-	if e.Failure != "" {
-		text += "; " + e.Failure
-	}
-	return text
-}
-
 // applyEnds processes the ends of runs that a worker lists and that are new. The capacity of
 // each ended run is free from now on.
 func (m *Machine) applyEnds(w *worker, ends []endive.EndReport) {
@@ -234,8 +203,9 @@
 	}
 }
 
-// reconcileRuns compares the runs that a worker reports with those that it should have.
-func (m *Machine) reconcileRuns(w *worker, running []endive.RunReport) {
+// reconcileRuns compares the runs that a worker reports in the answer to a poll with those that it
+// should have.
+func (m *Machine) reconcileRuns(w *worker, poll PollID, running []endive.RunReport) {
 	reported := make(map[endive.TaskID]bool, len(running))
 	for _, report := range running {
 		reported[report.Task] = true
@@ -250,7 +220,7 @@
 	}
 	for _, r := range w.sortedRuns() {
 		// A run that was confirmed before this poll was sent would be in the answer.
-		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < w.poll.sentStep {
+		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < uint64(poll) {
 			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
 			m.removeRun(r)
 			if r.suspect && r.task != nil {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -67,6 +67,8 @@
 	accounts endive.Accounts
 	// pollsLists is true if holders read the list of workers regularly, and a list expires.
 	pollsLists bool
+	// renewals is true if the workers renew their registrations at the platform, and holders read that.
+	renewals bool
 	// quotaReadTime is how long a new holder takes to read the pools' parts of the caps; 0 for the
 	// usual 8 ms.
 	quotaReadTime time.Duration
@@ -281,6 +283,9 @@
 	fence := FenceWrite(testPool, w.epoch)
 	w.rows[fence.Key] = endive.Row{Key: fence.Key, Version: w.version, Value: fence.Value}
 	h.send(w.workersListed())
+	if w.renewals {
+		w.reportRenewals(h)
+	}
 	h.send(AccountsChanged{Accounts: w.accounts, Pools: 1})
 	h.send(TenureBegan{Epoch: w.epoch, FenceVersion: w.version, LeaseEnd: w.now.Add(time.Hour)})
 	return h
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -52,7 +52,16 @@
 
 	// failedPolls counts consecutive polls that failed.
 	failedPolls int
-	health      health
+	// answeredAt is when the worker's last answer to a poll arrived, and answersLate is true if that
+	// was after the timeout of the poll.
+	answeredAt time.Time
+	// lastReport is the worker's time in that answer.
+	lastReport  endive.WorkerTime
+	answersLate bool
+	// heardAt is when the holder last learned that the worker had renewed its registration; zero
+	// if it hasn't been.
+	heardAt time.Time
+	health  health
 	// dueAt is when the worker has to be processed next; zero for never.
 	dueAt time.Time
 	// reserved are the resources that the current scheduling pass reserves for work of higher
@@ -68,11 +77,11 @@
 // pollState is the state of the polls of a worker.
 type pollState struct {
 	inFlight bool
-	// sentAt is when the last poll was sent, immediate is true if it requested an answer
-	// without a wait, and sentStep is the machine's step in which it was sent.
+	// id identifies the last poll, sentAt is when it was sent, and immediate is true if it
+	// requested an answer without a wait.
+	id        PollID
 	sentAt    time.Time
 	immediate bool
-	sentStep  uint64
 	// nextAt is when the next poll is due.
 	nextAt time.Time
 	// queued is true while the worker waits to be probed.
@@ -186,7 +195,8 @@
 	w.adopted, w.addressReused = false, false
 	w.recordedTasks = nil
 	m.forgetDraining(w)
-	w.lastEnd, w.leaseEnd, w.clock = 0, 0, clockReading{}
+	w.lastEnd, w.leaseEnd, w.clock, w.lastReport = 0, 0, clockReading{}, 0
+	w.answeredAt, w.answersLate = time.Time{}, false
 	w.unrecordedEnds = make(map[endive.EndNumber]bool)
 	w.poll.nextAt = m.now
 }
