A gang that has ended, and a job that has, don't wait for a silent worker

A run whose success no longer keeps its task from starting again (job cancelled, another member of the gang ended) was kept for 15 s and counted against the account's cap.

--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -54,6 +54,8 @@
 	directory func(endive.Directory) endive.Directory
 	// settings, if set, changes the settings of the entries added from now on.
 	settings func(*setup.CellSettings)
+	// workerHandler, if set, wraps the handlers of the workers added from now on.
+	workerHandler func(http.Handler) http.Handler
 	// key is the key of the calls of submit and state.
 	key string
 }
@@ -145,7 +147,11 @@
 	duration := func(string) time.Duration { return r.taskDuration }
 	fails := func(task string) bool { return r.failingPrefix != "" && strings.HasPrefix(task, r.failingPrefix) }
 	worker := stand.NewWorker(id, "svc", r, duration, fails)
-	worker.Address = string(r.serve(worker))
+	handler := http.Handler(worker)
+	if r.workerHandler != nil {
+		handler = r.workerHandler(worker)
+	}
+	worker.Address = string(r.serve(handler))
 	if err := worker.Register(r.store, 1, false); err != nil {
 		r.t.Fatal(err)
 	}
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -75,9 +75,15 @@
 }
 
 // waitsForReport reports whether the task of a run must not start elsewhere before its worker has
-// reported how the run ended. A long-running task is executed again however it ended.
+// reported how the run ended. A long-running task starts again however it ended, and so does a gang
+// of which another member has ended.
 func (r *run) waitsForReport() bool {
-	return r.task != nil && !r.task.step.spec.LongRunning && !r.task.step.spec.Speculative
+	t := r.task
+	if t == nil || t.run != r || t.state >= taskSucceeded || t.step.occ.job.state.Ended() {
+		return false
+	}
+	spec := t.step.spec
+	return !spec.LongRunning && !spec.Speculative && (!spec.Gang || t.step.gang.run == r.number)
 }
 
 // dropExpiredRuns removes the runs of a silent worker whose leases have expired, but not those whose
--- a/flow/silence_test.go
+++ b/flow/silence_test.go
@@ -133,3 +133,32 @@
 	is.Equal(len(h.machine.workers[worker.id].runs), 0)
 	is.Equal(w.starts, 1)
 }
+
+// A run waits for its worker's report only while its success would keep the task from starting again.
+func TestRunWaitsForReport(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*run)
+		want   bool
+	}{
+		{"a task", func(*run) {}, true},
+		{"a run of an unknown task", func(r *run) { r.task = nil }, false},
+		{"a task that has succeeded", func(r *run) { r.task.state = taskSucceeded }, false},
+		{"a task with a newer run", func(r *run) { r.task.run = &run{} }, false},
+		{"a cancelled job", func(r *run) { r.task.step.occ.job.state = endive.WorkflowCancelled }, false},
+		{"a long-running task", func(r *run) { r.task.step.spec.LongRunning = true }, false},
+		{"a speculative task", func(r *run) { r.task.step.spec.Speculative = true }, false},
+		{"a gang", func(r *run) { r.task.step.spec.Gang = true; r.task.step.gang.run = r.number }, true},
+		{"a gang of which another member has ended", func(r *run) { r.task.step.spec.Gang = true }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			task := &task{state: taskPlaced, step: &step{spec: &endive.Step{}, occ: &occurrence{job: &job{state: endive.WorkflowRunning}}}}
+			r := &run{task: task, number: 7}
+			task.run = r
+			tt.change(r)
+			is.Equal(r.waitsForReport(), tt.want)
+		})
+	}
+}
