A response of the store that makes progress is no longer given up

Each read of the store had a timeout as a whole: a feed call its wait and 0.5 s, a page the 0.8 s of the caller. A configuration of 0.8 MB, which 21 entries read at once over a link of 60 Mbit/s, takes longer; the part that had arrived was thrown away and the read began again, so that the link stayed full and no read ended.

A read now has a stall timeout in its context (endive.WithStallTimeout): it bounds the wait for the beginning of the response and each pause between received bytes; the body as a whole has 15 s (maxBodyTime), and the context still cancels. The callers in entry/cell pass StoreTimeout or adaptiveTimeout as a stall timeout; commits keep their deadlines. The client reports received bytes of successful responses to the observers in the context. cell.Store counts a call as overdue by the time without bytes, and as its latency the time to the first bytes, so that a large read makes the store neither overdue nor slow.

TestFeedResponseInProgressIsGivenUp failed on the code before (context deadline exceeded after 0.5 s with the response half received); the others need the new calls. TestListOutdatedWhileStoreIsSlow asked for the context's deadline as the time that a reading may take; it asks for the stall timeout now, with the same bounds.

--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"context"
 	"math"
 	"sync/atomic"
 	"time"
@@ -107,10 +106,8 @@
 }
 
 func (l *configLoop) fetch(after endive.Revision) (endive.ConfigResponse, error) {
-	wait := l.pollWait()
-	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(wait)+time.Duration(l.cell.Settings.Timings.StoreTimeout))
-	defer cancel()
-	return l.cell.Directory.Config(ctx, after, wait)
+	ctx := endive.WithStallTimeout(l.cell.ctx, l.cell.Settings.Timings.StoreTimeout)
+	return l.cell.Directory.Config(ctx, after, l.pollWait())
 }
 
 // pollWait returns the maximum wait of one long poll. With strict keys, the configuration has to be
--- a/entry/cell/entryrows.go
+++ b/entry/cell/entryrows.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"context"
 	"encoding/json"
 	"time"
 
@@ -65,8 +64,7 @@
 // readEntries reads the entry rows that changed after a revision, and returns the revision
 // for the next call.
 func (p *peers) readEntries(after endive.Revision) endive.Revision {
-	ctx, cancel := context.WithTimeout(p.cell.ctx, time.Duration(p.cell.Settings.Timings.StoreTimeout))
-	defer cancel()
+	ctx := endive.WithStallTimeout(p.cell.ctx, p.cell.Settings.Timings.StoreTimeout)
 	for {
 		changes, err := p.cell.Store.Scan(ctx, entriesPrefix, after)
 		if endive.ErrHistoryLost.Has(err) {
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -53,8 +53,7 @@
 	for _, p := range l.cell.allPools() {
 		p.readLease()
 	}
-	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
-	defer cancel()
+	ctx := endive.WithStallTimeout(l.cell.ctx, l.cell.Settings.Timings.StoreTimeout)
 	scan, err := l.cell.Store.Scan(ctx, elect.Table+"//", 0)
 	if err != nil {
 		return 0
@@ -63,8 +62,7 @@
 }
 
 func (l *leaseLoop) poll(after endive.Revision) (endive.Changes, error) {
-	ctx, cancel := context.WithTimeout(l.cell.ctx, time.Duration(l.cell.Settings.Timings.StoreTimeout))
-	defer cancel()
+	ctx := endive.WithStallTimeout(l.cell.ctx, l.cell.Settings.Timings.StoreTimeout)
 	return l.cell.Store.Follow(ctx, elect.Table+"/", after, 0)
 }
 
--- a/entry/cell/partitionhealth.go
+++ b/entry/cell/partitionhealth.go
@@ -18,6 +18,10 @@
 type storeCall struct {
 	startedAt time.Time
 	partition string
+	// answeredAt is when the first bytes of the response were received, and receivedAt when
+	// the latest were; zero before.
+	answeredAt time.Time
+	receivedAt time.Time
 }
 
 // partitionOf returns the partition of a row key of the form "table/partition/key".
--- a/entry/cell/pool.go
+++ b/entry/cell/pool.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"context"
 	"encoding/json"
 	"sync/atomic"
 	"time"
@@ -211,9 +210,8 @@
 func (l *leaseReader) run() {
 	c := l.pool.cell
 	for c.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(c.ctx, time.Duration(c.Settings.Timings.StoreTimeout))
+		ctx := endive.WithStallTimeout(c.ctx, c.Settings.Timings.StoreTimeout)
 		rows, err := c.Store.Read(ctx, elect.LeaseKey(l.pool.name), flow.StatusKey(l.pool.name))
-		cancel()
 		if err != nil {
 			c.sleep(retryDelay)
 			continue
--- a/entry/cell/quotafollower.go
+++ b/entry/cell/quotafollower.go
@@ -43,14 +43,10 @@
 // read returns all rows, or those that changed after a revision.
 func (f *quotaFollower) read(after endive.Revision) (endive.Changes, error) {
 	store := f.pool.cell.Store
-	timeout := time.Duration(f.pool.cell.Settings.Timings.StoreTimeout)
+	ctx := endive.WithStallTimeout(f.ctx, f.pool.cell.Settings.Timings.StoreTimeout)
 	if after == 0 {
-		ctx, cancel := context.WithTimeout(f.ctx, timeout)
-		defer cancel()
 		return store.Scan(ctx, quota.Prefix, 0)
 	}
-	ctx, cancel := context.WithTimeout(f.ctx, time.Duration(workPollWait)+timeout)
-	defer cancel()
 	return store.Follow(ctx, quota.Prefix, after, workPollWait)
 }
 
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -136,9 +136,7 @@
 // readWithRetry reads a row. It retries failed reads while the store is usable.
 func (c *Cell) readWithRetry(ctx context.Context, key string) ([]endive.Row, error) {
 	for {
-		limited, cancel := context.WithTimeout(ctx, time.Duration(c.Settings.Timings.StoreTimeout))
-		rows, err := c.Store.Read(limited, key)
-		cancel()
+		rows, err := c.Store.Read(endive.WithStallTimeout(ctx, c.Settings.Timings.StoreTimeout), key)
 		if err == nil || ctx.Err() != nil || !c.Store.usable() {
 			return rows, err
 		}
--- a/entry/cell/shardscan.go
+++ b/entry/cell/shardscan.go
@@ -25,9 +25,7 @@
 
 func (s *shardScan) run(ctx context.Context) {
 	for {
-		limited, cancel := context.WithTimeout(ctx, time.Duration(s.timeout))
-		changes, err := s.cell.Store.Scan(limited, s.prefix, 0)
-		cancel()
+		changes, err := s.cell.Store.Scan(endive.WithStallTimeout(ctx, s.timeout), s.prefix, 0)
 		if err == nil || ctx.Err() != nil {
 			s.results <- shardResult{changes: changes, err: err}
 			return
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -54,9 +54,8 @@
 	// the last answer before that outage.
 	recoveredAt time.Time
 	silentSince time.Time
-	// inFlight are the short calls without a result yet, by call number.
-	inFlight map[uint64]storeCall
-	lastCall uint64
+	// inFlight are the short calls without a result yet.
+	inFlight map[*storeCall]bool
 	// partitions tracks which partitions of the store don't answer.
 	partitions partitionHealth
 	// meanLatency is the moving average of the latency of short calls. minLatency is the
@@ -67,7 +66,7 @@
 
 // NewStore returns a Store that counts as unreachable until its first answer.
 func NewStore(inner RowStore, clock endive.Clock, log hclog.Logger) *Store {
-	return &Store{inner: inner, clock: clock, log: log, inFlight: make(map[uint64]storeCall), partitions: newPartitionHealth()}
+	return &Store{inner: inner, clock: clock, log: log, inFlight: make(map[*storeCall]bool), partitions: newPartitionHealth()}
 }
 
 // Commit implements endive.Table.
@@ -89,7 +88,7 @@
 		partition = partitionOf(keys[0])
 	}
 	call := s.beginCall(partition)
-	rows, err := s.inner.Read(ctx, keys...)
+	rows, err := s.inner.Read(s.observed(ctx, call), keys...)
 	s.endCall(call, err)
 	return rows, err
 }
@@ -97,7 +96,7 @@
 // Scan implements endive.Table.
 func (s *Store) Scan(ctx context.Context, prefix string, after endive.Revision) (endive.Changes, error) {
 	call := s.beginCall(partitionOf(prefix))
-	changes, err := s.inner.Scan(ctx, prefix, after)
+	changes, err := s.inner.Scan(s.observed(ctx, call), prefix, after)
 	s.endCall(call, err)
 	return changes, err
 }
@@ -105,42 +104,41 @@
 // Follow implements endive.RowFeed.
 func (s *Store) Follow(ctx context.Context, prefix string, after endive.Revision, wait endive.Interval) (endive.Changes, error) {
 	if wait > 0 {
-		startedAt := s.clock.Now()
-		changes, err := s.inner.Follow(ctx, prefix, after, wait)
+		call := &storeCall{startedAt: s.clock.Now(), partition: partitionOf(prefix)}
+		changes, err := s.inner.Follow(s.observed(ctx, call), prefix, after, wait)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.recordResult(storeCall{startedAt: startedAt, partition: partitionOf(prefix)}, err)
+		s.recordResult(*call, err)
 		return changes, err
 	}
 	call := s.beginCall(partitionOf(prefix))
-	changes, err := s.inner.Follow(ctx, prefix, after, 0)
+	changes, err := s.inner.Follow(s.observed(ctx, call), prefix, after, 0)
 	s.endCall(call, err)
 	return changes, err
 }
 
-// beginCall records the start of a short call to a partition and returns the call's number.
-func (s *Store) beginCall(partition string) uint64 {
+// beginCall records the start of a short call to a partition.
+func (s *Store) beginCall(partition string) *storeCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastCall++
-	s.inFlight[s.lastCall] = storeCall{startedAt: s.clock.Now(), partition: partition}
-	return s.lastCall
+	call := &storeCall{startedAt: s.clock.Now(), partition: partition}
+	s.inFlight[call] = true
+	return call
 }
 
 // endCall records the result and the latency of a short call.
-func (s *Store) endCall(number uint64, err error) {
+func (s *Store) endCall(call *storeCall, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	call := s.inFlight[number]
-	delete(s.inFlight, number)
+	delete(s.inFlight, call)
 	if isAnswer(err) {
-		latency := endive.Interval(s.clock.Now().Sub(call.startedAt))
+		latency := call.latency(s.clock.Now())
 		s.meanLatency += endive.Interval(latencyWeight * float64(latency-s.meanLatency))
 		if s.minLatency == 0 || latency < s.minLatency {
 			s.minLatency = latency
 		}
 	}
-	s.recordResult(call, err)
+	s.recordResult(*call, err)
 }
 
 // isAnswer reports whether the store executed a call or rejected it with a definite reason.
@@ -152,14 +150,7 @@
 func (s *Store) recordResult(call storeCall, err error) {
 	now := s.clock.Now()
 	if isAnswer(err) {
-		s.partitions.recordAnswer(call)
-		if !s.available {
-			s.log.Info("dependency is available again", "dependency", "store", "awayMillis", millisSince(now, s.unavailableSince))
-		}
-		if !s.lastAnswerAt.IsZero() && now.Sub(s.lastAnswerAt) > minOutage {
-			s.recoveredAt, s.silentSince = now, s.lastAnswerAt
-		}
-		s.available, s.lastAnswerAt = true, now
+		s.recordAnswer(call, now)
 		return
 	}
 	if s.partitions.recordFailure(call, now) {
@@ -173,6 +164,19 @@
 	}
 }
 
+// recordAnswer updates the availability by an answer, or by the beginning of one. The caller
+// holds the lock.
+func (s *Store) recordAnswer(call storeCall, now time.Time) {
+	s.partitions.recordAnswer(call)
+	if !s.available {
+		s.log.Info("dependency is available again", "dependency", "store", "awayMillis", millisSince(now, s.unavailableSince))
+	}
+	if !s.lastAnswerAt.IsZero() && now.Sub(s.lastAnswerAt) > minOutage {
+		s.recoveredAt, s.silentSince = now, s.lastAnswerAt
+	}
+	s.available, s.lastAnswerAt = true, now
+}
+
 // reachable reports whether the store has answered within reachableWindow.
 func (s *Store) reachable() bool {
 	s.mu.Lock()
@@ -212,8 +216,8 @@
 // lock.
 func (s *Store) hasOverdueCall(matches func(storeCall) bool) bool {
 	now, limit := s.clock.Now(), max(minOverdueTime, time.Duration(overdueFactor*s.meanLatency))
-	for _, call := range s.inFlight {
-		if now.Sub(call.startedAt) > limit && matches(call) {
+	for call := range s.inFlight {
+		if now.Sub(endive.Latest(call.startedAt, call.receivedAt)) > limit && matches(*call) {
 			return true
 		}
 	}
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"context"
 	"reflect"
 	"sort"
 	"sync"
@@ -123,9 +122,7 @@
 func (l *workersLoop) fetch(after endive.Revision) (listReading, error) {
 	startedAt := l.cell.Clock.Now()
 	timeout := l.cell.Store.adaptiveTimeout(time.Duration(l.cell.Settings.Timings.StoreTimeout))
-	ctx, cancel := context.WithTimeout(l.cell.ctx, timeout)
-	defer cancel()
-	response, err := l.cell.Directory.Workers(ctx, after)
+	response, err := l.cell.Directory.Workers(endive.WithStallTimeout(l.cell.ctx, endive.Interval(timeout)), after)
 	return listReading{response: response, complete: after == 0, startedAt: startedAt}, err
 }
 
--- a/entry/cell/workfollower.go
+++ b/entry/cell/workfollower.go
@@ -79,9 +79,7 @@
 
 // followOnce does one long poll for new rows and passes them to the flow state machine.
 func (f *workFollower) followOnce() {
-	wait := time.Duration(workPollWait) + time.Duration(f.pool.cell.Settings.Timings.StoreTimeout)
-	ctx, cancel := context.WithTimeout(f.ctx, wait)
-	defer cancel()
+	ctx := endive.WithStallTimeout(f.ctx, f.pool.cell.Settings.Timings.StoreTimeout)
 	prefix := flow.WorkPrefix(f.pool.name)
 	changes, err := f.pool.cell.Store.Follow(ctx, prefix, f.revision, workPollWait)
 	if f.ctx.Err() != nil {
