Entries ask each other for the configuration sparingly, and send it compressed

An entry whose configuration wasn't confirmed for 1.8 s asked another entry for it every 500 ms, also one in another region and also while its own read of the store was under way; the answer, up to 0.8 MB, was awaited for 400 ms only, so that the link between the regions carried copies that nobody took.

While the read of the store makes progress no other entry is asked. In each round the entries are asked one at a time, up to three of the own region first and one of another only if none of these confirmed the configuration; that one has 1.5 s to answer. The answer is compressed (DEFLATE), once per version, if the asker says that it accepts that (accepts_compressed); earlier builds ask without it and receive the JSON as before, and an earlier build answers with the JSON, which is still read.

--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -23,6 +23,11 @@
 	// confirmedAt is the latest time at which the store surely had no newer version than
 	// latest; nil before the first read.
 	confirmedAt atomic.Pointer[time.Time]
+	// receivedAt is when bytes of the read in progress were last received; nil before the first,
+	// and after the read.
+	receivedAt atomic.Pointer[time.Time]
+	// encoder encodes the configuration for other entries.
+	encoder configEncoder
 	// failedReads counts the failed reads since the last that succeeded.
 	failedReads int
 }
@@ -50,6 +55,18 @@
 	}
 }
 
+// BytesReceived implements endive.ReadObserver.
+func (l *configLoop) BytesReceived() {
+	now := l.cell.Clock.Now()
+	l.receivedAt.Store(&now)
+}
+
+// receiving reports whether a read of the configuration is making progress.
+func (l *configLoop) receiving() bool {
+	receivedAt := l.receivedAt.Load()
+	return receivedAt != nil && l.cell.Clock.Now().Sub(*receivedAt) < time.Duration(l.cell.Settings.Timings.StoreTimeout)
+}
+
 func (l *configLoop) run() {
 	var after endive.Revision
 	for l.cell.ctx.Err() == nil {
@@ -107,6 +124,8 @@
 
 func (l *configLoop) fetch(after endive.Revision) (endive.ConfigResponse, error) {
 	ctx := endive.WithStallTimeout(l.cell.ctx, l.cell.Settings.Timings.StoreTimeout)
+	ctx = endive.WithReadObserver(ctx, l)
+	defer l.receivedAt.Store(nil)
 	return l.cell.Directory.Config(ctx, after, l.pollWait())
 }
 
--- a/entry/cell/peerconfig.go
+++ b/entry/cell/peerconfig.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"encoding/json"
 	"time"
 
 	"endiveroute.example/endive"
@@ -16,8 +15,14 @@
 	// peerConfigPeriod is the period in which an entry that can't read the store asks other
 	// entries for a newer configuration.
 	peerConfigPeriod = 500 * time.Millisecond
-	// peerConfigTimeout limits the wait for the answer.
+	// peerConfigTimeout limits the wait for the answer of an entry in this region, and
+	// farConfigTimeout that of an entry in another: a large configuration takes a while on a
+	// busy link, and would be sent again if the answer weren't awaited.
 	peerConfigTimeout = 400 * time.Millisecond
+	farConfigTimeout  = 1500 * time.Millisecond
+	// nearConfigAsks is the number of entries of this region that are asked in a period before
+	// one in another region.
+	nearConfigAsks = 3
 	// slowFetchTime is how much longer than its wait a long poll may take before the store
 	// counts as unreadable.
 	slowFetchTime = 300 * time.Millisecond
@@ -26,56 +31,59 @@
 // peerConfigLoop requests the configuration from other entries while the store isn't readable.
 type peerConfigLoop struct {
 	cell *Cell
-	// asked counts the requests, to ask the linked entries in turn.
-	asked int
+	// round counts the rounds of requests, to ask the linked entries in turn.
+	round int
 }
 
 func (l *peerConfigLoop) run() {
 	for l.cell.ctx.Err() == nil {
 		l.cell.sleep(peerConfigPeriod)
 		if l.needed() {
-			l.askNext()
+			l.askRound()
 		}
 	}
 }
 
 // needed reports whether the configuration can't be read from the store. An entry that hasn't
-// read one since its start doesn't ask, since the other entry's may be outdated.
+// read one since its start doesn't ask, since the other entry's may be outdated. One that is
+// receiving one doesn't either: the answers would delay that on the same link.
 func (l *peerConfigLoop) needed() bool {
-	return l.cell.config.current() != nil && l.cell.config.age() > time.Duration(configPollWait)+slowFetchTime
+	config := l.cell.config
+	return config.current() != nil && !config.receiving() && config.age() > configAgeLimit
 }
 
-// askNext asks the next linked entry.
-func (l *peerConfigLoop) askNext() {
-	entries := l.cell.peers.linkedEntries()
-	if len(entries) == 0 {
-		return
+// configAgeLimit is the age of a configuration from which it counts as unconfirmed.
+const configAgeLimit = time.Duration(configPollWait) + slowFetchTime
+
+// askRound asks entries, one after another, until the configuration is confirmed.
+func (l *peerConfigLoop) askRound() {
+	near, far := l.cell.peers.linkedByRegion()
+	for _, ask := range configAsks(near, far, l.round) {
+		ask.cell = l.cell
+		if !l.needed() || ask.run() && !l.needed() {
+			break
+		}
 	}
-	entry := entries[l.asked%len(entries)]
-	l.asked++
-	sentAt := l.cell.Clock.Now()
-	ask := &wire.RelayAsk{Kind: wire.RelayKind_RELAY_CONFIG, ConfigVersion: int64(l.cell.config.current().Version)}
-	answer := l.cell.relayClient.send(l.cell.ctx, entry, ask, peerConfigTimeout)
-	l.cell.Log.Info("asked another entry for the configuration", "entry", string(entry), "answered", answer != nil,
-		"bytes", len(answer.GetConfig()), "tookMillis", millisSince(l.cell.Clock.Now(), sentAt), "ageMillis", l.cell.config.age().Milliseconds())
-	if answer.GetStatus() != wire.RelayStatus_RELAY_DONE {
-		return
+	l.round++
+}
+
+// configAsks returns the requests of one round: to nearConfigAsks entries of this region and
+// then to one of another, beginning with other ones in each round.
+func configAsks(near, far []endive.EntryID, round int) []configAsk {
+	var asks []configAsk
+	for i := range min(nearConfigAsks, len(near)) {
+		asks = append(asks, configAsk{entry: near[(round*nearConfigAsks+i)%len(near)], timeout: peerConfigTimeout})
 	}
-	if len(answer.GetConfig()) > 0 {
-		var config endive.CellConfig
-		if err := json.Unmarshal(answer.GetConfig(), &config); err != nil {
-			l.cell.Log.Warn("can't decode the configuration of another entry", "entry", string(entry), "error", err.Error())
-			return
-		}
-		l.cell.config.apply(&config)
+	if len(far) > 0 {
+		asks = append(asks, configAsk{entry: far[round%len(far)], timeout: farConfigTimeout})
 	}
-	l.cell.config.confirm(sentAt.Add(-time.Duration(answer.GetConfirmedMillisAgo()) * time.Millisecond))
+	return asks
 }
 
-// answerConfigRequest returns the answer to another entry that has a version of the
-// configuration. It doesn't confirm a version that is newer than this entry's own.
-func (c *Cell) answerConfigRequest(version endive.ConfigVersion) *wire.RelayAnswer {
-	age := c.config.age()
+// answerConfigRequest returns the answer to another entry's request for the configuration. It
+// doesn't confirm a version that is newer than this entry's own.
+func (c *Cell) answerConfigRequest(ask *wire.RelayAsk) *wire.RelayAnswer {
+	age, version := c.config.age(), endive.ConfigVersion(ask.GetConfigVersion())
 	config := c.config.current()
 	if config == nil || config.Version < version {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "this entry has no newer configuration"}
@@ -84,10 +92,8 @@
 	if config.Version == version {
 		return answer
 	}
-	encoded, err := json.Marshal(config)
-	if err != nil {
+	if err := c.config.encoder.addTo(answer, config, ask.GetAcceptsCompressed()); err != nil {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the configuration cannot be encoded: " + err.Error()}
 	}
-	answer.Config = encoded
 	return answer
 }
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -227,6 +227,19 @@
 	}
 }
 
+// linkedByRegion returns the linked entries of this region, and those of others.
+func (p *peers) linkedByRegion() (near, far []endive.EntryID) {
+	ids := p.linkedEntries()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, id := range ids {
+		if p.rows[id].Region != p.cell.Settings.Region {
+			return ids[:i], ids[i:]
+		}
+	}
+	return ids, nil
+}
+
 // linkedEntries returns the entries that this one keeps sessions with, those of this region
 // first.
 func (p *peers) linkedEntries() []endive.EntryID {
