cell: the lease loop itself makes the offer in TestHolderWithoutStoreOffersItsPool

Cause: only the test. offerPools and the loop's two fields are used in leaseloop.go alone, and there only by run, of which Cell.Start starts one (grep over entry/). So no lock is added; the test is replaced.

The new test cuts the holder off from the store and leaves the offer to the loop: each entry of the test cluster has its own way to the store (storeLink) now. It is stricter than the old one: the leases last twice as long as waitFor waits, so that the pool can't move because a lease expires, and the entry must find the outage, probe the others and offer by itself. It also asks for the offer in the log.

--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -10,6 +10,7 @@
 
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/platform/stand"
+	"endiveroute.example/endive/setup"
 )
 
 func TestWorkflowsSucceed(t *testing.T) {
@@ -202,19 +203,23 @@
 	})
 }
 
-// A holder that can't reach the store must offer its pool to another entry, which must acquire
-// the pool.
+// A holder that is cut off from the store must offer its pool to another entry, which must
+// acquire the pool at once. The leases last longer than waitFor waits: without an offer the pool
+// would stay where it is.
 func TestHolderWithoutStoreOffersItsPool(t *testing.T) {
-	r := newTestCluster(t, 2, 3)
+	is := is.New(t)
+	r := newTestCluster(t, 2, 0)
+	r.settings = func(s *setup.CellSettings) { s.Timings.PoolLease = 2 * endive.Interval(waitTimeout) }
+	for i := range 3 {
+		r.addEntry(fmt.Sprintf("entry-%d", i))
+	}
 	r.awaitReady()
 	first := r.holder()
 	r.waitFor("the entries are linked", func() bool { return len(first.peers.linkedEntries()) == 2 })
-	p := first.poolNamed("svc")
-	r.waitFor("the first entry no longer holds the pool", func() bool {
-		first.leases.offerPools()
-		return !p.holding.Load()
-	})
+	r.links[first].cut()
+	r.waitFor("the first entry no longer holds the pool", first.HoldsNoPool)
 	r.waitFor("another entry holds the pool", func() bool { other := r.holder(); return other != nil && other != first })
+	is.True(len(r.log.lines("pool is offered", "this entry can't reach the store")) > 0)
 	r.checkInvariants()
 }
 
--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -29,11 +29,12 @@
 type testCluster struct {
 	t       *testing.T
 	store   *stand.Store
-	address endive.Address
 	advice  endive.Address
 	workers []*stand.Worker
 	cells   []*Cell
-	log     *logBuffer
+	// links has each entry's way to the store.
+	links map[*Cell]*storeLink
+	log   *logBuffer
 
 	mu         sync.Mutex
 	running    map[string]stand.Run
@@ -90,9 +91,8 @@
 func newTestCluster(t *testing.T, workers, entries int) *testCluster {
 	r := &testCluster{
 		t: t, store: stand.NewStore(), log: &logBuffer{}, taskDuration: 300 * time.Millisecond,
-		running: make(map[string]stand.Run), done: make(map[string]int),
+		running: make(map[string]stand.Run), done: make(map[string]int), links: make(map[*Cell]*storeLink),
 	}
-	r.address = r.serve(r.store)
 	r.advice = r.serve(stand.AdviceService{ValidityMillis: 2000})
 	r.putConfig(3, nil)
 	for i := range workers {
@@ -178,7 +178,8 @@
 	guarded.Defaults()
 	client := plat.NewClient(guarded, clock, counters)
 	platform := plat.NewStoreClock(clock)
-	rows := NewStore(plat.NewStore(client, r.address, platform), clock, log)
+	link := newStoreLink(r.store)
+	rows := NewStore(plat.NewStore(client, r.serve(link), platform), clock, log)
 	directory := endive.Directory(plat.NewDirectory(rows))
 	if r.directory != nil {
 		directory = r.directory(directory)
@@ -189,7 +190,7 @@
 		Advisor: plat.NewAdvisor(client, r.advice),
 	})
 	c.Start(listener)
-	r.cells = append(r.cells, c)
+	r.cells, r.links[c] = append(r.cells, c), link
 	r.t.Cleanup(func() { _ = listener.Close() })
 	r.t.Cleanup(c.Close)
 	return c
