stand/runner: a command is void from its deadline on, not a millisecond later

Cause: the worker's clock shows whole milliseconds, and the worker took a command while the reading was <= Endive-Not-After, so for up to 1 ms after the instant at which the clock first shows it. The sender's deadline can be that instant (worker.clockReading.timestampAt promises no more than that). The test resumes a paused worker right after the deadline.

--- a/rest/headers.go
+++ b/rest/headers.go
@@ -16,7 +16,7 @@
 	HeaderNotRun = "Endive-Not-Run"
 	// HeaderClock is the time on a worker's clock, as "run:milliseconds".
 	HeaderClock = "Endive-Worker-Clock"
-	// HeaderNotAfter is the time on the worker's clock after which it refuses the
+	// HeaderNotAfter is the time on the worker's clock from which on it refuses the
 	// command, as "run:milliseconds".
 	HeaderNotAfter = "Endive-Not-After"
 	// HeaderETag and HeaderIfNoneMatch are the standard headers of conditional
--- a/stand/runner/handle.go
+++ b/stand/runner/handle.go
@@ -47,10 +47,11 @@
 	return w.runID() + ":" + strconv.FormatInt(now.Sub(w.startTime).Milliseconds(), 10)
 }
 
-// beforeDeadline reports whether now is at most notAfter, which must be a reading
-// of the worker's clock from this run.
+// beforeDeadline reports whether now is before notAfter, which must be a reading of
+// the worker's clock from this run. The clock shows whole milliseconds, so the
+// sender may have given the command up by the time the clock shows notAfter.
 func (w *Worker) beforeDeadline(notAfter string, now time.Time) bool {
 	run, text, _ := strings.Cut(notAfter, ":")
 	millis, err := strconv.ParseInt(text, 10, 64)
-	return err == nil && run == w.runID() && now.Sub(w.startTime).Milliseconds() <= millis
+	return err == nil && run == w.runID() && now.Sub(w.startTime).Milliseconds() < millis
 }
