shell: a cancellation of a job that has ended is answered, not unknown

What callers saw: POST /v1/cancellations for a job that had ended, or for a team one of whose jobs ended just then, answered 504 unknown, "it may have been recorded; send it again", and again on each repetition by id. API.md: the answer counts the jobs that hadn't ended.

Cause: cancelJobs took every status but Accepted for a failure, and intakeError has no case for Ended, so it became "unknown". Found while tracing TestCancellationWave; the test doesn't hit it, as its tasks run forever.

Test: TestCancellationOfEndedJobIsAnswered: a job ends between the choice of the jobs and the lookup of its row, by id and by team.

--- a/entry/shell/cancel_test.go
+++ b/entry/shell/cancel_test.go
@@ -127,3 +127,53 @@
 		})
 	}
 }
+
+// A job may end while a cancellation of it is recorded. That is no failure: the answer counts
+// the jobs that hadn't ended.
+func TestCancellationOfEndedJobIsAnswered(t *testing.T) {
+	tests := []struct {
+		name         string
+		cancellation apiv1.Cancellation
+	}{
+		{"by id", apiv1.Cancellation{Job: "a"}},
+		{"by team", apiv1.Cancellation{Team: "workshop"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := &lockedTable{table: fakes.NewMemoryTable()}
+			for _, id := range []endive.JobID{"a", "b"} {
+				table.put(t, rows.JobKey(testSlice, id), endive.Job{ID: id, Team: "workshop"})
+			}
+			s := newHolder(t, &endingTable{lockedTable: table, job: "a"})
+			answer, err := s.Cancel(t.Context(), tt.cancellation)
+			is.NoErr(err)
+			changes, err := table.Scan(t.Context(), rows.CancelsPrefix(testSlice), 0)
+			is.NoErr(err)
+			is.Equal(answer.Jobs, len(changes.Rows))
+			for _, row := range changes.Rows {
+				is.Equal(row.Key, rows.CancelKey(testSlice, "b"))
+			}
+		})
+	}
+}
+
+// endingTable is a table in which a job ends before the first read of its row by key.
+type endingTable struct {
+	*lockedTable
+	job  endive.JobID
+	once sync.Once
+}
+
+func (e *endingTable) Read(ctx context.Context, keys ...string) ([]endive.Row, error) {
+	var err error
+	e.once.Do(func() {
+		_, err = e.Commit(ctx, endive.Transaction{Writes: []endive.Write{
+			{Key: rows.JobKey(testSlice, e.job), Delete: true}, {Key: rows.EndedKey(e.job), Value: []byte("{}")},
+		}})
+	})
+	if err != nil {
+		return nil, err
+	}
+	return e.lockedTable.Read(ctx, keys...)
+}
--- a/entry/shell/jobs.go
+++ b/entry/shell/jobs.go
@@ -159,11 +159,13 @@
 			failed = err
 			continue
 		}
-		if a := action.(intake.Answer); a.Status != intake.Accepted {
+		switch a := action.(intake.Answer); a.Status {
+		case intake.Accepted:
+			cancelled.Jobs++
+		case intake.Ended: // There is nothing left to cancel.
+		default:
 			failed = intakeError(a)
-			continue
 		}
-		cancelled.Jobs++
 	}
 	return cancelled, failed
 }
