--- a/entry/cell/counters.go
+++ b/entry/cell/counters.go
@@ -57,6 +57,13 @@
 	scope.Histogram("callSeconds", latencyBuckets).RecordDuration(duration)
 }
 
+// RecordBytes counts the bytes of a call to the platform or to a worker by name.
+func (c *Counters) RecordBytes(name string, sent, received endive.Bytes) {
+	scope := c.scope.Tagged(map[string]string{"call": name})
+	scope.Counter("callBytesSent").Inc(int64(sent))
+	scope.Counter("callBytesReceived").Inc(int64(received))
+}
+
 // Sent implements peer.Meter.
 func (c *Counters) Sent(_ endive.Peer, kind string, size endive.Bytes) {
 	scope := c.scope.Tagged(map[string]string{"message": kind})
