Entries that hold no pool read samples of the workers, not the whole list

It needs workers only to name them in requests for advice. An outdated list of an earlier tenure is forgotten: a takeover waits for all workers that it knows.

--- a/entry/cell/actions.go
+++ b/entry/cell/actions.go
@@ -60,7 +60,7 @@
 	p.cell.Log.Info("pool is held", "pool", string(p.name), "epoch", uint64(a.Epoch))
 	p.states.setExpiry(a.LeaseEnd)
 	p.cell.peers.announceHolding(p.name, a.Epoch)
-	p.cell.workers.publishTo(p)
+	p.cell.workers.beginTenure(p)
 	p.sendToFlow(flow.TenureBegan{
 		Epoch: a.Epoch, FenceVersion: a.FenceVersion, LeaseEnd: a.LeaseEnd, PreviousLeaseEnd: a.PreviousLeaseEnd, Forecasts: p.status.Load().Forecasts,
 	})
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -171,7 +171,7 @@
 	// work of the highest rank. Requests for gangs are sent anyway, since the list of eligible
 	// workers in the answer doesn't expire.
 	saturated := p.status.Load().Saturated && queue.Rank > 0
-	workers, _ := c.workers.inPool(queue.Pool)
+	workers, _ := c.workers.forAdvice(queue.Pool)
 	inHolderRegion := c.peers.regionZones(p.currentHolder())
 	allRequested := true
 	for i, step := range workflow.Steps {
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"endiveroute.example/endive"
@@ -15,9 +16,14 @@
 // again whose registrations expired during the outage.
 const reregisterGrace = 2 * time.Second
 
-// workersLoop polls the list of workers.
+// workersLoop polls the list of workers while this entry holds a pool, and otherwise a sample.
 type workersLoop struct {
-	cell *Cell
+	cell   *Cell
+	sample *workerSample
+	// tenureBegan receives a value when this entry has become the holder of a pool.
+	tenureBegan chan struct{}
+	// refreshing counts the calls of refresh that run.
+	refreshing atomic.Int32
 	// publishing is locked while a list is sent to the pools, so that no older list follows.
 	publishing sync.Mutex
 
@@ -35,27 +41,82 @@
 
 func newWorkersLoop(c *Cell) *workersLoop {
 	return &workersLoop{
-		cell: c, workers: make(map[endive.WorkerID]endive.FleetWorker), delisted: make(map[endive.WorkerID]bool),
+		cell: c, sample: newWorkerSample(c), tenureBegan: make(chan struct{}, 1),
+		workers: make(map[endive.WorkerID]endive.FleetWorker), delisted: make(map[endive.WorkerID]bool),
 	}
 }
 
 func (l *workersLoop) run() {
 	for l.cell.ctx.Err() == nil {
+		if l.cell.HoldsNoPool() {
+			l.sample.renew()
+			l.sleepUntilHolding(l.sample.pause())
+			continue
+		}
 		more := l.readNext(l.readFrom())
 		l.reportAge()
 		if !more {
-			l.cell.sleep(l.pollPeriod())
+			l.cell.sleep(time.Duration(l.cell.Settings.Timings.Poll))
 		}
 	}
 }
 
-// readFrom returns the revision from which to read changes, or 0 for the whole list. An entry
-// that holds no pool reads the whole list at a lower rate: with many workers, the changes, one
-// for each heartbeat of a worker, would be more data.
-func (l *workersLoop) readFrom() endive.Revision {
-	if l.cell.HoldsNoPool() {
-		return 0
+// sleepUntilHolding waits for the given duration, but not past the beginning of a tenure. A new
+// holder reads the whole list by itself, so its changes are read one poll period later.
+func (l *workersLoop) sleepUntilHolding(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.tenureBegan:
+		l.cell.sleep(time.Duration(l.cell.Settings.Timings.Poll))
+	case <-l.cell.ctx.Done():
 	}
+}
+
+// beginTenure sends a pool that this entry begins to hold the list of its workers, and follows the
+// list from now on. An outdated list is forgotten: the takeover would wait for workers that ended
+// long ago.
+func (l *workersLoop) beginTenure(p *pool) {
+	if !l.forgetFor(p) {
+		l.publishTo(p)
+	}
+	select {
+	case l.tenureBegan <- struct{}{}:
+	default:
+		// The loop hasn't received an earlier one yet.
+	}
+}
+
+// forgetFor forgets an outdated list, also in a pool's state machine, and reports whether it has
+// done so. The lock keeps a list that is read meanwhile from being sent before.
+func (l *workersLoop) forgetFor(p *pool) bool {
+	l.publishing.Lock()
+	defer l.publishing.Unlock()
+	now := l.cell.Clock.Now()
+	if !l.forgetOutdated(now) {
+		return false
+	}
+	p.sendToFlow(flow.WorkersListed{StartsUntil: now})
+	return true
+}
+
+// forgetOutdated forgets a list by which nothing may be started any more, and reports whether it
+// has done so.
+func (l *workersLoop) forgetOutdated(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ready && now.Before(l.startsUntil()) {
+		return false
+	}
+	l.revision, l.ready = 0, false
+	clear(l.workers)
+	clear(l.delisted)
+	return true
+}
+
+// readFrom returns the revision from which to read changes, or 0 for the whole list.
+func (l *workersLoop) readFrom() endive.Revision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.revision
@@ -63,6 +124,10 @@
 
 // readNext applies the changes after a revision, and reports whether to read on at once.
 func (l *workersLoop) readNext(after endive.Revision) bool {
+	if l.refreshing.Load() > 0 {
+		// The changes since an old list would be read beside the new list.
+		return false
+	}
 	reading, err := l.fetch(after)
 	if endive.ErrHistoryLost.Has(err) {
 		l.mu.Lock()
@@ -79,6 +144,8 @@
 
 // refresh reads the whole list; a new holder needs it because its own list may be outdated.
 func (l *workersLoop) refresh() error {
+	l.refreshing.Add(1)
+	defer l.refreshing.Add(-1)
 	reading, err := l.fetch(0)
 	if err == nil {
 		l.apply(reading)
@@ -86,40 +153,6 @@
 	return err
 }
 
-// idlePollFactor is the smallest idleFactor.
-const idlePollFactor = 3
-
-// pollPeriod returns the period between two polls of the list.
-func (l *workersLoop) pollPeriod() time.Duration {
-	period := time.Duration(l.cell.Settings.Timings.Poll)
-	if l.cell.HoldsNoPool() {
-		return period * time.Duration(l.idleFactor())
-	}
-	return period
-}
-
-// idleFactor returns the factor by which an entry that holds no pool lengthens the poll period.
-func (l *workersLoop) idleFactor() int {
-	forWorkers := 1 + l.size()/workersPerIdlePoll
-	forEntries := 1 + l.cell.peers.count()/entriesPerIdlePoll
-	return idlePollFactor * ((l.cell.peers.pollSlowdown() + 1) / 2) * forWorkers * forEntries
-}
-
-// workersPerIdlePoll is the number of workers for which an entry that holds no pool lengthens
-// the poll period once more. It reads the whole list each time, and a new holder reads it anew.
-const workersPerIdlePoll = 500
-
-// entriesPerIdlePoll is the number of entries for which such an entry lengthens the poll period once
-// more: the lists of all entries together share the links between regions.
-const entriesPerIdlePoll = 100
-
-// size returns the number of workers in the list.
-func (l *workersLoop) size() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.workers)
-}
-
 func (l *workersLoop) fetch(after endive.Revision) (listReading, error) {
 	startedAt := l.cell.Clock.Now()
 	timeout := l.cell.Store.adaptiveTimeout(time.Duration(l.cell.Settings.Timings.StoreTimeout))
@@ -187,6 +220,15 @@
 	}
 }
 
+// forAdvice returns workers of a pool for requests for advice, sorted by id, and whether any have
+// been read: all workers on a holder, otherwise a sample.
+func (l *workersLoop) forAdvice(pool endive.PoolName) ([]endive.FleetWorker, bool) {
+	if l.cell.HoldsNoPool() {
+		return l.sample.inPool(pool)
+	}
+	return l.inPool(pool)
+}
+
 // inPool returns the workers of a pool sorted by id, and whether the list has been read.
 func (l *workersLoop) inPool(pool endive.PoolName) ([]endive.FleetWorker, bool) {
 	l.mu.Lock()
--- a/entry/cell/workersloop_test.go
+++ b/entry/cell/workersloop_test.go
@@ -20,7 +20,7 @@
 	r.poll = endive.Interval(time.Minute)
 	second := r.addEntry("entry-1")
 	r.waitFor("the second entry has read the list of workers", func() bool {
-		workers, ok := second.workers.inPool("svc")
+		workers, ok := second.workers.forAdvice("svc")
 		return ok && len(workers) == 3 && second.poolNamed("svc") != nil
 	})
 	is.NoErr(r.workers[0].Register(r.store, 2, true))
