Read the entries' rows more rarely with many entries

Each entry renews its row every 3 s and read the rows of all others as often: 4 KB a second an entry at 42 entries, growing with the square of the entries in all. Entries that hold no pool, aren't among the next candidates and have discovered the others read them every second for each 25 entries (12 s at 300), and judge which are live as of that read, so that a row that couldn't be read anew doesn't count as expired. They delete no old rows, which may have been renewed. A holder without a known row is looked up with the usual period. Rows are written as before: older builds judge them as before.

--- a/entry/cell/candidates.go
+++ b/entry/cell/candidates.go
@@ -81,9 +81,9 @@
 	if !p.discovered {
 		return len(p.rows) + undiscoveredRank
 	}
-	better := 0
+	better, judgedAt := 0, p.judgedAt(p.cell.Clock.Now())
 	for id, row := range p.rows {
-		if id == p.cell.Settings.Name || !row.isLive(own.At) {
+		if id == p.cell.Settings.Name || !row.isLive(judgedAt) {
 			continue
 		}
 		if row.betterHolderThan(own) || !own.betterHolderThan(row) && endive.Rendezvous(id, string(pool)) > hash {
@@ -96,7 +96,7 @@
 // candidates returns the other live entries, the best candidates for a pool first. The
 // caller holds the lock.
 func (p *peers) candidates(pool endive.PoolName) []endive.EntryID {
-	now := p.cell.Platform.AtLeast(p.cell.Clock.Now())
+	now := p.judgedAt(p.cell.Clock.Now())
 	var ids []endive.EntryID
 	for id, row := range p.rows {
 		if id != p.cell.Settings.Name && row.isLive(now) {
--- a/entry/cell/entryrows.go
+++ b/entry/cell/entryrows.go
@@ -49,10 +49,14 @@
 	return p.cell.commit(p.cell.ctx, txn) == nil
 }
 
-// expiredEntries returns the entries whose rows are older than the given age.
+// expiredEntries returns the entries whose rows are older than the given age; none if this entry
+// reads the rows so rarely that they may have been renewed since.
 func (p *peers) expiredEntries(at endive.PlatformTime, age time.Duration) []endive.EntryID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.rowsPeriod > manyEntriesSlowdown*entriesPollPeriod {
+		return nil
+	}
 	var expired []endive.EntryID
 	for id, row := range p.rows {
 		if row.At+endive.PlatformTime(age.Milliseconds()) < at {
@@ -94,6 +98,7 @@
 	for _, row := range changes.Rows {
 		p.applyRow(row)
 	}
+	p.rowsReadAt = p.cell.Platform.AtLeast(p.cell.Clock.Now())
 	p.updateDiscovered()
 }
 
--- a/entry/cell/leaseloop.go
+++ b/entry/cell/leaseloop.go
@@ -76,14 +76,22 @@
 // that holds no pool and has many better candidates before it.
 func (l *leaseLoop) pollPeriod() time.Duration {
 	period := time.Duration(l.cell.Settings.Timings.Poll)
-	for _, p := range l.cell.allPools() {
-		if p.holding.Load() || l.cell.peers.rank(p.name) < topRanks {
-			return period
-		}
+	if l.cell.mayHoldSoon() {
+		return period
 	}
 	return period * time.Duration(l.cell.peers.pollSlowdown())
 }
 
+// mayHoldSoon reports whether this entry holds a pool or is among the best candidates for one.
+func (c *Cell) mayHoldSoon() bool {
+	for _, p := range c.allPools() {
+		if p.holding.Load() || c.peers.rank(p.name) < topRanks {
+			return true
+		}
+	}
+	return false
+}
+
 // offerTransfers offers each pool that this entry holds to a much better candidate, if there
 // is one.
 func (l *leaseLoop) offerTransfers() {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -50,6 +50,10 @@
 	// startTime is the platform time when this process first registered itself.
 	startTime endive.PlatformTime
 	linked    map[endive.EntryID]bool
+	// rowsReadAt is the platform time when the rows were last read. rowsPeriod is the period in
+	// which they are read.
+	rowsReadAt endive.PlatformTime
+	rowsPeriod time.Duration
 }
 
 func newPeers(c *Cell) *peers {
@@ -80,11 +84,17 @@
 // run registers this entry periodically and reads the rows of the others.
 func (p *peers) run() {
 	var after endive.Revision
-	var registerAt time.Time
+	var registerAt, readAt time.Time
 	for p.cell.ctx.Err() == nil {
 		// The rows are read before the first registration, because updateDiscovered checks
 		// whether an earlier run of this entry has registered.
-		after = p.readEntries(after)
+		if now := p.cell.Clock.Now(); after == 0 || !now.Before(readAt.Add(p.readPeriod())) {
+			reached := p.readEntries(after)
+			if reached != after {
+				readAt = now
+			}
+			after = reached
+		}
 		if now := p.cell.Clock.Now(); after > 0 && !now.Before(registerAt) && p.register() {
 			registerAt = now.Add(registrationPeriod)
 		}
@@ -100,7 +110,7 @@
 	defer p.mu.Unlock()
 	var others endive.Peers
 	for id, row := range p.rows {
-		if id != p.cell.Settings.Name && row.isLive(p.cell.Platform.AtLeast(now)) {
+		if id != p.cell.Settings.Name && row.isLive(p.judgedAt(now)) {
 			others = append(others, row.peer(id))
 		}
 	}
