--- a/entry/cell/silentworker_test.go
+++ b/entry/cell/silentworker_test.go
@@ -50,4 +50,3 @@
 	is.Equal(r.done["00000000000000aa.0.0.0"], 1)
 	r.checkInvariants()
 }
-
