Two entries of each region read the configuration, and pass it on

Each entry read each configuration from the store, so that the copies that cross the link between two regions grew with the entries: 21 of 1.07 MB, base64 included, are 3 s of a link of 60 Mbit/s and all that polls of executors need of it.

In each region two live entries, chosen alike by all (configReaders: holders of pools last), long-poll the store. The others long-poll one of them over the session (RELAY_CONFIG with wait_millis): it answers when it has a newer version or has confirmed its own once more at the store, and says how long it waited, so that the asker's age of the configuration stays as exact as a reader's. The answer names the revision, so that a read of the store after it doesn't bring the same configuration again, and what was received compressed is passed on as it is. Entries that have read no configuration since their start, and all entries with strict keys, read the store as before. An entry of an earlier build answers at once: it is asked every 500 ms at most. Age limits, monotonic versions and the questions to other entries of one that can't read the store stay.

--- a/entry/cell/configask.go
+++ b/entry/cell/configask.go
@@ -9,31 +9,52 @@
 
 // configAsk asks another entry for a newer configuration.
 type configAsk struct {
-	cell    *Cell
-	entry   endive.EntryID
+	config *configLoop
+	entry  endive.EntryID
+	// wait is how long the entry may wait with its answer for news.
+	wait time.Duration
+	// timeout limits the wait for the answer.
 	timeout time.Duration
 }
 
-// run sends the request, and applies the configuration of the answer if it has one. It reports
-// whether the entry confirmed this entry's configuration, or had a newer one.
-func (a *configAsk) run() bool {
-	config, sentAt := a.cell.config, a.cell.Clock.Now()
-	answer := a.cell.relayClient.send(a.cell.ctx, a.entry, &wire.RelayAsk{
-		Kind: wire.RelayKind_RELAY_CONFIG, ConfigVersion: int64(config.current().Version), AcceptsCompressed: true,
+// run sends the request, unless another one has no answer yet, and applies the answer. It returns
+// the answer, or nil if there is none or it confirms nothing.
+func (a *configAsk) run() *wire.RelayAnswer {
+	l, cell := a.config, a.config.cell
+	if !l.asking.TryLock() {
+		return nil
+	}
+	defer l.asking.Unlock()
+	sentAt := cell.Clock.Now()
+	answer := cell.relayClient.send(cell.ctx, a.entry, &wire.RelayAsk{
+		Kind: wire.RelayKind_RELAY_CONFIG, ConfigVersion: int64(l.current().Version), AcceptsCompressed: true, WaitMillis: a.wait.Milliseconds(),
 	}, a.timeout)
-	a.cell.Log.Info("asked another entry for the configuration", "entry", string(a.entry), "answered", answer != nil,
-		"bytes", len(answer.GetConfig())+len(answer.GetCompressedConfig()), "tookMillis", millisSince(a.cell.Clock.Now(), sentAt), "ageMillis", config.age().Milliseconds())
+	a.log(answer, sentAt)
 	if answer.GetStatus() != wire.RelayStatus_RELAY_DONE {
-		return false
+		return nil
 	}
 	received, err := decodePeerConfig(answer)
 	if err != nil {
-		a.cell.Log.Warn("can't decode the configuration of another entry", "entry", string(a.entry), "error", err.Error())
-		return false
+		cell.Log.Warn("can't decode the configuration of another entry", "entry", string(a.entry), "error", err.Error())
+		return nil
 	}
 	if received != nil {
-		config.apply(received)
+		l.encoder.keep(received.Version, answer.GetCompressedConfig())
+		l.apply(received)
+	}
+	// The answer was given at the earliest so long after the request as the entry waited.
+	waited := max(answer.GetWaitedMillis()-1, 0)
+	l.confirm(sentAt.Add(time.Duration(waited-answer.GetConfirmedMillisAgo()) * time.Millisecond))
+	return answer
+}
+
+// log logs a request, unless it was a poll that brought nothing new.
+func (a *configAsk) log(answer *wire.RelayAnswer, sentAt time.Time) {
+	size := len(answer.GetConfig()) + len(answer.GetCompressedConfig())
+	if a.wait > 0 && size == 0 && answer.GetStatus() == wire.RelayStatus_RELAY_DONE {
+		return
 	}
-	config.confirm(sentAt.Add(-time.Duration(answer.GetConfirmedMillisAgo()) * time.Millisecond))
-	return true
+	cell := a.config.cell
+	cell.Log.Info("asked another entry for the configuration", "entry", string(a.entry), "answered", answer != nil, "bytes", size,
+		"tookMillis", millisSince(cell.Clock.Now(), sentAt), "ageMillis", a.config.age().Milliseconds())
 }
--- a/entry/cell/configcodec.go
+++ b/entry/cell/configcodec.go
@@ -19,7 +19,8 @@
 type configEncoder struct {
 	mu      sync.Mutex
 	version endive.ConfigVersion
-	// plain is the JSON, and compressed the same compressed; nil if not encoded yet.
+	// plain is the JSON, and compressed the same compressed; nil if not encoded yet, or not
+	// received.
 	plain      []byte
 	compressed []byte
 }
@@ -28,28 +29,42 @@
 func (e *configEncoder) addTo(answer *wire.RelayAnswer, config *endive.CellConfig, compress bool) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.plain == nil || e.version != config.Version {
+	if e.version != config.Version {
+		e.version, e.plain, e.compressed = config.Version, nil, nil
+	}
+	if compress && e.compressed != nil {
+		answer.CompressedConfig = e.compressed
+		return nil
+	}
+	if e.plain == nil {
 		plain, err := json.Marshal(config)
 		if err != nil {
 			return endive.ErrInvalid.New("configEncoder.addTo: %w", err)
 		}
-		e.version, e.plain, e.compressed = config.Version, plain, nil
+		e.plain = plain
 	}
 	if !compress {
 		answer.Config = e.plain
 		return nil
 	}
-	if e.compressed == nil {
-		compressed, err := deflate(e.plain)
-		if err != nil {
-			return err
-		}
-		e.compressed = compressed
+	compressed, err := deflate(e.plain)
+	if err != nil {
+		return err
 	}
-	answer.CompressedConfig = e.compressed
+	e.compressed = compressed
+	answer.CompressedConfig = compressed
 	return nil
 }
 
+// keep keeps the compressed form in which a configuration was received, to pass it on.
+func (e *configEncoder) keep(version endive.ConfigVersion, compressed []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version < version && len(compressed) > 0 {
+		e.version, e.plain, e.compressed = version, nil, compressed
+	}
+}
+
 // deflate compresses data.
 func deflate(data []byte) ([]byte, error) {
 	var buffer bytes.Buffer
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +16,7 @@
 	retryDelay = 150 * time.Millisecond
 )
 
-// configLoop polls for the operators' configuration. It never replaces a newer version by
+// configLoop polls for the operators' configuration, at the store or at a reader. It never replaces a newer version by
 // an older one.
 type configLoop struct {
 	cell   *Cell
@@ -23,6 +24,12 @@
 	// confirmedAt is the latest time at which the store surely had no newer version than
 	// latest; nil before the first read.
 	confirmedAt atomic.Pointer[time.Time]
+	// revision is a revision of the store for which latest was read. Only run writes it.
+	revision atomic.Uint64
+	// news notifies other entries' requests of each confirmation.
+	news configNews
+	// asking is locked while a request to another entry has no answer yet.
+	asking sync.Mutex
 	// receivedAt is when bytes of the read in progress were last received; nil before the first,
 	// and after the read.
 	receivedAt atomic.Pointer[time.Time]
@@ -49,7 +56,11 @@
 func (l *configLoop) confirm(at time.Time) {
 	for {
 		old := l.confirmedAt.Load()
-		if old != nil && !at.After(*old) || l.confirmedAt.CompareAndSwap(old, &at) {
+		if old != nil && !at.After(*old) {
+			return
+		}
+		if l.confirmedAt.CompareAndSwap(old, &at) {
+			l.news.notify()
 			return
 		}
 	}
@@ -68,31 +79,45 @@
 }
 
 func (l *configLoop) run() {
-	var after endive.Revision
+	follower := newConfigFollower(l)
 	for l.cell.ctx.Err() == nil {
-		sentAt := l.cell.Clock.Now()
-		response, err := l.fetch(after)
-		if endive.ErrHistoryLost.Has(err) {
-			after = 0
-			continue
-		}
-		if err != nil {
-			l.logFailure(sentAt, err)
-			l.cell.sleep(retryDelay)
-			continue
-		}
-		l.logRecovery(sentAt)
-		after = response.Revision
-		if response.Config != nil {
-			l.apply(response.Config)
-			l.logFindings(response)
+		if !follower.follow() {
+			l.readStore()
 		}
-		if l.current() == nil {
-			after = 0
-			l.cell.sleep(retryDelay)
-			continue
-		}
-		l.confirm(endive.Latest(sentAt, l.answeredAt(response)))
+	}
+}
+
+// readStore does one long poll of the store.
+func (l *configLoop) readStore() {
+	sentAt := l.cell.Clock.Now()
+	defer l.receivedAt.Store(nil)
+	response, err := l.fetch(endive.Revision(l.revision.Load()))
+	if endive.ErrHistoryLost.Has(err) {
+		l.revision.Store(0)
+		return
+	}
+	if err != nil {
+		l.logFailure(sentAt, err)
+		l.cell.sleep(retryDelay)
+		return
+	}
+	l.logRecovery(sentAt)
+	if response.Config != nil {
+		l.apply(response.Config)
+		l.logFindings(response)
+	}
+	if l.current() == nil {
+		l.cell.sleep(retryDelay)
+		return
+	}
+	l.advance(response.Revision)
+	l.confirm(endive.Latest(sentAt, l.answeredAt(response)))
+}
+
+// advance records that the current configuration is at least as new as a revision of the store.
+func (l *configLoop) advance(revision endive.Revision) {
+	if current := l.revision.Load(); uint64(revision) > current {
+		l.revision.Store(uint64(revision))
 	}
 }
 
@@ -125,7 +150,6 @@
 func (l *configLoop) fetch(after endive.Revision) (endive.ConfigResponse, error) {
 	ctx := endive.WithStallTimeout(l.cell.ctx, l.cell.Settings.Timings.StoreTimeout)
 	ctx = endive.WithReadObserver(ctx, l)
-	defer l.receivedAt.Store(nil)
 	return l.cell.Directory.Config(ctx, after, l.pollWait())
 }
 
--- a/entry/cell/peerconfig.go
+++ b/entry/cell/peerconfig.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"endiveroute.example/endive"
-	"endiveroute.example/endive/wire"
 )
 
 // The store may turn some entries away while it serves the operators and the other entries. An
@@ -59,10 +58,11 @@
 func (l *peerConfigLoop) askRound() {
 	near, far := l.cell.peers.linkedByRegion()
 	for _, ask := range configAsks(near, far, l.round) {
-		ask.cell = l.cell
-		if !l.needed() || ask.run() && !l.needed() {
+		if !l.needed() {
 			break
 		}
+		ask.config = l.cell.config
+		ask.run()
 	}
 	l.round++
 }
@@ -79,21 +79,3 @@
 	}
 	return asks
 }
-
-// answerConfigRequest returns the answer to another entry's request for the configuration. It
-// doesn't confirm a version that is newer than this entry's own.
-func (c *Cell) answerConfigRequest(ask *wire.RelayAsk) *wire.RelayAnswer {
-	age, version := c.config.age(), endive.ConfigVersion(ask.GetConfigVersion())
-	config := c.config.current()
-	if config == nil || config.Version < version {
-		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "this entry has no newer configuration"}
-	}
-	answer := &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_DONE, ConfirmedMillisAgo: age.Milliseconds() + 1}
-	if config.Version == version {
-		return answer
-	}
-	if err := c.config.encoder.addTo(answer, config, ask.GetAcceptsCompressed()); err != nil {
-		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the configuration cannot be encoded: " + err.Error()}
-	}
-	return answer
-}
--- a/entry/cell/peerconfig_test.go
+++ b/entry/cell/peerconfig_test.go
@@ -106,6 +106,25 @@
 	is.Equal(decoded.Version, endive.ConfigVersion(10))
 }
 
+// An entry that has received a configuration passes it on as it is: to encode it once more takes
+// an entry with little processor time a while.
+func TestReceivedConfigurationIsEncodedAgain(t *testing.T) {
+	is := is.New(t)
+	sender, receiver, config := &configEncoder{}, &configEncoder{}, largeConfig(9)
+	received, passedOn, plain := &wire.RelayAnswer{}, &wire.RelayAnswer{}, &wire.RelayAnswer{}
+	is.NoErr(sender.addTo(received, config, true))
+	receiver.keep(config.Version, received.GetCompressedConfig())
+	is.NoErr(receiver.addTo(passedOn, config, true))
+	is.True(&passedOn.GetCompressedConfig()[0] == &received.GetCompressedConfig()[0])
+	is.NoErr(receiver.addTo(plain, config, false)) // for an earlier build
+	decoded, err := decodePeerConfig(plain)
+	is.NoErr(err)
+	is.Equal(decoded, config)
+	receiver.keep(8, []byte("older"))
+	is.NoErr(receiver.addTo(passedOn, config, true))
+	is.True(&passedOn.GetCompressedConfig()[0] == &received.GetCompressedConfig()[0])
+}
+
 // An answer that can't be decompressed is an error, not an empty configuration.
 func TestDamagedConfigurationOfPeer(t *testing.T) {
 	is := is.New(t)
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -50,6 +50,8 @@
 	// startTime is the platform time when this process first registered itself.
 	startTime endive.PlatformTime
 	linked    map[endive.EntryID]bool
+	// readers are the entries of this region that read the configuration from the store.
+	readers []endive.EntryID
 }
 
 func newPeers(c *Cell) *peers {
@@ -105,6 +107,7 @@
 		}
 	}
 	p.cell.adviceRouter.reserved.assign(append(others, p.ownPeer()))
+	p.readers = configReaders(append(others, p.ownPeer()), p.cell.Settings.Region, p.cell.holders())
 	others = p.selectLinks(others, now)
 	clear(p.linked)
 	for _, other := range others {
@@ -118,8 +121,8 @@
 func (p *peers) ownPeer() endive.Peer { return p.ownRow().peer(p.cell.Settings.Name) }
 
 // selectLinks selects the entries to link to if there are many: fullMeshSize of them in an
-// order that differs between entries, so that the links are spread; the holders of pools and
-// the best candidates; and those that have sent requests recently.
+// order that differs between entries, so that the links are spread; the holders of pools, the
+// best candidates and the readers of the configuration; and those that have sent requests recently.
 func (p *peers) selectLinks(others endive.Peers, now time.Time) endive.Peers {
 	sort.Slice(others, func(i, j int) bool { return p.cell.tieBreak(others[i].ID) > p.cell.tieBreak(others[j].ID) })
 	if len(others) <= fullMeshSize {
@@ -130,6 +133,9 @@
 	for _, id := range p.candidates("")[:candidateLinks] {
 		required[id] = true
 	}
+	for _, id := range p.readers {
+		required[id] = true
+	}
 	for _, other := range others[fullMeshSize:] {
 		if requestedAt, ok := p.requesters[other.ID]; ok && now.Sub(requestedAt) < entryTimeout || required[other.ID] {
 			selected = append(selected, other)
--- a/entry/cell/relayclient.go
+++ b/entry/cell/relayclient.go
@@ -182,7 +182,7 @@
 		return c.answerStateRequest(ctx, queue.Pool, caller, id)
 	}
 	if r.ask.GetKind() == wire.RelayKind_RELAY_CONFIG {
-		return c.answerConfigRequest(r.ask)
+		return (&configAnswer{cell: c, ask: r.ask}).execute()
 	}
 	if !c.Store.usable() {
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "the store is unreachable from the relaying entry"}
