A worker that is only silent doesn't count as crashed

Seen: a task whose workers fell silent soon after its starts, one after the other, was counted as their cause and given up; its job was shown as failed. A holder that is slow itself, or a cut between it and the workers, suffices.

Both take silence for a crash.

Change: the suspects of a worker whose runs were dropped are kept on it, and in the job's row as pending, until the worker has surely crashed: its address refuses connections, another incarnation is seen there or listed, or the platform no longer lists it. If the same incarnation answers again, they are forgotten. The rows keep their form.

--- a/flow/crash.go
+++ b/flow/crash.go
@@ -68,7 +68,7 @@
 // endedWith reports whether the incarnation of the worker that had the run is over. w is that
 // worker; nil if it is gone.
 func (p pendingRun) endedWith(w *worker) bool {
-	return w == nil || !w.adopted || w.addressReused || p.workerStart > 0 && w.info.StartTime.UnixMilli() > p.workerStart
+	return w == nil || w.surelyCrashed() || p.workerStart > 0 && w.info.StartTime.UnixMilli() > p.workerStart
 }
 
 // suspected reports whether the task may be the cause of a crash.
@@ -150,16 +150,12 @@
 // minSuspectPollWait is the shortest such wait.
 const minSuspectPollWait = endive.Interval(50 * time.Millisecond)
 
-// recordCrash counts the crash of a worker against the tasks of the suspects. Without suspects,
-// the worker has crashed for a reason of its own.
-func (m *Machine) recordCrash(w *worker, suspects []*run) {
+// recordUnexplained notes the loss of a worker. Without suspects, it was lost for a reason of its own.
+func (m *Machine) recordUnexplained(w *worker, suspects []*run) {
 	if len(suspects) == 0 && !w.lossRecorded && !w.info.Draining && !m.hasPendingRun(w) {
 		m.unexplainedCrashAt = m.now
 	}
 	w.lossRecorded = true
-	for _, r := range suspects {
-		m.recordRunCrash(r)
-	}
 }
 
 // recordRunCrash counts the crash of a run's worker against the run's task.
@@ -236,13 +232,15 @@
 	return false
 }
 
-// clearPending removes the pending runs of a worker that has been seen alive long enough.
+// clearPending removes the pending runs of a worker that has been seen alive long enough, and those
+// of its runs that were dropped while it was silent.
 func (m *Machine) clearPending(w *worker) {
 	for _, r := range w.runs {
 		if r.task != nil && !r.mayHaveCrashed() {
 			m.removePending(r.task, r.number)
 		}
 	}
+	m.forgetLoss(w)
 }
 
 // restoreCrashes applies the recorded crashes of a task.
@@ -252,8 +250,8 @@
 	}}
 }
 
-// settlePendingRun counts a crash under the pending run of an earlier holder if the run's worker
-// is gone or has restarted. It reports whether that is known.
+// settlePendingRun counts a crash under the pending run of an earlier holder, or of a silent worker, if
+// the run's worker is gone or has restarted. It reports whether the task may start.
 func (m *Machine) settlePendingRun(t *task) bool {
 	p := t.crashes.pending
 	if p.number == 0 || t.run != nil {
@@ -263,8 +261,12 @@
 	if w != nil && !w.adopted && !m.tenure.takeoverDone {
 		return false
 	}
-	if p.endedWith(w) {
+	switch {
+	case p.endedWith(w):
 		m.recordTaskCrash(t, p.number, p.isolated)
+	case !w.adopted || w.failedPolls > 0:
+		// The worker is silent. The run stays pending until it answers or has surely crashed.
+		return true
 	}
 	m.removePending(t, p.number)
 	return true
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -81,7 +81,7 @@
 	if w.failedPolls == 0 {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: m.describeFailure(w, e, reason)})
 	}
-	m.setSuspectsPending(w)
+	m.recordPollFailure(w, e.Result)
 	w.failedPolls++
 	w.poll.nextAt = m.now.Add(pollRetryDelay * time.Duration(min(w.failedPolls, 6)))
 }
--- a/flow/run.go
+++ b/flow/run.go
@@ -156,7 +156,7 @@
 		m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "lost", Reason: reason})
 		m.removeRun(r)
 	}
-	m.recordCrash(w, suspects)
+	m.recordLoss(w, suspects)
 }
 
 // startRun orders a task to start on a worker under a run number.
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -87,6 +87,8 @@
 	wakeAt   time.Time
 	// jobDecisions are the machine's decisions about jobs.
 	jobDecisions []Decision
+	// endOutcomes counts the machine's decisions about ends of runs by their outcomes.
+	endOutcomes map[string]int
 	// noListUntil is until when the holder can't read the list of workers.
 	noListUntil time.Time
 }
@@ -275,7 +277,7 @@
 		LeaseDuration: endive.Interval(testLeaseDuration), MaxLeaseDuration: endive.Interval(testMaxLeaseDuration), Retention: endive.Interval(time.Minute),
 	}
 	ids := endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "flow")
-	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids, quota.NewStored(testPool, endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "quota"), 0.1), speed.NewByLabel(), share.NewRate()), epoch: w.epoch}
+	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids, quota.NewStored(testPool, endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "quota"), 0.1), speed.NewByLabel(), share.NewRate()), epoch: w.epoch, endOutcomes: make(map[string]int)}
 	w.holders = append(w.holders, h)
 	w.version++
 	fence := FenceWrite(testPool, w.epoch)
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -63,6 +63,10 @@
 	isolation   isolation
 	// lossRecorded is true if the crash of the worker, or its silence, has been counted.
 	lossRecorded bool
+	// refusing is true if the worker's address refused a connection after its last answer.
+	refusing bool
+	// lostSuspects are the suspects of the worker, which is silent and may have crashed.
+	lostSuspects []lostRun
 }
 
 // pollState is the state of the polls of a worker.
@@ -174,11 +178,7 @@
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "started anew", Reason: formatInt(int64(len(w.runs))) + " runs of the previous incarnation"})
 	// Such an order has a lease by the clock of the previous incarnation.
 	w.oldLeasesExpireAt = endive.Latest(w.leasesExpireAt(), m.now.Add(longestDuration(time.Duration(m.settings.MaxLeaseDuration))+clockErrorMargin+leaseMargin))
-	w.markSuspects()
-	if w.adopted && !w.hasSuspects() {
-		m.recordCrash(w, nil)
-	}
-	w.lossRecorded = false
+	m.recordRestart(w)
 	w.release()
 	w.isolation.soleRun = nil
 	w.info.StartTime = startTime
@@ -225,6 +225,9 @@
 		}
 	}
 	m.sortWorkers()
+	for _, w := range m.sortedWorkers {
+		m.settleLoss(w)
+	}
 	m.recorder.rosterStale = true
 	m.workersDueAt = m.now
 	m.passDue = true
