A task that crashes its workers late is given up

Cause: only runs whose worker wasn't seen alive for 500 ms after the start were suspects. A crash later than that had no suspect, and counted for no task.

Change: every run on a crashed worker counts, in a list of its own, unless a run that had just started alone explains the crash, the worker was leaving, or the worker had lately crashed without the task, too (it flaps). Most of these runs are harmless, so the count alone gives nothing up. The holder estimates from the crashes of the last 20 s, those under the task left out, how likely it is that as many workers crashed by themselves. After two crashes whose chance is below 1% the task starts alone for 6 s, on a worker without other suspects; a gang starts together, and nothing else starts on its workers for 6 s. It is given up only if a worker crashes then, three have crashed in all, and the chance is below 1 in 100,000. Crashes under a task that was cleared count on as late ones. A run that lives for 20 s ends the suspicion.

Rows: TaskProgress has crashedLate. Earlier builds ignore it, and drop it when they rewrite the row; their own fields are unchanged.

--- a/flow/crash.go
+++ b/flow/crash.go
@@ -42,6 +42,12 @@
 type crashes struct {
 	// runs are the numbers of these runs; isolated are those of them that were started alone.
 	runs, isolated []endive.RunNumber
+	// late are the numbers of the runs under which workers crashed later, or that were cleared.
+	// lateSuspected is true if there are too many of them for a harmless task.
+	late          []endive.RunNumber
+	lateSuspected bool
+	// maxAge is the highest age of the runs when their workers crashed.
+	maxAge time.Duration
 	// unrecorded is true if a crash isn't recorded yet. The task doesn't start before that, so that
 	// the crash counts after a takeover.
 	unrecorded bool
@@ -72,7 +78,7 @@
 }
 
 // suspected reports whether the task may be the cause of a crash.
-func (c *crashes) suspected() bool { return len(c.runs) > 0 }
+func (c *crashes) suspected() bool { return len(c.runs) > 0 || c.lateSuspected }
 
 // add counts a crash under a run once.
 func (c *crashes) add(n endive.RunNumber, isolated bool) {
@@ -107,14 +113,6 @@
 	return r.startUnconfirmed || r.state == runStarting || r.worker.clock.receivedAt.Sub(r.startedAt) < crashWindow
 }
 
-// markSuspects decides which runs may have crashed the incarnation that is over.
-func (w *worker) markSuspects() {
-	for _, r := range w.runs {
-		r.suspect = r.mayHaveCrashed()
-		r.harmless = !r.suspect
-	}
-}
-
 // suspects returns the runs that may be the cause of a crash of the worker.
 func (w *worker) suspects() []*run {
 	var suspects []*run
@@ -151,55 +149,59 @@
 const minSuspectPollWait = endive.Interval(50 * time.Millisecond)
 
 // recordUnexplained notes the loss of a worker. Without suspects, it was lost for a reason of its own.
-func (m *Machine) recordUnexplained(w *worker, suspects []*run) {
-	if len(suspects) == 0 && !w.lossRecorded && !w.info.Draining && !m.hasPendingRun(w) {
+func (m *Machine) recordUnexplained(w *worker, lost []lostRun) {
+	suspected := slices.ContainsFunc(lost, func(l lostRun) bool { return !l.late })
+	if !suspected && !w.lossRecorded && !w.info.Draining && !m.hasPendingRun(w) {
 		m.unexplainedCrashAt = m.now
 	}
 	w.lossRecorded = true
 }
 
-// recordRunCrash counts the crash of a run's worker against the run's task.
-func (m *Machine) recordRunCrash(r *run) {
-	m.recordTaskCrash(r.task, r.number, r.isolated)
-	r.task.crashes.address = r.worker.info.Address
-}
-
 // recordTaskCrash counts a crash under a run against its task, and gives the task up once the
 // crashes show that it is their cause.
-func (m *Machine) recordTaskCrash(t *task, n endive.RunNumber, isolated bool) {
+func (m *Machine) recordTaskCrash(l lostRun) {
+	t := l.task
 	j := t.step.occ.job
 	if t.state >= taskSucceeded || j.state.Ended() {
 		return
 	}
-	t.crashes.add(n, isolated)
+	t.crashes.add(l.run.number, l.run.isolated)
 	m.markDirty(j, rowUrgent)
 	crashed := formatInt(int64(len(t.crashes.runs))) + " workers have crashed under the task, " + formatInt(int64(len(t.crashes.isolated))) +
 		" of them after it had started there alone"
-	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: n, Outcome: "suspect", Reason: crashed})
+	if late := len(t.crashes.late); late > 0 {
+		crashed += ", and " + formatInt(int64(late)) + " later after a start"
+	}
+	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: l.run.number, Outcome: "suspect", Reason: crashed})
 	othersCrash := !m.unexplainedCrashAt.IsZero() && m.now.Sub(m.unexplainedCrashAt) < unexplainedMemory
-	if t.crashes.proven(othersCrash) {
+	if t.crashes.proven(othersCrash) || m.provenWithLate(l) {
 		m.finishJob(j, endive.WorkflowFailed, "task "+string(t.id)+" crashes its workers: "+crashed)
 	}
 }
 
-// clearSuspect forgets the crashes under a task whose run has been seen alive long enough.
+// clearSuspect ends the suspicion of a task whose run has been seen alive long enough. The crashes
+// under the task still count as late ones.
 func (m *Machine) clearSuspect(t *task) {
 	if !t.crashes.suspected() {
 		return
 	}
 	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: t.lastRun, Outcome: "cleared", Reason: "its worker lives on after an isolated start"})
-	t.crashes = crashes{}
+	t.crashes = crashes{late: append(t.crashes.late, t.crashes.runs...), maxAge: t.crashes.maxAge}
 	m.markDirty(t.step.occ.job, rowLazy)
 }
 
 // setPending records that a run may turn out to have crashed its worker.
-func (m *Machine) setPending(r *run) {
-	c := &r.task.crashes
-	if c.pending.number == r.number {
+func (m *Machine) setPending(t *task, p pendingRun) {
+	if t.crashes.pending.number == p.number {
 		return
 	}
-	c.pending = pendingRun{number: r.number, isolated: r.isolated, worker: r.worker.id, workerStart: r.worker.info.StartTime.UnixMilli()}
-	m.markDirty(r.task.step.occ.job, rowUrgent)
+	t.crashes.pending = p
+	m.markDirty(t.step.occ.job, rowUrgent)
+}
+
+// pending returns the run for the case that it turns out to have crashed its worker.
+func (r *run) pending() pendingRun {
+	return pendingRun{number: r.number, isolated: r.isolated, worker: r.worker.id, workerStart: r.worker.info.StartTime.UnixMilli()}
 }
 
 // removePending records that a run isn't pending any more.
@@ -217,7 +219,7 @@
 func (m *Machine) setSuspectsPending(w *worker) {
 	for _, r := range w.suspects() {
 		if r.task.run == r && r.task.state < taskSucceeded && !r.task.step.occ.job.state.Ended() {
-			m.setPending(r)
+			m.setPending(r.task, r.pending())
 		}
 	}
 }
@@ -236,18 +238,24 @@
 // of its runs that were dropped while it was silent.
 func (m *Machine) clearPending(w *worker) {
 	for _, r := range w.runs {
-		if r.task != nil && !r.mayHaveCrashed() {
+		if r.task != nil && !r.mayHaveCrashed() && w.isolation.soleRun != r {
 			m.removePending(r.task, r.number)
 		}
 	}
 	m.forgetLoss(w)
+	m.forgetLateCrashes(w)
 }
 
 // restoreCrashes applies the recorded crashes of a task.
 func (t *task) restoreCrashes(progress TaskProgress) {
-	t.crashes = crashes{runs: progress.Crashed, isolated: progress.CrashedIsolated, pending: pendingRun{
+	t.crashes = crashes{runs: progress.Crashed, isolated: progress.CrashedIsolated, late: progress.CrashedLate, pending: pendingRun{
 		number: progress.PendingRun, isolated: !progress.PendingShared, worker: progress.PendingWorker, workerStart: progress.PendingWorkerStart,
 	}}
+	t.crashes.lateSuspected = t.crashes.total() >= minLateCrashes
+	if t.crashes.total() > 0 {
+		// The ages aren't recorded.
+		t.crashes.maxAge = lateIsolation
+	}
 }
 
 // settlePendingRun counts a crash under the pending run of an earlier holder, or of a silent worker, if
@@ -263,7 +271,7 @@
 	}
 	switch {
 	case p.endedWith(w):
-		m.recordTaskCrash(t, p.number, p.isolated)
+		m.recordLostRun(lostRun{task: t, run: p, late: len(t.crashes.runs) == 0 && t.crashes.lateSuspected, age: lateIsolation})
 	case !w.adopted || w.failedPolls > 0:
 		// The worker is silent. The run stays pending until it answers or has surely crashed.
 		return true
--- a/flow/fakejob_test.go
+++ b/flow/fakejob_test.go
@@ -31,6 +31,10 @@
 	longRunningEnd endive.EndKind
 	// deadly is the id of the task that crashes each worker that starts it; empty for none.
 	deadly endive.TaskID
+	// allDeadly is true if each task crashes its worker.
+	allDeadly bool
+	// deadlyAfter is how long after its start such a task crashes the worker; 0 for 10 ms.
+	deadlyAfter time.Duration
 }
 
 // timedEvent is a function that is called at a time.
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -174,8 +174,8 @@
 	run := &fakeRun{task: order.Task, number: order.Run, need: spec.Reserved(), gang: spec.Gang}
 	f.runs[order.Task] = run
 	w.checkStart(f, order, job, spec)
-	if job.deadly == order.Task {
-		w.after(10*time.Millisecond, func() { f.crashUnder(run) })
+	if job.deadly == order.Task || job.allDeadly {
+		w.after(max(10*time.Millisecond, job.deadlyAfter), func() { f.crashUnder(run) })
 	}
 	duration := time.Duration(spec.Estimate)
 	if spec.LongRunning {
--- a/flow/isolation.go
+++ b/flow/isolation.go
@@ -30,7 +30,7 @@
 		if !m.fits(s, w) {
 			continue
 		}
-		if best == nil || w.isolationCost(t) < best.isolationCost(t) {
+		if best == nil || m.isolationCost(w, t) < m.isolationCost(best, t) {
 			best = w
 		}
 	}
@@ -45,17 +45,31 @@
 	return nil, true
 }
 
-// sameAddressCost is more than the number of runs on any worker.
-const sameAddressCost = 1 << 20
+// Each of these costs is more than the number of runs on any worker. crashedRunCost is that of a run
+// of a task under which workers have crashed, crashedWorkerCost that of a worker that has crashed
+// lately, and sameAddressCost that of the place where the task ran last.
+const (
+	crashedRunCost    = 1 << 10
+	crashedWorkerCost = 1 << 20
+	sameAddressCost   = 1 << 30
+)
 
 // isolationCost orders workers for an isolated start: as few other runs as possible should be lost
 // with the worker, and none should be a suspect beside the isolated one. A worker that crashes for
 // a reason of its own has few runs whenever it is back, so the task starts elsewhere if it can.
-func (w *worker) isolationCost(t *task) int {
+func (m *Machine) isolationCost(w *worker, t *task) int {
 	cost := len(w.runs)
+	for _, r := range w.runs {
+		if r.task != nil && r.task.crashes.total() > 0 {
+			cost += crashedRunCost
+		}
+	}
 	if w.hasSuspects() || w.id == t.avoidWorker {
 		cost++
 	}
+	if m.crashLog.crashedAt(w.info.Address) {
+		cost += crashedWorkerCost
+	}
 	if w.info.Address == t.crashes.address {
 		cost += sameAddressCost
 	}
@@ -97,7 +111,7 @@
 	r.isolated = true
 	r.worker.isolation = isolation{soleRun: r}
 	m.isolatedWorkers++
-	m.setPending(r)
+	m.setPending(r.task, r.pending())
 }
 
 // maxIsolated returns how many workers may be isolated at the same time.
@@ -131,7 +145,7 @@
 		m.passDue = true
 	}
 	r := w.isolation.soleRun
-	if r == nil || r.mayHaveCrashed() {
+	if r == nil || m.keepsAlone(r) {
 		return
 	}
 	w.isolation.soleRun = nil
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -1,13 +1,47 @@
 package flow
 
-import "endiveroute.example/endive"
+import (
+	"time"
 
-// lostRun is a suspect of a worker that doesn't answer any more and whose runs were dropped.
+	"endiveroute.example/endive"
+)
+
+// lostRun is a run that was on a worker when the worker crashed or fell silent.
 type lostRun struct {
-	task     *task
-	number   endive.RunNumber
-	isolated bool
-	address  endive.Address
+	task *task
+	run  pendingRun
+	// late is true if the worker was seen alive long enough after the start. age is how old the run
+	// was.
+	late    bool
+	age     time.Duration
+	address endive.Address
+}
+
+// lostRuns returns the runs of the worker that may be the cause if its incarnation is over. A run
+// that has just started alone is the only one.
+func (m *Machine) lostRuns(w *worker) []lostRun {
+	sole := w.isolation.soleRun
+	onlySole := sole != nil && sole.isolated && sole.mayHaveCrashed()
+	aliveUntil := m.now
+	if !w.clock.receivedAt.IsZero() {
+		// The worker answers a poll after pollWait at the latest.
+		aliveUntil = endive.Earliest(m.now, w.clock.receivedAt.Add(time.Duration(pollWait)))
+	}
+	var lost []lostRun
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.task == nil:
+		case r.loss != nil:
+			lost = append(lost, *r.loss)
+		case r.mayHaveCrashed():
+			lost = append(lost, lostRun{task: r.task, run: r.pending(), age: aliveUntil.Sub(r.startedAt), address: w.info.Address})
+		case !onlySole && !w.info.Draining:
+			run := r.pending()
+			run.isolated = r.startedAloneWith(sole)
+			lost = append(lost, lostRun{task: r.task, run: run, late: true, age: aliveUntil.Sub(r.startedAt), address: w.info.Address})
+		}
+	}
+	return lost
 }
 
 // surelyCrashed reports whether the incarnation of the worker is over, rather than only silent: its
@@ -15,57 +49,105 @@
 // Silence alone proves no crash: the network, or this holder, may be slow.
 func (w *worker) surelyCrashed() bool { return w.refusing || w.addressReused || !w.listed }
 
-// recordLoss keeps the suspects of a worker whose runs were dropped, until it is known whether the
-// worker has crashed. They are recorded meanwhile.
-func (m *Machine) recordLoss(w *worker, suspects []*run) {
-	m.recordUnexplained(w, suspects)
-	for _, r := range suspects {
-		w.lostSuspects = append(w.lostSuspects, lostRun{task: r.task, number: r.number, isolated: r.isolated, address: w.info.Address})
-	}
+// recordLoss keeps the lost runs of a worker whose runs were dropped, until it is known whether the
+// worker has crashed. Those that may well be the cause are recorded meanwhile.
+func (m *Machine) recordLoss(w *worker, lost []lostRun) {
+	m.recordUnexplained(w, lost)
+	w.lost = append(w.lost, lost...)
 	if w.surelyCrashed() {
-		m.countLostSuspects(w)
+		m.countLoss(w)
 		return
 	}
-	for _, r := range suspects {
-		if r.task.run == nil && r.task.state < taskSucceeded && !r.task.step.occ.job.state.Ended() {
-			m.setPending(r)
+	for _, l := range lost {
+		if (!l.late || l.run.isolated) && l.task.run == nil && l.task.state < taskSucceeded && !l.task.step.occ.job.state.Ended() {
+			m.setPending(l.task, l.run)
 		}
 	}
 }
 
-// settleLoss counts the suspects of a silent worker once it has surely crashed.
+// settleLoss counts the lost runs of a silent worker once it has surely crashed.
 func (m *Machine) settleLoss(w *worker) {
-	if w.surelyCrashed() {
-		m.countLostSuspects(w)
+	if len(w.lost) > 0 && w.surelyCrashed() {
+		m.countLoss(w)
 	}
 }
 
-// countLostSuspects counts the crash of a worker against the tasks of its suspects.
-func (m *Machine) countLostSuspects(w *worker) {
-	lost := w.lostSuspects
-	w.lostSuspects = nil
+// countLoss counts the crash of a worker against the tasks of its lost runs.
+func (m *Machine) countLoss(w *worker) {
+	lost := w.lost
+	w.lost = nil
+	m.logCrash(w, lost)
 	for _, l := range lost {
-		m.recordTaskCrash(l.task, l.number, l.isolated)
+		m.recordLostRun(l)
+	}
+}
+
+// recordLostRun counts the crash of a lost run's worker against the run's task.
+func (m *Machine) recordLostRun(l lostRun) {
+	m.crashLog.deleteOld(m.now)
+	l.task.crashes.maxAge = max(l.task.crashes.maxAge, l.age)
+	if l.late {
+		m.recordLateCrash(l)
+	} else {
+		m.recordTaskCrash(l)
+	}
+	if l.address != "" {
 		l.task.crashes.address = l.address
 	}
 }
 
-// forgetLoss forgets the suspects of a worker that was only silent.
+// logCrash adds the crash of an incarnation of a worker to the log of crashes once, unless a run that
+// had started alone explains it or the worker was leaving.
+func (m *Machine) logCrash(w *worker, lost []lostRun) {
+	if w.crashLogged {
+		return
+	}
+	w.crashLogged = true
+	crash := workerCrash{at: m.now, address: w.info.Address}
+	for _, l := range lost {
+		if l.run.isolated {
+			return
+		}
+		crash.tasks = append(crash.tasks, l.task.id)
+	}
+	if !w.info.Draining && !m.hasPendingRun(w) {
+		m.crashLog.add(crash)
+	}
+}
+
+// forgetLoss forgets the lost runs of a worker that was only silent.
 func (m *Machine) forgetLoss(w *worker) {
-	for _, l := range w.lostSuspects {
-		m.removePending(l.task, l.number)
+	for _, l := range w.lost {
+		m.removePending(l.task, l.run.number)
 	}
-	w.lostSuspects, w.refusing = nil, false
+	w.lost, w.refusing, w.crashLogged = nil, false, false
 }
 
-// recordRestart counts the crash of the incarnation that is over: a later one has been seen.
+// recordRestart notes that the incarnation of the worker is over, since a later one has been seen. Its
+// runs count once the later one has shown that it doesn't have them.
 func (m *Machine) recordRestart(w *worker) {
-	m.countLostSuspects(w)
-	w.markSuspects()
+	if len(w.lost) > 0 {
+		m.countLoss(w)
+	}
+	lost := m.lostRuns(w)
+	if w.adopted {
+		m.logCrash(w, lost)
+	}
+	w.markLost(lost)
 	if w.adopted && !w.hasSuspects() {
 		m.recordUnexplained(w, nil)
 	}
-	w.lossRecorded, w.refusing = false, false
+	w.lossRecorded, w.refusing, w.crashLogged = false, false, false
+}
+
+// markLost marks the runs of the worker that were lost with the incarnation that is over.
+func (w *worker) markLost(lost []lostRun) {
+	for _, r := range w.runs {
+		r.harmless = !r.mayHaveCrashed()
+	}
+	for _, l := range lost {
+		w.runs[l.task.id].loss = &l
+	}
 }
 
 // recordPollFailure notes whether a poll that failed shows a crash of the worker.
@@ -76,3 +158,10 @@
 	m.settleLoss(w)
 	m.setSuspectsPending(w)
 }
+
+// recordAbsence counts a crash under a run that the worker's next incarnation doesn't have.
+func (m *Machine) recordAbsence(r *run) {
+	if r.loss != nil && r.task != nil {
+		m.recordLostRun(*r.loss)
+	}
+}
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -80,6 +80,7 @@
 	waitLog        waitLog
 	// unexplainedCrashAt is when a worker last crashed without a suspect.
 	unexplainedCrashAt time.Time
+	crashLog           crashLog
 	// isolatedWorkers counts the isolated workers in the current scheduling pass.
 	isolatedWorkers int
 	// startCount counts the runs started in this epoch; run numbers are derived from it.
@@ -112,6 +113,7 @@
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
 	m.changedWorkers, m.workersDueAt = nil, time.Time{}
 	m.probes = probes{inFlight: make(map[endive.WorkerID]bool)}
+	m.crashLog = crashLog{since: m.now}
 	m.startCount = 0
 }
 
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -253,9 +253,7 @@
 		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < w.poll.sentStep {
 			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
 			m.removeRun(r)
-			if r.suspect && r.task != nil {
-				m.recordRunCrash(r)
-			}
+			m.recordAbsence(r)
 			if r.task != nil {
 				m.abortGang(r.task.step, "a member of the gang is absent")
 			}
@@ -265,7 +263,7 @@
 
 // updateRun applies the reported progress of a run.
 func (m *Machine) updateRun(r *run, report endive.RunReport) {
-	r.suspect = false
+	r.loss = nil
 	if report.Percent != r.percent {
 		r.percent, r.percentAt = report.Percent, m.now
 	}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -211,6 +211,9 @@
 	// that had been started alone.
 	Crashed         []endive.RunNumber `json:"crashed,omitempty"`
 	CrashedIsolated []endive.RunNumber `json:"crashedIsolated,omitempty"`
+	// CrashedLate lists the runs whose workers crashed later after the start. Earlier builds don't know
+	// it.
+	CrashedLate []endive.RunNumber `json:"crashedLate,omitempty"`
 	// PendingRun is a run on PendingWorker, which hasn't been seen alive long enough after its
 	// start. PendingShared is true if it wasn't started alone. PendingWorkerStart is when the
 	// incarnation of the worker began, in milliseconds of Unix time.
@@ -222,7 +225,7 @@
 
 // empty reports whether nothing has to be recorded of the task.
 func (p TaskProgress) empty() bool {
-	return len(p.Failed) == 0 && p.Checkpoint == "" && len(p.Crashed) == 0 && p.PendingRun == 0
+	return len(p.Failed) == 0 && p.Checkpoint == "" && len(p.Crashed) == 0 && len(p.CrashedLate) == 0 && p.PendingRun == 0
 }
 
 // workRow returns the kind of a row of the table of work and the workflow that it belongs to.
--- a/flow/run.go
+++ b/flow/run.go
@@ -34,8 +34,9 @@
 	isolated bool
 	// harmless is true if the run can't be the cause of a crash: an earlier holder started it and its
 	// worker has reported it, or an earlier incarnation was seen alive long enough after its start.
-	// suspect is true if it may have crashed an earlier incarnation.
-	harmless, suspect bool
+	harmless bool
+	// loss is set if an earlier incarnation, which had the run, is over.
+	loss *lostRun
 
 	percent   int
 	percentAt time.Time
@@ -151,20 +152,23 @@
 // dropRuns removes all runs of a worker. They have surely ended, but the worker will never
 // report how.
 func (m *Machine) dropRuns(w *worker, reason string) {
-	suspects := w.suspects()
+	lost := m.lostRuns(w)
 	for _, r := range w.sortedRuns() {
 		m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "lost", Reason: reason})
 		m.removeRun(r)
 	}
-	m.recordLoss(w, suspects)
+	m.recordLoss(w, lost)
 }
 
 // startRun orders a task to start on a worker under a run number.
 func (m *Machine) startRun(t *task, w *worker, n endive.RunNumber, reason string) {
 	r := m.addRun(w, t, n, runStarting)
 	t.step.occ.job.lastStart = m.now
-	if t.crashes.suspected() && !t.step.spec.Gang {
+	switch {
+	case t.crashes.suspected() && !t.step.spec.Gang:
 		m.isolate(r)
+	case t.step.lateSuspected():
+		m.keepAloneAfterStart(r)
 	}
 	m.logDecision(Decision{Kind: DecisionStart, Job: t.step.occ.job.id, Task: t.id, Run: n, Worker: w.id, Outcome: "ordered", Reason: reason})
 	m.sendStart(r)
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -65,8 +65,10 @@
 	lossRecorded bool
 	// refusing is true if the worker's address refused a connection after its last answer.
 	refusing bool
-	// lostSuspects are the suspects of the worker, which is silent and may have crashed.
-	lostSuspects []lostRun
+	// lost are the runs that were dropped since the worker was silent, or has crashed.
+	lost []lostRun
+	// crashLogged is true if the crash of the incarnation is in the log of crashes.
+	crashLogged bool
 }
 
 // pollState is the state of the polls of a worker.
