flow's simulation: a crashed worker carries out no order whose answer is lost

An order whose answer is lost was carried out by a worker that had crashed while the order was under way: its process had ended. The task then succeeded there, nobody could learn of it, and its next start counted as twice. The branch without a lost answer already looks whether the worker has terminated.

--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -113,7 +113,11 @@
 			}
 		})
 	case w.chance(w.faults.lostAnswer):
-		w.after(latency, func() { execute(worker) })
+		w.after(latency, func() {
+			if !worker.terminated {
+				execute(worker)
+			}
+		})
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	default:
 		w.after(latency, func() {
