--- a/flow/worker.go
+++ b/flow/worker.go
@@ -72,6 +72,12 @@
 	isolation   isolation
 	// lossRecorded is true if the crash of the worker, or its silence, has been counted.
 	lossRecorded bool
+	// refusing is true if the worker's address refused a connection after its last answer.
+	refusing bool
+	// lost are the runs that were dropped since the worker was silent, or has crashed.
+	lost []lostRun
+	// crashLogged is true if the crash of the incarnation is in the log of crashes.
+	crashLogged bool
 }
 
 // pollState is the state of the polls of a worker.
@@ -183,11 +189,7 @@
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "started anew", Reason: formatInt(int64(len(w.runs))) + " runs of the previous incarnation"})
 	// Such an order has a lease by the clock of the previous incarnation.
 	w.oldLeasesExpireAt = endive.Latest(w.leasesExpireAt(), m.now.Add(longestDuration(time.Duration(m.settings.MaxLeaseDuration))+clockErrorMargin+leaseMargin))
-	w.markSuspects()
-	if w.adopted && !w.hasSuspects() {
-		m.recordCrash(w, nil)
-	}
-	w.lossRecorded = false
+	m.recordRestart(w)
 	w.release()
 	w.isolation.soleRun = nil
 	w.info.StartTime = startTime
@@ -235,6 +237,9 @@
 		}
 	}
 	m.sortWorkers()
+	for _, w := range m.sortedWorkers {
+		m.settleLoss(w)
+	}
 	m.recorder.rosterStale = true
 	m.workersDueAt = m.now
 	m.passDue = true
