A worker adopted by a late answer keeps the leases of the previous holder

After a takeover a late answer adopted a worker while a poll that renews no lease was in flight. With no lease of its own the holder took the leases as expired, and started the runs elsewhere while they went on. Leases of an earlier holder last at the most until the takeover's deadline, which now counts for each adopted worker.

--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -49,6 +49,8 @@
 	m.reconcileRuns(w, e.Poll, e.Report.Running)
 	if !w.adopted {
 		w.adopted = true
+		// Leases that the previous holder renewed may last until then.
+		w.oldLeasesExpireAt = endive.Latest(w.oldLeasesExpireAt, m.tenure.takeoverDeadline)
 		m.passDue = true
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "adopted", Reason: formatInt(int64(len(w.runs))) + " runs on the worker"})
 	}
