Results of polls belong to their poll, its tenure and its probe

An answer to a poll of this entry's earlier tenure could adopt a worker in the next one, without the runs started since (TWICE: 2 starts); and the result of a probe whose worker was unlisted and listed again meanwhile no longer ended the probe, so that with 256 of them no silent worker was polled any more. A result now ends the probe with its id whatever else comes of it, and polls sent before the tenure count for nothing. TestOverloadedHolderAsksBeforeItGivesRunsUp names the polls of its probes; its checks are the same.

--- a/flow/machine.go
+++ b/flow/machine.go
@@ -112,7 +112,7 @@
 	m.status = statusReport{}
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
 	m.changedWorkers, m.workersDueAt = nil, time.Time{}
-	m.probes = probes{inFlight: make(map[endive.WorkerID]bool)}
+	m.probes = probes{inFlight: make(map[endive.WorkerID]PollID)}
 	m.crashLog = crashLog{since: m.now}
 	m.startCount = 0
 }
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -10,9 +10,9 @@
 
 // handlePollResult applies a worker's answer to a poll, or counts a failed poll.
 func (m *Machine) handlePollResult(e PollResult) {
+	m.endProbe(e.Worker, e.Poll)
 	w := m.workers[e.Worker]
-	if w == nil {
-		m.endProbe(e.Worker)
+	if w == nil || e.Poll < m.tenure.firstPoll {
 		return
 	}
 	current := w.poll.inFlight && w.poll.id == e.Poll
@@ -21,7 +21,6 @@
 		return
 	}
 	if current {
-		m.endProbe(e.Worker)
 		w.poll.inFlight = false
 	}
 	m.markChanged(w)
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -18,7 +18,7 @@
 
 // probes are the probes in flight, and the workers that wait to be probed.
 type probes struct {
-	inFlight map[endive.WorkerID]bool
+	inFlight map[endive.WorkerID]PollID
 	queue    []*worker
 }
 
@@ -28,7 +28,7 @@
 // admitProbe reports whether a probe of a worker may be sent now. Otherwise the worker is queued.
 func (m *Machine) admitProbe(w *worker) bool {
 	if len(m.probes.inFlight) < maxProbes {
-		m.probes.inFlight[w.id] = true
+		m.probes.inFlight[w.id] = PollID(m.stepCount)
 		return true
 	}
 	if !w.poll.queued {
@@ -39,8 +39,8 @@
 }
 
 // endProbe ends a probe, and lets the next queued workers be probed.
-func (m *Machine) endProbe(id endive.WorkerID) {
-	if !m.probes.inFlight[id] {
+func (m *Machine) endProbe(id endive.WorkerID, poll PollID) {
+	if inFlight, ok := m.probes.inFlight[id]; !ok || inFlight != poll {
 		return
 	}
 	delete(m.probes.inFlight, id)
--- a/flow/probe_test.go
+++ b/flow/probe_test.go
@@ -87,14 +87,14 @@
 	w, h, id := newSimulationWithRun(t, 1)
 	m := h.machine
 	for i := range maxProbes {
-		m.probes.inFlight[endive.WorkerID(fmt.Sprintf("slow%d", i))] = true
+		m.probes.inFlight[endive.WorkerID(fmt.Sprintf("slow%d", i))] = 1
 	}
 	w.faults.lostAnswer = 1
 	w.run(9 * time.Second) // the leases have expired, and the worker waits for a probe
 	w.faults.lostAnswer = 0
-	m.probes.inFlight = make(map[endive.WorkerID]bool)
-	m.probes.inFlight["slow"] = true
-	h.step(PollResult{Worker: "slow", Result: OrderUnknown})
+	m.probes.inFlight = make(map[endive.WorkerID]PollID)
+	m.probes.inFlight["slow"] = m.tenure.firstPoll
+	h.step(PollResult{Worker: "slow", Poll: m.tenure.firstPoll, Result: OrderUnknown})
 	w.run(12 * time.Second)
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 	is.Equal(w.starts, 1)
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -58,3 +58,88 @@
 		})
 	}
 }
+
+// The entry loses its pool and holds it again. An answer to a poll of the earlier tenure, from before a
+// start, must not adopt the worker without the run.
+func TestAnswerOfEarlierTenureAdopts(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.renewals = true
+	w.addWorkers(2)
+	h := w.startHolder()
+	w.run(time.Second)
+	var old []PollResult
+	for id, worker := range w.workers {
+		old = append(old, PollResult{Worker: id, Poll: h.machine.workers[id].poll.id, Result: OrderAnswered, Report: worker.report()})
+	}
+	w.submit("job", urgentQueue, stepOfTasks(1, 20*time.Second))
+	w.run(1200 * time.Millisecond)
+	is.Equal(w.starts, 1)
+	w.workerWithRuns().answersLost = true
+	w.addWorker("a0", testCapacity)
+	h.step(TenureEnded{})
+	w.run(1300 * time.Millisecond)
+	h.regain()
+	w.run(1500 * time.Millisecond)
+	for _, result := range old {
+		h.step(result)
+	}
+	w.run(2500 * time.Millisecond)
+	is.Equal(w.starts, 1)
+}
+
+// regain makes a holder that has lost the pool hold it again under the next epoch.
+func (h *holder) regain() {
+	w := h.sim
+	w.epoch++
+	h.epoch = w.epoch
+	w.version++
+	fence := FenceWrite(testPool, w.epoch)
+	w.rows[fence.Key] = endive.Row{Key: fence.Key, Version: w.version, Value: fence.Value}
+	h.step(TenureBegan{Epoch: w.epoch, FenceVersion: w.version, LeaseEnd: w.now.Add(time.Hour)})
+}
+
+// listWorkers sends a list of workers with the given numbers to a machine.
+func listWorkers(m *Machine, now time.Time, from, to int) []endive.Action {
+	listed := WorkersListed{}
+	for i := from; i < to; i++ {
+		id := endive.WorkerID(fmt.Sprintf("w%04d", i))
+		listed.Workers = append(listed.Workers, endive.FleetWorker{ID: id, Pool: testPool, Address: endive.Address(id), Capacity: testCapacity})
+	}
+	return m.Step(now, listed)
+}
+
+// failPolls fails polls, and returns those that the machine sends then.
+func failPolls(m *Machine, now time.Time, polls []PollWorker) []PollWorker {
+	var next []PollWorker
+	for _, p := range polls {
+		next = append(next, pollsOf(m.Step(now, PollResult{Worker: p.Order.Worker.ID, Poll: p.Poll, Result: OrderUnknown}))...)
+	}
+	return append(next, pollsOf(m.Step(now, endive.Wake{}))...)
+}
+
+// Silent workers are unlisted and listed again while they are probed. Their probes must end nevertheless,
+// or no silent worker is polled any more.
+func TestProbesOfRelistedWorkersLeak(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	m, now := w.startHolder().machine, w.now
+	polls := pollsOf(listWorkers(m, now, 0, 400))
+	m.Step(now, TenureBegan{Epoch: 1, LeaseEnd: now.Add(time.Hour)})
+	polls = append(polls, pollsOf(m.Step(now, PoolSnapshot{Epoch: 1}))...)
+	is.Equal(len(polls), maxProbes)
+	for range 60 {
+		now = now.Add(200 * time.Millisecond)
+		polls = failPolls(m, now, polls)
+	}
+	is.True(m.tenure.takeoverDone)
+	is.Equal(len(m.probes.inFlight), maxProbes)
+	now = now.Add(50 * time.Millisecond)
+	listWorkers(m, now, 400, 401)
+	m.Step(now, endive.Wake{})
+	now = now.Add(500 * time.Millisecond)
+	again := pollsOf(listWorkers(m, now, 0, 400))
+	again = append(again, pollsOf(m.Step(now, endive.Wake{}))...)
+	again = append(again, failPolls(m, now.Add(100*time.Millisecond), polls)...)
+	is.True(len(again) > 0)
+}
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -20,6 +20,8 @@
 	// takeoverDeadline is when all runs that an earlier holder started on workers that
 	// haven't answered yet have surely ended.
 	takeoverDeadline time.Time
+	// firstPoll is the lowest possible id of a poll of this tenure.
+	firstPoll PollID
 	// takeoverDone is true once no run of an earlier holder can be on a silent worker.
 	takeoverDone bool
 	// revision is the store revision up to which the rows of work were applied.
@@ -28,7 +30,7 @@
 
 func (m *Machine) beginTenure(e TenureBegan) {
 	m.reset()
-	m.tenure = tenure{active: true, epoch: e.Epoch, leaseEnd: e.LeaseEnd, previousLeaseEnd: e.PreviousLeaseEnd}
+	m.tenure = tenure{active: true, epoch: e.Epoch, leaseEnd: e.LeaseEnd, previousLeaseEnd: e.PreviousLeaseEnd, firstPoll: PollID(m.stepCount)}
 	// The previous holder may renew leases for as long as it may start tasks.
 	m.tenure.takeoverDeadline = endive.Latest(m.now, e.PreviousLeaseEnd).Add(longestDuration(time.Duration(m.settings.LeaseDuration)) + clockErrorMargin + leaseMargin)
 	m.quotas.division.Begin(e.Epoch)
