--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -43,6 +43,11 @@
 	if current && w.poll.immediate {
 		w.recordRoundTrip(m.now.Sub(w.poll.sentAt))
 	}
+	if e.Report.Clock < w.lastReport {
+		// A newer answer, to an earlier poll, has overtaken this one.
+		w.poll.nextAt = m.now
+		return
+	}
 	w.recordAnswer(m.now, e.Report.Clock, !current)
 	m.applyEnds(w, e.Report.Ended)
 	m.reconcileRuns(w, e.Poll, e.Report.Running)
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -143,3 +143,19 @@
 	again = append(again, failPolls(m, now.Add(100*time.Millisecond), polls)...)
 	is.True(len(again) > 0)
 }
+
+// A late answer overtakes the answer to the poll in flight, which is older. A run that has ended must not
+// come back with it.
+func TestOvertakenAnswerBringsRunBack(t *testing.T) {
+	is := is.New(t)
+	w, h, worker, _ := newSilenceSimulation(t, stepOfTasks(1, 700*time.Millisecond))
+	old := worker.report()
+	worker.answersLost = true
+	w.run(3 * time.Second)
+	tracked := h.machine.workers[worker.id]
+	is.True(tracked.poll.inFlight)
+	h.step(PollResult{Worker: worker.id, Poll: tracked.poll.id - 1, Result: OrderAnswered, Report: worker.report()})
+	is.Equal(len(tracked.runs), 0)
+	h.step(PollResult{Worker: worker.id, Poll: tracked.poll.id, Result: OrderAnswered, Report: old})
+	is.Equal(len(tracked.runs), 0)
+}
