--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -58,8 +58,9 @@
 }
 
 // pollOverdueDelay is how long after the end of its wait a poll may be unanswered before the worker
-// counts as silent.
-const pollOverdueDelay = 700 * time.Millisecond
+// counts as silent. It is longer than cellDialTimeout, so that a poll that couldn't be sent is
+// reported as such.
+const pollOverdueDelay = 750 * time.Millisecond
 
 // pollCall sends a poll to a worker. If the answer is overdue, it reports that, and reports the answer
 // when it arrives.
@@ -83,7 +84,7 @@
 
 func (c *pollCall) reportOverdue() {
 	result := c.result(flow.OrderUnknown)
-	result.Failure = "the answer is overdue"
+	result.Overdue, result.Failure = true, "the answer is overdue"
 	c.pool.sendToFlow(result)
 }
 
--- a/entry/cell/heardworkers.go
+++ b/entry/cell/heardworkers.go
@@ -1,14 +1,17 @@
 package cell
 
 import (
+	"time"
+
 	"endiveroute.example/endive"
 	"endiveroute.example/endive/flow"
 )
 
 // reportHeard tells the pools that this entry holds which of their workers have renewed their
-// registrations since the list was read before. A reading of the whole list doesn't show that.
-func (l *workersLoop) reportHeard(reading listReading) {
-	if reading.complete {
+// registrations since the list was read before, at the time since. A reading of the whole list
+// doesn't show that.
+func (l *workersLoop) reportHeard(reading listReading, since time.Time) {
+	if reading.complete || since.IsZero() {
 		return
 	}
 	heard := make(map[endive.PoolName][]endive.WorkerID)
@@ -17,7 +20,7 @@
 	}
 	for _, p := range l.cell.allPools() {
 		if p.holding.Load() && len(heard[p.name]) > 0 {
-			p.sendToFlow(flow.WorkersHeard{Workers: heard[p.name]})
+			p.sendToFlow(flow.WorkersHeard{Workers: heard[p.name], Since: since})
 		}
 	}
 }
--- a/entry/cell/workersloop.go
+++ b/entry/cell/workersloop.go
@@ -193,11 +193,12 @@
 		}
 	}
 	l.evictDelisted()
+	since := l.age.readAt
 	l.changed = l.updateAge(reading) || l.changed
 	publish := l.changed || !l.ready
 	l.changed, l.ready = false, true
 	l.mu.Unlock()
-	l.reportHeard(reading)
+	l.reportHeard(reading, since)
 	if publish {
 		l.publishAll()
 	} else {
--- a/flow/events.go
+++ b/flow/events.go
@@ -72,7 +72,11 @@
 
 // WorkersHeard reports which workers have renewed their registrations at the platform since the
 // list of workers was read before.
-type WorkersHeard struct{ Workers []endive.WorkerID }
+type WorkersHeard struct {
+	Workers []endive.WorkerID
+	// Since is when that reading began: the renewals are newer.
+	Since time.Time
+}
 
 // IsEvent marks WorkersHeard as an event.
 func (WorkersHeard) IsEvent() {}
@@ -102,6 +106,8 @@
 	Worker endive.WorkerID
 	Poll   PollID
 	Result OrderResult
+	// Overdue is true if the call goes on: another result follows.
+	Overdue bool
 	// Failure says for the log what failed; empty if the poll was answered.
 	Failure string
 	Report  endive.PollReport
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -24,7 +24,9 @@
 		return
 	}
 	if worker != nil && worker.poweredOff {
-		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderNotSent}) })
+		// The answer is overdue before it is known that the poll couldn't be sent.
+		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}) })
+		w.after(timeout+time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderNotSent}) })
 		return
 	}
 	if worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder) {
@@ -52,7 +54,7 @@
 			}
 			report := worker.report()
 			if worker.answerDelay > 0 {
-				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
+				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}) })
 			}
 			w.after(worker.latency()+worker.answerDelay, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Report: report}) })
 		}
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -146,7 +146,7 @@
 		m.listed.StartsUntil = e.StartsUntil
 		return
 	case WorkersHeard:
-		m.recordHeard(e.Workers)
+		m.recordHeard(e)
 		return
 	case AdviceClientsChanged:
 		m.adviceClients = e.Count
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -71,7 +71,7 @@
 		w.dueAt = due
 		return
 	}
-	if w.needsProbe() && !m.admitProbe(w) {
+	if len(w.poll.open) >= maxOpenPolls || w.needsProbe() && !m.admitProbe(w) {
 		return
 	}
 	maxWait := pollWait
@@ -89,10 +89,15 @@
 	}
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
+	w.poll.open[w.poll.id] = m.now
 	w.poll.sentAt, w.poll.immediate = m.now, maxWait == 0
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
 }
 
+// maxOpenPolls is the maximum number of calls to a worker that wait for an answer. An overdue call
+// goes on, and each takes a connection.
+const maxOpenPolls = 3
+
 // unconfirmedPollWait is how long a worker may hold back its answer to a poll to wait for the
 // end of a run, while the worker has unconfirmed runs.
 const unconfirmedPollWait = endive.Interval(80 * time.Millisecond)
@@ -130,9 +135,13 @@
 // acknowledgedEnd returns the number of the newest reported end of a run that the worker may
 // delete; 0 for none. A worker that hasn't answered lately may have restarted and numbered its
 // ends from 1 again. Acknowledging an old number would make the worker delete ends that the
-// holder hasn't received. A late answer is from an unknown time.
+// holder hasn't received. A late answer may be as old as its poll.
 func (w *worker) acknowledgedEnd(now time.Time) endive.EndNumber {
-	if !w.adopted || w.failedPolls > 0 || w.answersLate || now.Sub(w.clock.receivedAt) > maxAckAge {
+	answeredAt := w.clock.receivedAt
+	if w.answersLate {
+		answeredAt = w.reportedAfter
+	}
+	if !w.adopted || w.failedPolls > 0 && !w.answersLate || now.Sub(answeredAt) > maxAckAge {
 		return 0
 	}
 	return w.recordedEnd()
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -15,8 +15,17 @@
 	if w == nil || e.Poll < m.tenure.firstPoll {
 		return
 	}
+	sentAt := w.poll.open[e.Poll]
+	if !e.Overdue {
+		delete(w.poll.open, e.Poll)
+		m.markChanged(w)
+	}
 	current := w.poll.inFlight && w.poll.id == e.Poll
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
+	if !current && e.Result == OrderNotSent && w.failedPolls > 0 && m.hasTerminated(w, e) {
+		m.handleTerminated(w, string(e.Result))
+		return
+	}
 	if !current && (!answered || !w.acceptsLateReport(e.Report)) {
 		return
 	}
@@ -48,7 +57,7 @@
 		w.poll.nextAt = m.now
 		return
 	}
-	w.recordAnswer(m.now, e.Report.Clock, !current)
+	w.recordAnswer(m.now, sentAt, e.Report.Clock, !current)
 	m.applyEnds(w, e.Report.Ended)
 	m.reconcileRuns(w, e.Poll, e.Report.Running)
 	if !w.adopted {
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -15,22 +15,22 @@
 
 const (
 	// aliveAfterAnswer is how long after a worker's last answer the platform must have heard it for
-	// the worker to count as alive. A worker that crashes may renew its registration just before, and
-	// the list of workers is some hundred milliseconds old.
-	aliveAfterAnswer = 2 * time.Second
+	// the worker to count as alive. A worker may crash up to pollWait after its last answer, and may
+	// renew its registration just before.
+	aliveAfterAnswer = 1500 * time.Millisecond
 	// maxLateRenewal is how long after a late answer the leases of a worker are renewed although it
 	// doesn't answer: its next answer is probably late as well.
 	maxLateRenewal = 3 * time.Second
 	// maxSilentRenewal is how long after a worker's last answer its leases are renewed.
 	maxSilentRenewal = 6 * time.Second
 	// maxSilence is how long after a worker's last answer its runs are kept for its report.
-	maxSilence = 15 * time.Second
+	maxSilence = 10 * time.Second
 )
 
 // recordAnswer records an answer to a poll. What a late answer says of the worker's clock counts only if
 // it is closer to the time than what is known.
-func (w *worker) recordAnswer(now time.Time, clock endive.WorkerTime, late bool) {
-	w.answeredAt, w.answersLate = now, late
+func (w *worker) recordAnswer(now, sentAt time.Time, clock endive.WorkerTime, late bool) {
+	w.answeredAt, w.reportedAfter, w.answersLate = now, sentAt, late
 	if !late || w.clock.receivedAt.IsZero() || clock > w.clock.estimate(now) {
 		w.clock = clockReading{workerTime: clock, receivedAt: now}
 	}
@@ -38,10 +38,10 @@
 }
 
 // recordHeard records that workers have renewed their registrations.
-func (m *Machine) recordHeard(ids []endive.WorkerID) {
-	for _, id := range ids {
+func (m *Machine) recordHeard(e WorkersHeard) {
+	for _, id := range e.Workers {
 		if w := m.workers[id]; w != nil {
-			w.heardAt = m.now
+			w.heardAt = endive.Latest(w.heardAt, e.Since)
 		}
 	}
 }
--- a/flow/silence_test.go
+++ b/flow/silence_test.go
@@ -24,10 +24,13 @@
 // renewalPeriod is the period in which the workers of a simulation renew their registrations.
 const renewalPeriod = 1500 * time.Millisecond
 
+// listReadPeriod is the time between two readings of the list of workers.
+const listReadPeriod = 400 * time.Millisecond
+
 // reportRenewals reports the renewals of the registrations to a holder until its process ends. A worker
 // that is unreachable doesn't reach the platform either.
 func (w *simulation) reportRenewals(h *holder) {
-	event := WorkersHeard{}
+	event := WorkersHeard{Since: w.now.Add(-listReadPeriod)}
 	for _, worker := range w.workers {
 		if !worker.terminated && !worker.poweredOff && !worker.unreachable && !worker.unlisted {
 			event.Workers = append(event.Workers, worker.id)
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -159,3 +159,54 @@
 	h.step(PollResult{Worker: worker.id, Poll: tracked.poll.id, Result: OrderAnswered, Report: old})
 	is.Equal(len(tracked.runs), 0)
 }
+
+// The ends of a worker whose answers are always late must be acknowledged, or it lists them again and again.
+func TestEndsOfLateWorkerAreNeverAcknowledged(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.renewals = true
+	w.addWorkers(1)
+	w.startHolder()
+	w.run(time.Second)
+	worker := w.workers["w0"]
+	worker.answerDelay = 900 * time.Millisecond
+	for i := range 12 {
+		w.submit(fmt.Sprintf("job%d", i), urgentQueue, stepOfTasks(3, 400*time.Millisecond))
+		w.run(time.Duration(i+2) * 3 * time.Second)
+	}
+	w.run(60 * time.Second)
+	is.Equal(len(worker.ends), 0)
+}
+
+// The holder reads late that a worker renewed its registration before it crashed. It must not take the
+// worker for a live one.
+func TestOldRenewalCountsAsAlive(t *testing.T) {
+	is := is.New(t)
+	w, h, worker, _ := newSilenceSimulation(t, stepOfTasks(1, 6*time.Second))
+	worker.unreachable = true
+	since := w.now
+	w.after(2500*time.Millisecond, func() { h.step(WorkersHeard{Workers: []endive.WorkerID{worker.id}, Since: since}) })
+	w.run(8 * time.Second)
+	is.Equal(w.starts, 2)
+}
+
+// The calls of silent workers go on after their polls are overdue. Each takes a connection, so their
+// number must be limited.
+func TestOpenPollsOfSilentWorkersGrow(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	m, now := w.startHolder().machine, w.now
+	polls := pollsOf(listWorkers(m, now, 0, 1))
+	m.Step(now, TenureBegan{Epoch: 1, LeaseEnd: now.Add(time.Hour)})
+	polls = append(polls, pollsOf(m.Step(now, PoolSnapshot{Epoch: 1}))...)
+	is.Equal(len(polls), 1)
+	for i := 0; i < len(polls) && i < 10; i++ {
+		now = now.Add(2 * time.Second)
+		poll := polls[i]
+		polls = append(polls, pollsOf(m.Step(now, PollResult{Worker: poll.Order.Worker.ID, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}))...)
+		now = now.Add(2 * time.Second)
+		polls = append(polls, pollsOf(m.Step(now, endive.Wake{}))...)
+	}
+	is.Equal(len(polls), maxOpenPolls)
+	is.Equal(len(pollsOf(m.Step(now, PollResult{Worker: "w0000", Poll: polls[0].Poll, Result: OrderUnknown}))), 1)
+}
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -55,11 +55,13 @@
 	// answeredAt is when the worker's last answer to a poll arrived, and answersLate is true if that
 	// was after the timeout of the poll.
 	answeredAt time.Time
+	// reportedAfter is when the poll was sent that was answered last.
+	reportedAfter time.Time
 	// lastReport is the worker's time in that answer.
 	lastReport  endive.WorkerTime
 	answersLate bool
-	// heardAt is when the holder last learned that the worker had renewed its registration; zero
-	// if it hasn't been.
+	// heardAt is a time before which the worker hasn't stopped renewing its registration; zero if
+	// none is known.
 	heardAt time.Time
 	health  health
 	// dueAt is when the worker has to be processed next; zero for never.
@@ -88,6 +90,8 @@
 	id        PollID
 	sentAt    time.Time
 	immediate bool
+	// open has the polls whose calls haven't ended, with the times when they were sent.
+	open map[PollID]time.Time
 	// nextAt is when the next poll is due.
 	nextAt time.Time
 	// queued is true while the worker waits to be probed.
@@ -213,7 +217,9 @@
 }
 
 func newWorker(id endive.WorkerID) *worker {
-	return &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool)}
+	w := &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool)}
+	w.poll.open = make(map[PollID]time.Time)
+	return w
 }
 
 // incarnationKnown reports whether the platform's list or an answer has shown which incarnation of
