A large region has more readers of the configuration

Two readers per region pass a configuration on to all other entries of it.

There is a reader per 16 entries of a region now, and two at least.

TestReaderServesTooManyEntries failed before: 2 readers for 33 and for 160 entries, want 3 and 10.

--- a/entry/cell/configfollower.go
+++ b/entry/cell/configfollower.go
@@ -20,6 +20,8 @@
 	// maxStoreDelay limits the delay after which entries without a reader read from the store,
 	// so that they don't all begin at once.
 	maxStoreDelay = 250 * time.Millisecond
+	// maxFirstReader limits the index of the first reader. It is far above their number.
+	maxFirstReader = 1 << 16
 )
 
 // configFollower reads the configuration from the readers of this region.
@@ -37,7 +39,7 @@
 // newConfigFollower returns a follower whose first reader differs between the entries, so that
 // the readers share the work.
 func newConfigFollower(l *configLoop) *configFollower {
-	first := endive.Rendezvous(l.cell.Settings.Name, "first reader") % readersPerRegion
+	first := endive.Rendezvous(l.cell.Settings.Name, "first reader") % maxFirstReader
 	return &configFollower{loop: l, reader: int(first)}
 }
 
--- a/entry/cell/configfollower_test.go
+++ b/entry/cell/configfollower_test.go
@@ -60,7 +60,7 @@
 	}
 	r.awaitReady()
 	for _, e := range entries {
-		r.waitFor("the entries know the readers", func() bool { return e.peers.knownReaders() == readersPerRegion && e.peers.count() == count })
+		r.waitFor("the entries know the readers", func() bool { return e.peers.knownReaders() == minReaders && e.peers.count() == count })
 	}
 	return r, entries
 }
@@ -114,7 +114,7 @@
 		before -= e.directory.copies.Load()
 		is.True(e.config.age() < receivingAgeLimit) // the followers' configuration is confirmed
 	}
-	is.Equal(-before, int64(readersPerRegion))
+	is.Equal(-before, int64(minReaders))
 }
 
 // A reader that ends or that the store doesn't answer must not delay the configuration of the
--- a/entry/cell/configreaders_test.go
+++ b/entry/cell/configreaders_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,7 +40,21 @@
 			}
 		})
 	}
-	is.New(t).Equal(len(usual), readersPerRegion)
+	is.New(t).Equal(len(usual), minReaders)
+}
+
+// A reader passes a large configuration on to one entry after another. In a large region two
+// readers would take too long for that.
+func TestReaderServesTooManyEntries(t *testing.T) {
+	for entries, want := range map[int]int{1: 1, 2: 2, 21: 2, 32: 2, 33: 3, 160: 10} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			var live endive.Peers
+			for i := range entries {
+				live = append(live, endive.Peer{ID: endive.EntryID(fmt.Sprintf("entry-%d", i)), Region: "r"})
+			}
+			is.New(t).Equal(len(configReaders(live, "r", nil)), want)
+		})
+	}
 }
 
 // An entry whose readers fail must turn to the store early enough, and must not while a reader
