A late answer shows that its worker was alive

A worker that always answers late kept the time of its last timely answer as that at which it was seen alive, so that each later run stayed a suspect of its next crash. The answered poll's sending is the bound now, as for acknowledgements. go test ./flow: ok.

--- a/flow/crash.go
+++ b/flow/crash.go
@@ -110,7 +110,7 @@
 	if r.harmless {
 		return false
 	}
-	return r.startUnconfirmed || r.state == runStarting || r.worker.clock.receivedAt.Sub(r.startedAt) < crashWindow
+	return r.startUnconfirmed || r.state == runStarting || r.worker.seenAliveAt().Sub(r.startedAt) < crashWindow
 }
 
 // suspects returns the runs that may be the cause of a crash of the worker.
--- a/flow/latecrash.go
+++ b/flow/latecrash.go
@@ -114,7 +114,7 @@
 func (m *Machine) forgetLateCrashes(w *worker) {
 	for _, r := range w.runs {
 		t := r.task
-		if t == nil || len(t.crashes.late) == 0 || t.step.occ.job.state.Ended() || w.clock.receivedAt.Sub(r.startedAt) < lateMemory {
+		if t == nil || len(t.crashes.late) == 0 || t.step.occ.job.state.Ended() || w.seenAliveAt().Sub(r.startedAt) < lateMemory {
 			continue
 		}
 		t.crashes.late, t.crashes.lateSuspected, t.crashes.maxAge = nil, false, 0
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -23,9 +23,9 @@
 	sole := w.isolation.soleRun
 	onlySole := sole != nil && sole.isolated && sole.mayHaveCrashed()
 	aliveUntil := m.now
-	if !w.clock.receivedAt.IsZero() {
+	if !w.seenAliveAt().IsZero() {
 		// The worker answers a poll after pollWait at the latest.
-		aliveUntil = endive.Earliest(m.now, w.clock.receivedAt.Add(time.Duration(pollWait)))
+		aliveUntil = endive.Earliest(m.now, w.seenAliveAt().Add(time.Duration(pollWait)))
 	}
 	var lost []lostRun
 	for _, r := range w.sortedRuns() {
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -137,11 +137,7 @@
 // ends from 1 again. Acknowledging an old number would make the worker delete ends that the
 // holder hasn't received. A late answer may be as old as its poll.
 func (w *worker) acknowledgedEnd(now time.Time) endive.EndNumber {
-	answeredAt := w.clock.receivedAt
-	if w.answersLate {
-		answeredAt = w.reportedAfter
-	}
-	if !w.adopted || w.failedPolls > 0 && !w.answersLate || now.Sub(answeredAt) > maxAckAge {
+	if !w.adopted || w.failedPolls > 0 && !w.answersLate || now.Sub(w.seenAliveAt()) > maxAckAge {
 		return 0
 	}
 	return w.recordedEnd()
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -37,6 +37,15 @@
 	w.lastReport = clock
 }
 
+// seenAliveAt returns the latest time at which the worker was surely alive by its answers; zero if there
+// are none. A late answer may be as old as its poll.
+func (w *worker) seenAliveAt() time.Time {
+	if w.answersLate {
+		return endive.Latest(w.clock.receivedAt, w.reportedAfter)
+	}
+	return w.clock.receivedAt
+}
+
 // recordHeard records that workers have renewed their registrations.
 func (m *Machine) recordHeard(e WorkersHeard) {
 	for _, id := range e.Workers {
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -210,3 +210,19 @@
 	is.Equal(len(polls), maxOpenPolls)
 	is.Equal(len(pollsOf(m.Step(now, PollResult{Worker: "w0000", Poll: polls[0].Poll, Result: OrderUnknown}))), 1)
 }
+
+// A worker whose answers are always late has been seen alive nevertheless: its old runs must not become
+// suspects when it crashes.
+func TestRunsOfLateWorkerStaySuspects(t *testing.T) {
+	is := is.New(t)
+	w, h, worker, _ := newSilenceSimulation(t, stepOfTasks(1, 30*time.Second))
+	w.run(2 * time.Second)
+	worker.answerDelay = 900 * time.Millisecond
+	w.submit("second", urgentQueue, stepOfTasks(2, 30*time.Second))
+	w.run(12 * time.Second)
+	tracked := h.machine.workers[worker.id]
+	is.True(len(tracked.runs) > 0)
+	for _, r := range tracked.runs {
+		is.True(!r.mayHaveCrashed())
+	}
+}
