--- a/entry/cell/configanswer.go
+++ b/entry/cell/configanswer.go
@@ -8,7 +8,7 @@
 )
 
 // maxConfigWait is the maximum wait with an answer to another entry: a little longer than the
-// long polls of the store that bring the news.
+// long polls of the store that bring a newer version.
 const maxConfigWait = time.Duration(configPollWait) + 100*time.Millisecond
 
 // configAnswer answers another entry's request for the configuration.
@@ -17,11 +17,11 @@
 	ask  *wire.RelayAsk
 }
 
-// execute returns the answer, after the wait for news that the request allows. It doesn't confirm
+// execute returns the answer, after the wait for an update that the request allows. It doesn't confirm
 // a version that is newer than this entry's own.
 func (a *configAnswer) execute() *wire.RelayAnswer {
 	l, asked := a.cell.config, endive.ConfigVersion(a.ask.GetConfigVersion())
-	waited := a.awaitNews()
+	waited := a.awaitUpdate()
 	// The configuration is at least as new as the revision that is read before it.
 	revision, age := l.revision.Load(), l.age()
 	config := l.current()
@@ -41,11 +41,11 @@
 	return answer
 }
 
-// awaitNews waits until this entry's configuration is newer than the asker's or is confirmed once
+// awaitUpdate waits until this entry's configuration is newer than the asker's or is confirmed once
 // more, but not longer than the asker allows, and returns how long it waited.
-func (a *configAnswer) awaitNews() time.Duration {
+func (a *configAnswer) awaitUpdate() time.Duration {
 	wait := min(time.Duration(a.ask.GetWaitMillis())*time.Millisecond, maxConfigWait)
-	news := a.cell.config.news.next()
+	updated := a.cell.config.updates.next()
 	config := a.cell.config.current()
 	if wait <= 0 || config != nil && config.Version > endive.ConfigVersion(a.ask.GetConfigVersion()) {
 		return 0
@@ -54,7 +54,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-news:
+	case <-updated:
 	case <-timer.C:
 	case <-a.cell.ctx.Done():
 	}
--- a/entry/cell/configask.go
+++ b/entry/cell/configask.go
@@ -11,10 +11,10 @@
 type configAsk struct {
 	config *configLoop
 	entry  endive.EntryID
-	// wait is how long the entry may wait with its answer for news.
-	wait time.Duration
+	// wait is how long the entry may wait with its answer for an update.
+	wait endive.Interval
 	// timeout limits the wait for the answer.
-	timeout time.Duration
+	timeout endive.Interval
 }
 
 // run sends the request, unless another one has no answer yet, and applies the answer. It returns
@@ -27,8 +27,8 @@
 	defer l.asking.Unlock()
 	sentAt := cell.Clock.Now()
 	answer := cell.relayClient.send(cell.ctx, a.entry, &wire.RelayAsk{
-		Kind: wire.RelayKind_RELAY_CONFIG, ConfigVersion: int64(l.current().Version), AcceptsCompressed: true, WaitMillis: a.wait.Milliseconds(),
-	}, a.timeout)
+		Kind: wire.RelayKind_RELAY_CONFIG, ConfigVersion: int64(l.current().Version), AcceptsCompressed: true, WaitMillis: time.Duration(a.wait).Milliseconds(),
+	}, time.Duration(a.timeout))
 	a.log(answer, sentAt)
 	if answer.GetStatus() != wire.RelayStatus_RELAY_DONE {
 		return nil
--- a/entry/cell/configfollower.go
+++ b/entry/cell/configfollower.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// readerTimeout limits the wait for the answer of a reader that may wait for news, and
+	// readerTimeout limits the wait for the answer of a reader that may wait for an update, and
 	// nextReaderTimeout that of one that answers at once.
 	readerTimeout     = maxConfigWait + 100*time.Millisecond
 	nextReaderTimeout = 500 * time.Millisecond
@@ -81,13 +81,13 @@
 func (f *configFollower) ask(readers []endive.EntryID, wait, timeout time.Duration) {
 	cell := f.loop.cell
 	sentAt := cell.Clock.Now()
-	answer := (&configAsk{config: f.loop, entry: readers[f.reader%len(readers)], wait: wait, timeout: timeout}).run()
+	answer := (&configAsk{config: f.loop, entry: readers[f.reader%len(readers)], wait: endive.Interval(wait), timeout: endive.Interval(timeout)}).run()
 	if answer != nil {
 		f.loop.advance(endive.Revision(answer.GetConfigRevision()))
 	}
 	// A reader that waited for nothing may be unable to read the store.
-	noNews := wait > 0 && answer.GetWaitedMillis() > wait.Milliseconds()
-	if answer == nil || noNews || f.loop.age() > configAgeLimit {
+	noUpdate := wait > 0 && answer.GetWaitedMillis() > wait.Milliseconds()
+	if answer == nil || noUpdate || f.loop.age() > configAgeLimit {
 		f.failed++
 		f.reader++
 		// A reader without an answer doesn't change that the one before is receiving.
--- a/entry/cell/configfollower_test.go
+++ b/entry/cell/configfollower_test.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// meshServer accepts sessions of other entries on a listener.
+type meshServer struct {
+	mesh     *peer.Mesh
+	listener net.Listener
+}
+
+// run ends with an error when the listener is closed at the end of the test.
+func (s *meshServer) run() { _ = s.mesh.Serve(s.listener) }
+
 // addEarlierEntry starts an entry that other entries choose as a reader.
 func (r *testCluster) addEarlierEntry(name string, to *Cell, frozen bool) *earlierEntry {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -172,7 +181,7 @@
 	row := entryRow{Address: endive.Address(listener.Addr().String()), Incarnation: endive.Incarnation(name), Region: "gogledd", Zone: "zone-1", At: 1 << 40}
 	e.mesh = peer.New(row.peer(endive.EntryID(name)), e, NewCounters(gauge.New(), tally.NoopScope), hclog.NewNullLogger())
 	e.mesh.SetPeers(endive.Peers{to.peers.ownPeer()})
-	go func() { _ = e.mesh.Serve(listener) }()
+	go (&meshServer{mesh: e.mesh, listener: listener}).run()
 	r.t.Cleanup(e.mesh.Close)
 	r.t.Cleanup(func() { _ = listener.Close() })
 	r.putRow("entries", name, row)
--- a/entry/cell/configloop.go
+++ b/entry/cell/configloop.go
@@ -26,8 +26,8 @@
 	confirmedAt atomic.Pointer[time.Time]
 	// revision is a revision of the store for which latest was read. Only run writes it.
 	revision atomic.Uint64
-	// news notifies other entries' requests of each confirmation.
-	news configNews
+	// updates notifies other entries' requests of each confirmation.
+	updates configUpdates
 	// asking is locked while a request to another entry has no answer yet.
 	asking sync.Mutex
 	// receivedAt is when bytes of the read in progress were last received; nil before the first,
@@ -60,7 +60,7 @@
 			return
 		}
 		if l.confirmedAt.CompareAndSwap(old, &at) {
-			l.news.notify()
+			l.updates.notify()
 			return
 		}
 	}
--- a/entry/cell/configsource.go
+++ b/entry/cell/configsource.go
@@ -9,7 +9,7 @@
 const (
 	// sourceStore is the store.
 	sourceStore configSource = iota
-	// sourceReader is the current reader, which answers when it has news.
+	// sourceReader is the current reader, which answers when it has an update.
 	sourceReader
 	// sourceNextReader is another reader, which answers at once.
 	sourceNextReader
--- a/entry/cell/confignews.go
+++ b/entry/cell/configupdates.go
@@ -2,15 +2,15 @@
 
 import "sync"
 
-// configNews notifies those that wait for a newer or confirmed configuration. It is safe for
+// configUpdates notifies those that wait for a newer or confirmed configuration. It is safe for
 // concurrent use.
-type configNews struct {
+type configUpdates struct {
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
 // next returns a channel that is closed at the next notification.
-func (n *configNews) next() <-chan struct{} {
+func (n *configUpdates) next() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.changed == nil {
@@ -20,7 +20,7 @@
 }
 
 // notify wakes those that wait.
-func (n *configNews) notify() {
+func (n *configUpdates) notify() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.changed != nil {
--- a/entry/cell/peerconfig.go
+++ b/entry/cell/peerconfig.go
@@ -72,10 +72,10 @@
 func configAsks(near, far []endive.EntryID, round int) []configAsk {
 	var asks []configAsk
 	for i := range min(nearConfigAsks, len(near)) {
-		asks = append(asks, configAsk{entry: near[(round*nearConfigAsks+i)%len(near)], timeout: peerConfigTimeout})
+		asks = append(asks, configAsk{entry: near[(round*nearConfigAsks+i)%len(near)], timeout: endive.Interval(peerConfigTimeout)})
 	}
 	if len(far) > 0 {
-		asks = append(asks, configAsk{entry: far[round%len(far)], timeout: farConfigTimeout})
+		asks = append(asks, configAsk{entry: far[round%len(far)], timeout: endive.Interval(farConfigTimeout)})
 	}
 	return asks
 }
--- a/entry/cell/workersample_test.go
+++ b/entry/cell/workersample_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// loopSleep is a pause of a workersLoop of at most an hour.
+type loopSleep struct {
+	loop  *workersLoop
+	ended chan struct{}
+}
+
+func (s *loopSleep) run() {
+	s.loop.sleepUntilHolding(time.Hour)
+	close(s.ended)
+}
+
 // A new holder must follow the list at once, not after the pause until its next sample: by a list
 // that isn't followed, nothing may be started after a few seconds.
 func TestTakeoverWaitsForNextSample(t *testing.T) {
@@ -151,13 +162,10 @@
 	r.awaitReady()
 	loop := newWorkersLoop(r.holder())
 	loop.beginTenure(r.holder().poolNamed("svc"))
-	waited := make(chan struct{})
-	go func() {
-		loop.sleepUntilHolding(time.Hour)
-		close(waited)
-	}()
+	sleep := &loopSleep{loop: loop, ended: make(chan struct{})}
+	go sleep.run()
 	select {
-	case <-waited:
+	case <-sleep.ended:
 	case <-time.After(waitTimeout):
 		is.Fail() // the loop must not sleep on
 	}
--- /dev/null
+++ b/flow/fakenetwork_test.go
@@ -0,0 +1,23 @@
+package flow
+
+import "time"
+
+// terminate ends the worker's process. Its runs end without a report.
+func (f *fakeWorker) terminate() {
+	f.startIncarnation(f.capacity(), f.info.Labels)
+	f.terminated, f.unlisted = true, true
+	f.sim.publishWorkers()
+}
+
+// latency returns the one-way latency to the worker.
+func (f *fakeWorker) latency() time.Duration {
+	if f != nil && f.remote {
+		return 30 * time.Millisecond
+	}
+	return 3 * time.Millisecond
+}
+
+// unreachableBy reports whether a holder can't reach the worker.
+func (f *fakeWorker) unreachableBy(h *holder) bool {
+	return f.unreachableFrom > 0 && h.epoch >= f.unreachableFrom
+}
