--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -15,28 +15,36 @@
 	if w == nil || e.Poll < m.tenure.firstPoll {
 		return
 	}
-	sentAt := w.poll.open[e.Poll]
-	if !e.Overdue {
-		delete(w.poll.open, e.Poll)
-		m.markChanged(w)
-	}
-	current := w.poll.inFlight && w.poll.id == e.Poll
+	m.markChanged(w)
+	sentAt, current := w.poll.end(e)
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
-	if !current && e.Result == OrderNotSent && w.failedPolls > 0 && m.hasTerminated(w, e) {
+	switch {
+	case current && !answered:
+		m.handlePollFailure(w, e)
+	case current || answered && w.acceptsLateReport(e.Report):
+		m.applyPollReport(w, e, sentAt, current)
+	case e.Result == OrderNotSent && w.failedPolls > 0 && m.hasTerminated(w, e):
 		m.handleTerminated(w, string(e.Result))
-		return
-	}
-	if !current && (!answered || !w.acceptsLateReport(e.Report)) {
-		return
 	}
-	if current {
-		w.poll.inFlight = false
+}
+
+// end records the result of a poll. It returns when the poll was sent, and whether it is the one in
+// flight.
+func (p *pollState) end(e PollResult) (sentAt time.Time, current bool) {
+	sentAt = p.open[e.Poll]
+	if !e.Overdue {
+		delete(p.open, e.Poll)
 	}
-	m.markChanged(w)
-	if !answered {
-		m.handlePollFailure(w, e)
-		return
+	if !p.inFlight || p.id != e.Poll {
+		return sentAt, false
 	}
+	p.inFlight = false
+	return sentAt, true
+}
+
+// applyPollReport applies what a worker reports in its answer to a poll. current is false if the answer
+// arrived late.
+func (m *Machine) applyPollReport(w *worker, e PollResult, sentAt time.Time, current bool) {
 	if w.failedPolls > 0 {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "answers again", Reason: formatInt(int64(w.failedPolls)) + " failed polls before"})
 		w.failedPolls, w.lossRecorded = 0, false
