A few silent workers are polled as often as before

The limit now holds only while the calls of the whole pool are many, which is what it is for. TestOpenPollsOfSilentWorkersGrow checks both: with few workers it failed before (12 calls, want 20).

--- a/flow/machine.go
+++ b/flow/machine.go
@@ -112,7 +112,7 @@
 	m.status = statusReport{}
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
 	m.changedWorkers, m.workersDueAt = nil, time.Time{}
-	m.probes = probes{inFlight: make(map[endive.WorkerID]PollID)}
+	m.probes = probes{inFlight: make(map[endive.WorkerID]PollID), calls: make(map[pollCall]bool)}
 	m.crashLog = crashLog{since: m.now}
 	m.startCount = 0
 }
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -71,7 +71,7 @@
 		w.dueAt = due
 		return
 	}
-	if len(w.poll.open) >= maxOpenPolls || w.needsProbe() && !m.admitProbe(w) {
+	if m.hasTooManyCalls(w) || w.needsProbe() && !m.admitProbe(w) {
 		return
 	}
 	maxWait := pollWait
@@ -90,14 +90,11 @@
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
 	w.poll.open[w.poll.id] = m.now
+	m.probes.calls[pollCall{w.id, w.poll.id}] = true
 	w.poll.sentAt, w.poll.immediate = m.now, maxWait == 0
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
 }
 
-// maxOpenPolls is the maximum number of calls to a worker that wait for an answer. An overdue call
-// goes on, and each takes a connection.
-const maxOpenPolls = 3
-
 // unconfirmedPollWait is how long a worker may hold back its answer to a poll to wait for the
 // end of a run, while the worker has unconfirmed runs.
 const unconfirmedPollWait = endive.Interval(80 * time.Millisecond)
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -11,6 +11,9 @@
 // handlePollResult applies a worker's answer to a poll, or counts a failed poll.
 func (m *Machine) handlePollResult(e PollResult) {
 	m.endProbe(e.Worker, e.Poll)
+	if !e.Overdue {
+		delete(m.probes.calls, pollCall{e.Worker, e.Poll})
+	}
 	w := m.workers[e.Worker]
 	if w == nil || e.Poll < m.tenure.firstPoll {
 		return
--- a/flow/probe.go
+++ b/flow/probe.go
@@ -19,7 +19,27 @@
 // probes are the probes in flight, and the workers that wait to be probed.
 type probes struct {
 	inFlight map[endive.WorkerID]PollID
-	queue    []*worker
+	// calls are the calls of all polls that haven't ended.
+	calls map[pollCall]bool
+	queue []*worker
+}
+
+// pollCall is the call of a poll.
+type pollCall struct {
+	worker endive.WorkerID
+	poll   PollID
+}
+
+// maxOpenPolls is the number of calls to one worker that may wait for an answer while the calls of the
+// whole pool are more than maxOpenCalls. An overdue call goes on, and each takes a connection.
+const (
+	maxOpenPolls = 3
+	maxOpenCalls = 2 * maxProbes
+)
+
+// hasTooManyCalls reports whether no further poll may be sent to the worker before a call has ended.
+func (m *Machine) hasTooManyCalls(w *worker) bool {
+	return len(w.poll.open) >= maxOpenPolls && len(m.probes.calls) >= maxOpenCalls
 }
 
 // needsProbe reports whether the next poll of the worker is a probe.
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -190,25 +190,41 @@
 	is.Equal(w.starts, 2)
 }
 
-// The calls of silent workers go on after their polls are overdue. Each takes a connection, so their
-// number must be limited.
+// The calls of silent workers go on after their polls are overdue. Each takes a connection, so in a large
+// pool their number must be limited; a few silent workers are polled as often as before.
 func TestOpenPollsOfSilentWorkersGrow(t *testing.T) {
-	is := is.New(t)
-	w := newSimulation(t, 1, faults{})
-	m, now := w.startHolder().machine, w.now
-	polls := pollsOf(listWorkers(m, now, 0, 1))
-	m.Step(now, TenureBegan{Epoch: 1, LeaseEnd: now.Add(time.Hour)})
-	polls = append(polls, pollsOf(m.Step(now, PoolSnapshot{Epoch: 1}))...)
-	is.Equal(len(polls), 1)
-	for i := 0; i < len(polls) && i < 10; i++ {
-		now = now.Add(2 * time.Second)
-		poll := polls[i]
-		polls = append(polls, pollsOf(m.Step(now, PollResult{Worker: poll.Order.Worker.ID, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}))...)
-		now = now.Add(2 * time.Second)
-		polls = append(polls, pollsOf(m.Step(now, endive.Wake{}))...)
+	tests := []struct {
+		name    string
+		workers int
+		// most is the largest number of calls that are open after five overdue polls of each worker.
+		most int
+	}{
+		{"few workers", 4, 4 * 5},
+		{"many workers", maxOpenCalls, maxOpenCalls * maxOpenPolls},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1, faults{})
+			m, now := w.startHolder().machine, w.now
+			polls := pollsOf(listWorkers(m, now, 0, tt.workers))
+			m.Step(now, TenureBegan{Epoch: 1, LeaseEnd: now.Add(time.Hour)})
+			polls = append(polls, pollsOf(m.Step(now, PoolSnapshot{Epoch: 1}))...)
+			calls := len(polls)
+			for len(polls) > 0 && calls < 5*tt.workers {
+				now = now.Add(2 * time.Second)
+				var next []PollWorker
+				for _, poll := range polls {
+					next = append(next, pollsOf(m.Step(now, PollResult{Worker: poll.Order.Worker.ID, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}))...)
+				}
+				now = now.Add(2 * time.Second)
+				polls = append(next, pollsOf(m.Step(now, endive.Wake{}))...)
+				calls += len(polls)
+			}
+			is.Equal(calls, tt.most)
+			is.Equal(len(m.probes.calls), tt.most)
+		})
 	}
-	is.Equal(len(polls), maxOpenPolls)
-	is.Equal(len(pollsOf(m.Step(now, PollResult{Worker: "w0000", Poll: polls[0].Poll, Result: OrderUnknown}))), 1)
 }
 
 // A worker whose answers are always late has been seen alive nevertheless: its old runs must not become
