--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -111,8 +111,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var others endive.Peers
+	judgedAt := p.judgedAt(now)
 	for id, row := range p.rows {
-		if id != p.cell.Settings.Name && row.isLive(p.judgedAt(now)) {
+		if id != p.cell.Settings.Name && row.isLive(judgedAt) {
 			others = append(others, row.peer(id))
 		}
 	}
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -54,7 +54,7 @@
 	if w.failedPolls > 0 && len(w.runs) > 0 && leasesEnd.After(m.now) {
 		w.dueAt = endive.Earliest(w.dueAt, leasesEnd)
 	}
-	if w.mayStillReport(m.now) && w.reportsUntil().After(m.now) {
+	if w.mayStillReport(m.now) {
 		w.dueAt = endive.Earliest(w.dueAt, w.reportsUntil())
 	}
 	return false
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -54,12 +54,12 @@
 	failedPolls int
 	// answeredAt is when the worker's last answer to a poll arrived, and answersLate is true if that
 	// was after the timeout of the poll.
-	answeredAt time.Time
+	answeredAt  time.Time
+	answersLate bool
 	// reportedAfter is when the poll was sent that was answered last.
 	reportedAfter time.Time
 	// lastReport is the worker's time in that answer.
-	lastReport  endive.WorkerTime
-	answersLate bool
+	lastReport endive.WorkerTime
 	// heardAt is a time before which the worker hasn't stopped renewing its registration; zero if
 	// none is known.
 	heardAt time.Time
