--- /dev/null
+++ b/review/stand/ledger.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// record is the file with what was sent, answered and run.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func (r *record) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	line := fmt.Sprintf("%8.3f  ", time.Since(r.start).Seconds()) + fmt.Sprintf(format, args...)
+	_, _ = fmt.Fprintln(r.file, line)
+}
+
+// taskLife is what is known of the runs of one task.
+type taskLife struct {
+	active map[string]int64 // by worker
+	// doneOn has the ends `done`: by worker and run, true once ack_cursor has reached them.
+	done map[string]bool
+	// startedAfterDone is true if a run was started after an end `done`.
+	startedAfterDone bool
+	starts           int
+}
+
+// ledger collects the starts and ends of all workers, and judges the rule TWICE.
+type ledger struct {
+	log *record
+	// quiet omits the lines about single runs.
+	quiet func(task string) bool
+
+	mu       sync.Mutex
+	tasks    map[string]*taskLife
+	overlaps []string
+	starts   int
+}
+
+func newLedger(log *record) *ledger {
+	return &ledger{log: log, tasks: make(map[string]*taskLife), quiet: func(string) bool { return false }}
+}
+
+func (l *ledger) task(id string) *taskLife {
+	if l.tasks[id] == nil {
+		l.tasks[id] = &taskLife{active: make(map[string]int64), done: make(map[string]bool)}
+	}
+	return l.tasks[id]
+}
+
+func (l *ledger) started(w *worker, r *workerRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.task(r.task)
+	t.starts++
+	l.starts++
+	if !l.quiet(r.task) {
+		l.log.add("worker %s (%s): started %s run %d, fence_token %d", w.id, w.service, r.task, r.number, r.epoch)
+	}
+	if len(t.active) > 0 {
+		l.overlaps = append(l.overlaps, fmt.Sprintf("%s: run %d began on %s while %v was at work", r.task, r.number, w.id, t.active))
+	}
+	t.active[w.id] = r.number
+	t.startedAfterDone = t.startedAfterDone || len(t.done) > 0
+}
+
+func (l *ledger) ended(worker, task string, run int64, how string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.task(task)
+	delete(t.active, worker)
+	if how == "done" {
+		t.done[fmt.Sprintf("%s/%d", worker, run)] = false
+	}
+	if !l.quiet(task) {
+		l.log.add("worker %s: ended %s run %d: %s", worker, task, run, how)
+	}
+}
+
+// noted records that ack_cursor has reached an end.
+func (l *ledger) noted(worker string, end endKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.task(end.task)
+	name := fmt.Sprintf("%s/%d", worker, end.number)
+	if _, ok := t.done[name]; ok {
+		t.done[name] = true
+	}
+}
+
+// startsOf returns the number of starts of a task.
+func (l *ledger) startsOf(task string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.task(task).starts
+}
+
+// twice returns the breaches of the rule TWICE: overlapping runs, and starts after an end `done` that
+// was taken note of.
+func (l *ledger) twice() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	breaches := append([]string{}, l.overlaps...)
+	for id, t := range l.tasks {
+		if !t.startedAfterDone {
+			continue
+		}
+		noted := 0
+		for _, seen := range t.done {
+			if seen {
+				noted++
+			}
+		}
+		if noted > 0 {
+			breaches = append(breaches, fmt.Sprintf("%s: started %d times, also after an end `done`; %d such ends were taken note of", id, t.starts, noted))
+		}
+	}
+	return breaches
+}
