--- a/review/stand/ledger.go
+++ b/review/stand/ledger.go
@@ -41,6 +41,15 @@
 	tasks    map[string]*taskLife
 	overlaps []string
 	starts   int
+	history  []start
+	// onStart is called with each start; nil for nothing.
+	onStart func(*worker, *workerRun)
+}
+
+// start is the start of a run.
+type start struct {
+	task, worker string
+	at           time.Time
 }
 
 func newLedger(log *record) *ledger {
@@ -60,6 +69,7 @@
 	t := l.task(r.task)
 	t.starts++
 	l.starts++
+	l.history = append(l.history, start{r.task, w.id, r.startedAt})
 	if !l.quiet(r.task) {
 		l.log.add("worker %s (%s): started %s run %d, fence_token %d", w.id, w.service, r.task, r.number, r.epoch)
 	}
@@ -68,6 +78,9 @@
 	}
 	t.active[w.id] = r.number
 	t.startedAfterDone = t.startedAfterDone || len(t.done) > 0
+	if l.onStart != nil {
+		l.onStart(w, r)
+	}
 }
 
 func (l *ledger) ended(worker, task string, run int64, how string) {
@@ -123,3 +136,23 @@
 	}
 	return breaches
 }
+
+// totals returns the number of starts, and of tasks that were started.
+func (l *ledger) totals() (starts, tasks int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.starts, len(l.tasks)
+}
+
+// startsAfter returns the starts after a time.
+func (l *ledger) startsAfter(at time.Time) []start {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var late []start
+	for _, one := range l.history {
+		if one.at.After(at) {
+			late = append(late, one)
+		}
+	}
+	return late
+}
--- a/review/stand/pending.go
+++ b/review/stand/pending.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["2"] = playMovedPending }
+func init() { cases["pending"] = playMovedPending }
 
 // playMovedPending fills a service, so that jobs of a queue wait, moves the queue to another service,
 // and asks how many jobs wait.
--- a/review/stand/schedule.go
+++ b/review/stand/schedule.go
@@ -2,24 +2,30 @@
 
 import (
 	"fmt"
-	"os"
+	"sort"
 	"strings"
 	"time"
 )
 
-func init() { cases["3"] = playLongSchedule }
+func init() { cases["2"] = playLongSchedule }
 
 const (
-	scheduledID    = "5c0e7a21d94b36f8"
-	scheduledTimes = 6000
+	scheduledID = "5c0e7a21d94b36f8"
+	// schedulePeriod is short, so that the script sees in 40 s what a job that is due each minute
+	// shows after a day and a quarter.
 	schedulePeriod = 15 * time.Millisecond
+	// longTimes is the number of times of the job; shortTimes that without the trouble, at the same
+	// pace.
+	longTimes  = 6000
+	shortTimes = 1500
+	// smallPeriod is the time between two small jobs of another client.
+	smallPeriod = 700 * time.Millisecond
 )
 
-// playLongSchedule hands in a job that runs many times, and small jobs beside it.
+// playLongSchedule hands in a job that runs many times, and small jobs of another queue beside it.
 func playLongSchedule(s *scene) ([]string, error) {
-	s.ledger.quiet = func(string) bool { return true }
-	services := []string{"porsiyon"}
-	s.configure(3, services, route{"r-1", host, "/lohu930/", "porsiyon", 0}, route{"r-2", host, "/wex4/", "porsiyon", 1})
+	s.ledger.quiet = func(task string) bool { return !strings.HasPrefix(task, "aa") }
+	s.configure(3, []string{"porsiyon"}, route{"r-1", host, "/lohu930/", "porsiyon", 0}, route{"r-2", host, "/wex4/", "porsiyon", 1})
 	err := s.begin(3,
 		workerSpec{"i-p1", "porsiyon", "marmara-a", 32000, 65536, []string{"a", "r1-1"}},
 		workerSpec{"i-p2", "porsiyon", "marmara-a", 32000, 65536, []string{"a", "r1-1"}},
@@ -28,53 +34,63 @@
 	if err != nil {
 		return nil, err
 	}
-	times := scheduledTimes
+	times := longTimes
 	if !s.trouble {
-		times = 200
+		times = shortTimes
 	}
 	body := fmt.Sprintf(`{"task_spec":"{\"ms\":100}","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":100}],"times":%d,"first_ms":%d,"period_ms":%d}`,
 		times, time.Now().Add(time.Second).UnixMilli(), schedulePeriod.Milliseconds())
 	if status, _ := s.request(0, "POST", host, "/wex4/"+scheduledID, body); status != 200 {
 		return nil, fmt.Errorf("the scheduled job wasn't accepted")
 	}
-	end := s.log.start.Add(95 * time.Second)
-	job := 0
+	ids := s.submitSmallJobs(s.log.start.Add(75 * time.Second))
+	time.Sleep(6 * time.Second)
+	s.log.add("%d of %d accepted small jobs aren't shown as completed", s.countUnfinished(ids), len(ids))
+	if s.trouble {
+		// The client cancels the scheduled job. What has waited is recorded now.
+		s.request(0, "DELETE", host, "/wex4/"+scheduledID, "")
+		time.Sleep(6 * time.Second)
+		s.log.add("after the cancel %d aren't", s.countUnfinished(ids))
+	}
+	return s.shortened(s.ledger.twice()), nil
+}
+
+// submitSmallJobs hands in small jobs until a time, and returns those that were accepted.
+func (s *scene) submitSmallJobs(until time.Time) []string {
 	var ids []string
-	for time.Now().Before(end) {
+	for job := 0; time.Now().Before(until); job++ {
 		id := fmt.Sprintf("aa0e7a21d94b%04x", job)
 		if status, _ := s.request(job, "POST", host, "/lohu930/"+id, jobOf(2, 2000, 400)); status == 200 {
 			ids = append(ids, id)
 		}
-		job++
-		if job%10 == 0 {
-			s.ledger.mu.Lock()
-			s.log.add("so far: %d starts in all, %d tasks; %d transactions refused since a row was too large", s.ledger.starts, len(s.ledger.tasks), s.store.refusedLarge)
-			s.ledger.mu.Unlock()
-		}
-		time.Sleep(700 * time.Millisecond)
-	}
-	time.Sleep(5 * time.Second)
-	stuck := 0
-	for i, id := range ids {
-		if _, answer := s.request(i, "GET", host, "/lohu930/"+id, ""); !strings.Contains(answer, "completed") {
-			stuck++
+		if job%10 == 9 {
+			starts, tasks := s.ledger.totals()
+			s.log.add("so far: %d starts of %d tasks; %d transactions refused since a row was too large", starts, tasks, s.store.refused())
 		}
+		time.Sleep(smallPeriod)
 	}
-	s.log.add("%d of %d small jobs aren't shown as completed", stuck, len(ids))
-	s.request(0, "DELETE", host, "/wex4/"+scheduledID, "")
-	time.Sleep(5 * time.Second)
-	again := 0
+	return ids
+}
+
+// countUnfinished returns how many of the jobs aren't shown as completed.
+func (s *scene) countUnfinished(ids []string) int {
+	count := 0
 	for i, id := range ids {
 		if _, answer := s.request(i, "GET", host, "/lohu930/"+id, ""); !strings.Contains(answer, "completed") {
-			again++
+			count++
 		}
 	}
-	s.log.add("after the cancel %d aren't", again)
-	breaches := s.ledger.twice()
-	if len(breaches) > 10 {
-		s.log.add("%d breaches", len(breaches))
-		breaches = breaches[:10]
+	return count
+}
+
+// maxReported is the number of breaches that are reported one by one.
+const maxReported = 12
+
+// shortened returns the first breaches, those of the small jobs before the others, and their number.
+func (s *scene) shortened(breaches []string) []string {
+	sort.Slice(breaches, func(i, j int) bool { return breaches[i] > breaches[j] })
+	if len(breaches) <= maxReported {
+		return breaches
 	}
-	_ = os.Stdout
-	return breaches, nil
+	return append(breaches[:maxReported:maxReported], fmt.Sprintf("and %d tasks more", len(breaches)-maxReported))
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -71,6 +72,8 @@
 	// that are performed late.
 	fateOf func(transaction) fate
 	lateBy time.Duration
+	// written and lost count the transactions, and those that got no answer, while fateOf is set.
+	written, lost int
 	// refusedLarge counts the transactions that were refused since a row was too large.
 	refusedLarge int
 }
@@ -293,3 +296,38 @@
 	}
 	return changes, s.ver
 }
+
+// refused returns how many transactions were refused since a row was too large.
+func (s *store) refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedLarge
+}
+
+// loseWritesOf makes the store lose the answers to the transactions with rows of a job, and perform
+// them later.
+func (s *store) loseWritesOf(job string, lateBy time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateBy = lateBy
+	s.fateOf = func(t transaction) fate {
+		s.written++
+		for _, r := range t.Set {
+			if strings.Contains(r.Key, job) {
+				s.lost++
+				return fateLate
+			}
+		}
+		return fateDone
+	}
+}
+
+// endLoss ends the loss of answers.
+func (s *store) endLoss(log *record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fateOf != nil {
+		s.fateOf = nil
+		log.add("store: loses no answers any more; of %d writes %d had none", s.written, s.lost)
+	}
+}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -42,6 +42,8 @@
 	addr   string
 	server *http.Server
 
+	machine string
+
 	mu      sync.Mutex
 	born    time.Time
 	fence   uint64
@@ -57,6 +59,8 @@
 	changed  chan struct{}
 	seq      int
 	stopped  chan struct{}
+	// wrong lists the starts on an executor without the label that they need.
+	wrong []string
 }
 
 type endKey struct {
@@ -69,13 +73,10 @@
 	Millis int64 `json:"ms"`
 }
 
-func startWorker(spec workerSpec, s *store, l *ledger) (*worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
+// newWorker returns an executor that doesn't serve yet.
+func newWorker(spec workerSpec, s *store, l *ledger, address string) *worker {
 	w := &worker{
-		workerSpec: spec, ledger: l, store: s, addr: listener.Addr().String(), born: time.Now(),
+		workerSpec: spec, ledger: l, store: s, addr: address, born: time.Now(), machine: "m-" + spec.id,
 		runs: make(map[string]*workerRun), barred: make(map[string]int64), endedAt: make(map[int64]endKey),
 		changed: make(chan struct{}), stopped: make(chan struct{}),
 	}
@@ -88,6 +89,15 @@
 		rw.WriteHeader(http.StatusOK)
 	})
 	w.server = &http.Server{Handler: mux}
+	return w
+}
+
+func startWorker(spec workerSpec, s *store, l *ledger) (*worker, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := newWorker(spec, s, l, listener.Addr().String())
 	go func() { _ = w.server.Serve(listener) }()
 	w.register()
 	go w.beat()
@@ -98,7 +108,7 @@
 	w.seq++
 	w.store.put("servers", w.id, map[string]any{
 		"service": w.service, "address": w.addr, "zone": w.zone, "version": "1", "slots": 8, "state": "ready", "cold_ms": 0, "seq": w.seq,
-		"capacity": map[string]any{"cpu": w.cpu, "mem_mb": w.memMB, "gpus": 0}, "labels": w.labels, "born": w.born.UnixMilli(), "machine": "m-" + w.id,
+		"capacity": map[string]any{"cpu": w.cpu, "mem_mb": w.memMB, "gpus": 0}, "labels": w.labels, "born": w.born.UnixMilli(), "machine": w.machine,
 	})
 }
 
@@ -248,6 +258,7 @@
 	w.extend(body.Deadline)
 	r.timer = time.AfterFunc(r.length, func() { w.finish(r) })
 	w.ledger.started(w, r)
+	w.noteLabel(r)
 	w.mu.Unlock()
 	w.answer(rw, http.StatusOK, nil)
 }
