--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["4"] = playDeadlyTask }
+func init() { cases["5"] = playDeadlyTask }
 
 const (
 	// fatalAge is how long after its start the deadly task crashes its executor.
--- a/review/stand/entries.go
+++ b/review/stand/entries.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,21 +24,35 @@
 	output                *os.File
 }
 
+// The ports of the processes lie below those that the kernel gives to outgoing connections, which may
+// take a port while nothing listens there.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// listenFree listens on a port on which nothing listened.
+func listenFree() (net.Listener, error) {
+	var last error
+	for range 200 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err == nil {
+			return l, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // freePorts returns addresses on which nothing listens.
 func freePorts(count int) ([]string, error) {
-	var listeners []net.Listener
 	var addresses []string
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenFree()
 		if err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, l)
+		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses, nil
--- a/review/stand/latecancel.go
+++ b/review/stand/latecancel.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["3"] = playCancelBeforeLateWrite }
+func init() { cases["4"] = playCancelBeforeLateWrite }
 
 // cancelBound is the bound cancel_ms.
 const cancelBound = 3 * time.Second
--- a/review/stand/ledger.go
+++ b/review/stand/ledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,9 +13,14 @@
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
+	// quiet omits lines while a part of a case is played of which only the sum is recorded.
+	quiet atomic.Bool
 }
 
 func (r *record) add(format string, args ...any) {
+	if r.quiet.Load() {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	line := fmt.Sprintf("%8.3f  ", time.Since(r.start).Seconds()) + fmt.Sprintf(format, args...)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -84,7 +83,7 @@
 }
 
 func (s *scene) play(play func(*scene) ([]string, error)) ([]string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenFree()
 	if err != nil {
 		return nil, err
 	}
--- a/review/stand/move.go
+++ b/review/stand/move.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["1"] = playMovedRetry }
+func init() { cases["3"] = playMovedRetry }
 
 const host = "ficu95.example"
 
--- a/review/stand/relabel.go
+++ b/review/stand/relabel.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["5"] = playOtherKind }
+func init() { cases["relabel"] = playOtherKind }
 
 // downTimes are how long the executor is down after its crashes.
 var downTimes = []time.Duration{900 * time.Millisecond, 1450 * time.Millisecond, 2200 * time.Millisecond, 3100 * time.Millisecond}
--- a/review/stand/schedule.go
+++ b/review/stand/schedule.go
@@ -72,9 +72,16 @@
 	return ids
 }
 
+// maxListed is the number of jobs up to which the answers about each are recorded.
+const maxListed = 100
+
 // countUnfinished returns how many of the jobs aren't shown as completed.
 func (s *scene) countUnfinished(ids []string) int {
 	count := 0
+	if len(ids) > maxListed {
+		s.log.quiet.Store(true)
+		defer s.log.quiet.Store(false)
+	}
 	for i, id := range ids {
 		if _, answer := s.request(i, "GET", host, "/lohu930/"+id, ""); !strings.Contains(answer, "completed") {
 			count++
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -93,7 +92,7 @@
 }
 
 func startWorker(spec workerSpec, s *store, l *ledger) (*worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenFree()
 	if err != nil {
 		return nil, err
 	}
