--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -64,6 +66,14 @@
 	s := &scene{log: log, store: newStore(log), ledger: newLedger(log), trouble: os.Getenv("TROUBLE") != "0", program: program, folder: temporary}
 	defer s.close()
 	log.add("case %s, trouble %v", name, s.trouble)
+	// A signal ends the play and all processes that it has started.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		s.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := s.play(play)
 	switch {
 	case err != nil:
