--- a/review/stand/ledger.go
+++ b/review/stand/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,11 +31,13 @@
 // taskLife is what is known of the runs of one task.
 type taskLife struct {
 	active map[string]int64 // by worker
-	// doneOn has the ends `done`: by worker and run, true once ack_cursor has reached them.
+	// done has the ends `done`, by worker and run: true once ack_cursor has reached them.
 	done map[string]bool
-	// startedAfterDone is true if a run was started after an end `done`.
-	startedAfterDone bool
-	starts           int
+	// excused has the ends that weren't taken note of before the executor's lease lapsed.
+	excused map[string]bool
+	// preceding has the ends `done` after which a run was started.
+	preceding map[string]bool
+	starts    int
 }
 
 // ledger collects the starts and ends of all workers, and judges the rule TWICE.
@@ -64,7 +67,7 @@
 
 func (l *ledger) task(id string) *taskLife {
 	if l.tasks[id] == nil {
-		l.tasks[id] = &taskLife{active: make(map[string]int64), done: make(map[string]bool)}
+		l.tasks[id] = &taskLife{active: make(map[string]int64), done: make(map[string]bool), excused: make(map[string]bool), preceding: make(map[string]bool)}
 	}
 	return l.tasks[id]
 }
@@ -83,7 +86,9 @@
 		l.overlaps = append(l.overlaps, fmt.Sprintf("%s: run %d began on %s while %v was at work", r.task, r.number, w.id, t.active))
 	}
 	t.active[w.id] = r.number
-	t.startedAfterDone = t.startedAfterDone || len(t.done) > 0
+	for name := range t.done {
+		t.preceding[name] = true
+	}
 	if l.onStart != nil {
 		l.onStart(w, r)
 	}
@@ -102,13 +107,26 @@
 	}
 }
 
+// lapsed records that an executor's lease has lapsed: its earlier ends aren't taken note of any more.
+func (l *ledger) lapsed(worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.tasks {
+		for name, noted := range t.done {
+			if !noted && strings.HasPrefix(name, worker+"/") {
+				t.excused[name] = true
+			}
+		}
+	}
+}
+
 // noted records that ack_cursor has reached an end.
 func (l *ledger) noted(worker string, end endKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.task(end.task)
 	name := fmt.Sprintf("%s/%d", worker, end.number)
-	if _, ok := t.done[name]; ok {
+	if _, ok := t.done[name]; ok && !t.excused[name] {
 		t.done[name] = true
 	}
 }
@@ -127,17 +145,14 @@
 	defer l.mu.Unlock()
 	breaches := append([]string{}, l.overlaps...)
 	for id, t := range l.tasks {
-		if !t.startedAfterDone {
-			continue
-		}
 		noted := 0
-		for _, seen := range t.done {
-			if seen {
+		for name := range t.preceding {
+			if t.done[name] {
 				noted++
 			}
 		}
 		if noted > 0 {
-			breaches = append(breaches, fmt.Sprintf("%s: started %d times, also after an end `done`; %d such ends were taken note of", id, t.starts, noted))
+			breaches = append(breaches, fmt.Sprintf("%s: started %d times, also after %d ends `done` that were taken note of then or later", id, t.starts, noted))
 		}
 	}
 	return breaches
@@ -162,3 +177,28 @@
 	}
 	return late
 }
+
+// activeTasks returns the tasks that are at work.
+func (l *ledger) activeTasks() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var active []string
+	for id, t := range l.tasks {
+		if len(t.active) > 0 {
+			active = append(active, id)
+		}
+	}
+	return active
+}
+
+// jobDone reports whether all tasks of a job with one step have ended `done`.
+func (l *ledger) jobDone(id string, tasks int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range tasks {
+		if t := l.tasks[fmt.Sprintf("%s.0.0.%d", id, i)]; t == nil || len(t.done) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/review/stand/schedule.go
+++ b/review/stand/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -11,20 +12,22 @@
 
 const (
 	scheduledID = "5c0e7a21d94b36f8"
-	// schedulePeriod is short, so that the script sees in 40 s what a job that is due each minute
-	// shows after a day and a quarter.
-	schedulePeriod = 15 * time.Millisecond
-	// longTimes is the number of times of the job; shortTimes that without the trouble, at the same
-	// pace.
-	longTimes  = 6000
-	shortTimes = 1500
-	// smallPeriod is the time between two small jobs of another client.
-	smallPeriod = 700 * time.Millisecond
+	// The job is due each minute of two days.
+	schedulePeriod = time.Minute
+	scheduledTimes = 2880
+	// longAgo is how long before the job is handed in its first time is due; shortAgo that without the
+	// trouble.
+	longAgo  = 20 * time.Hour
+	shortAgo = 2 * time.Hour
+	// finishBound is finish_s, and idleBound how long a job may have nothing running then.
+	finishBound = 14 * time.Second
+	idleBound   = 3 * time.Second
 )
 
-// playLongSchedule hands in a job that runs many times, and small jobs of another queue beside it.
+// playLongSchedule hands in a job that runs many times, of which a part is due already, and usual jobs of
+// another queue beside it.
 func playLongSchedule(s *scene) ([]string, error) {
-	s.ledger.quiet = func(task string) bool { return !strings.HasPrefix(task, "aa") }
+	s.ledger.quiet = func(task string) bool { return !strings.HasPrefix(task, "bb") }
 	s.configure(3, []string{"porsiyon"}, route{"r-1", host, "/lohu930/", "porsiyon", 0}, route{"r-2", host, "/wex4/", "porsiyon", 1})
 	err := s.begin(3,
 		workerSpec{"i-p1", "porsiyon", "marmara-a", 32000, 65536, []string{"a", "r1-1"}},
@@ -34,42 +37,64 @@
 	if err != nil {
 		return nil, err
 	}
-	times := longTimes
+	ago := longAgo
 	if !s.trouble {
-		times = shortTimes
+		ago = shortAgo
 	}
-	body := fmt.Sprintf(`{"task_spec":"{\"ms\":100}","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":100}],"times":%d,"first_ms":%d,"period_ms":%d}`,
-		times, time.Now().Add(time.Second).UnixMilli(), schedulePeriod.Milliseconds())
+	steps := `{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":100},{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":100,"after":[0]},{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":100,"after":[1]}`
+	body := fmt.Sprintf(`{"task_spec":"{\"ms\":100}","steps":[%s],"times":%d,"first_ms":%d,"period_ms":%d}`,
+		steps, scheduledTimes, time.Now().Add(-ago).UnixMilli(), schedulePeriod.Milliseconds())
 	if status, _ := s.request(0, "POST", host, "/wex4/"+scheduledID, body); status != 200 {
 		return nil, fmt.Errorf("the scheduled job wasn't accepted")
 	}
-	ids := s.submitSmallJobs(s.log.start.Add(75 * time.Second))
-	time.Sleep(6 * time.Second)
-	s.log.add("%d of %d accepted small jobs aren't shown as completed", s.countUnfinished(ids), len(ids))
-	if s.trouble {
-		// The client cancels the scheduled job. What has waited is recorded now.
-		s.request(0, "DELETE", host, "/wex4/"+scheduledID, "")
-		time.Sleep(6 * time.Second)
-		s.log.add("after the cancel %d aren't", s.countUnfinished(ids))
-	}
-	return s.shortened(s.ledger.twice()), nil
+	s.log.add("clients: handed in a job that is due %d times, each minute, since %s ago", scheduledTimes, ago)
+	time.Sleep(5 * time.Second)
+	ids := s.submitUsual(s.log.start.Add(40 * time.Second))
+	s.log.add("the traffic ends; %d jobs of the usual queue were accepted", len(ids))
+	time.Sleep(finishBound)
+	s.log.add("finish_s is over")
+	idle := s.watchIdle(ids, time.Now().Add(20*time.Second))
+	asked := ids[max(0, len(ids)-maxAsked):]
+	s.log.add("%d of the last %d accepted jobs of the usual queue aren't shown as completed", s.countUnfinished(asked), len(asked))
+	return s.shortened(idle), nil
 }
 
-// submitSmallJobs hands in small jobs until a time, and returns those that were accepted.
-func (s *scene) submitSmallJobs(until time.Time) []string {
-	var ids []string
-	for job := 0; time.Now().Before(until); job++ {
-		id := fmt.Sprintf("aa0e7a21d94b%04x", job)
-		if status, _ := s.request(job, "POST", host, "/lohu930/"+id, jobOf(2, 2000, 400)); status == 200 {
-			ids = append(ids, id)
+// watchIdle watches the jobs until a time, and returns those that had nothing running for idleBound on end
+// while a task's turn had come and under half of the capacity was in use. All tasks take one core.
+func (s *scene) watchIdle(ids []string, until time.Time) []string {
+	capacity := 0
+	for _, w := range s.workers {
+		capacity += int(w.cpu / 1000)
+	}
+	since := make(map[string]time.Time)
+	longest := make(map[string]time.Duration)
+	for time.Now().Before(until) {
+		now := time.Now()
+		active := s.ledger.activeTasks()
+		for _, id := range ids {
+			if s.ledger.jobDone(id, usualWidth) || 2*len(active) >= capacity || hasJob(active, id) {
+				delete(since, id)
+				continue
+			}
+			if since[id].IsZero() {
+				since[id] = now
+			}
+			longest[id] = max(longest[id], now.Sub(since[id]))
 		}
-		if job%10 == 9 {
-			starts, tasks := s.ledger.totals()
-			s.log.add("so far: %d starts of %d tasks; %d transactions refused since a row was too large", starts, tasks, s.store.refused())
+		time.Sleep(50 * time.Millisecond)
+	}
+	var idle []string
+	for id, length := range longest {
+		if length >= idleBound {
+			idle = append(idle, fmt.Sprintf("job %s had nothing running for %.1f s on end after finish_s, with under half of the capacity in use", id, length.Seconds()))
 		}
-		time.Sleep(smallPeriod)
 	}
-	return ids
+	return idle
+}
+
+// hasJob reports whether one of the tasks belongs to a job.
+func hasJob(tasks []string, id string) bool {
+	return slices.ContainsFunc(tasks, func(task string) bool { return strings.HasPrefix(task, id+".") })
 }
 
 // maxListed is the number of jobs up to which the answers about each are recorded.
@@ -93,7 +118,7 @@
 // maxReported is the number of breaches that are reported one by one.
 const maxReported = 12
 
-// shortened returns the first breaches, those of the small jobs before the others, and their number.
+// shortened returns the first breaches, and how many more there are.
 func (s *scene) shortened(breaches []string) []string {
 	sort.Slice(breaches, func(i, j int) bool { return breaches[i] > breaches[j] })
 	if len(breaches) <= maxReported {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -58,6 +58,8 @@
 	changed  chan struct{}
 	seq      int
 	stopped  chan struct{}
+	// muted is true while answers are lost.
+	muted bool
 	// wrong lists the starts on an executor without the label that they need.
 	wrong []string
 }
@@ -161,6 +163,11 @@
 }
 
 func (w *worker) answer(rw http.ResponseWriter, status int, extra map[string]any) {
+	if w.silent() {
+		time.Sleep(4 * time.Second)
+		hangUp(rw)
+		return
+	}
 	body := map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli()}
 	for key, value := range extra {
 		body[key] = value
@@ -190,6 +197,7 @@
 	if time.Now().Before(w.deadline) {
 		return
 	}
+	w.ledger.lapsed(w.id)
 	for _, r := range w.sortedRuns() {
 		w.end(r, "lapsed")
 	}
