A run isn't absent from a list of ends that is cut short

An executor lists at most 500 ends; while they aren't acknowledged, later ones are left out (PollReport.More). The holder took a run that was in neither list as absent and started its task again.

reconcileRuns now concludes nothing from a cut list: such a run stays until its end is listed.

Other lists that may be cut: pages of rows, parts and the feed are read to their end (platform/store.go, directory.go).

--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -53,6 +53,8 @@
 	// run's lease has expired or the incarnation that ran it is over.
 	discardedEnd endive.EndNumber
 	pendingPolls []func()
+	// maxReportedEnds is how many ends the worker lists in one answer; 0 for no limit.
+	maxReportedEnds int
 }
 
 // fakeRun is a run on a fakeWorker.
@@ -266,6 +268,9 @@
 
 func (f *fakeWorker) report() endive.PollReport {
 	report := endive.PollReport{Clock: f.clock(), StartTime: f.startTime, Ended: append([]endive.EndReport(nil), f.ends...)}
+	if f.maxReportedEnds > 0 && len(f.ends) >= f.maxReportedEnds {
+		report.Ended, report.More = report.Ended[:f.maxReportedEnds], true
+	}
 	for _, r := range f.sortedRuns() {
 		report.Running = append(report.Running, endive.RunReport{Task: r.task, Run: r.number, Percent: r.percent(f.sim.now)})
 	}
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -69,8 +69,9 @@
 		return
 	}
 	w.recordAnswer(m.now, sentAt, e.Report.Clock, !current)
+	knownEnd := w.lastEnd
 	m.applyEnds(w, e.Report.Ended)
-	m.reconcileRuns(w, e.Poll, e.Report.Running)
+	m.reconcileRuns(w, e.Poll, e.Report)
 	if !w.adopted {
 		w.adopted = true
 		// Leases that the previous holder renewed may last until then.
@@ -80,7 +81,7 @@
 	}
 	w.poll.nextAt = m.now
 	switch {
-	case e.Report.More:
+	case e.Report.More && w.lastEnd > knownEnd:
 	case len(w.unrecordedEnds) > 0 && len(w.runs) > 0:
 		w.poll.nextAt = m.now.Add(unrecordedPollInterval)
 	case len(w.unrecordedEnds) > 0:
@@ -231,9 +232,9 @@
 
 // reconcileRuns compares the runs that a worker reports in the answer to a poll with those that it
 // should have.
-func (m *Machine) reconcileRuns(w *worker, poll PollID, running []endive.RunReport) {
-	reported := make(map[endive.TaskID]bool, len(running))
-	for _, report := range running {
+func (m *Machine) reconcileRuns(w *worker, poll PollID, answer endive.PollReport) {
+	reported := make(map[endive.TaskID]bool, len(answer.Running))
+	for _, report := range answer.Running {
 		reported[report.Task] = true
 		r := w.runs[report.Task]
 		if r != nil && r.number == report.Run {
@@ -244,6 +245,10 @@
 			m.handleUnknownRun(w, report)
 		}
 	}
+	if answer.More {
+		// A run that isn't reported may have ended: its end may be one of those that are left out.
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		// A run that was confirmed before this poll was sent would be in the answer.
 		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < uint64(poll) {
