The status row of a pool has a bound

The holder kept a forecast of each queue name that ever had work and wrote all of them into one row; above the store's limit for a row each transaction with it was refused, and with it all that the holder records.

A holder keeps the forecasts of 200 queues, those used last. Counts that are left out are named as such (pendingCut), so that a queue that is absent from a cut row is answered with 503 and not as 0.

TestRecordingGoesOnAfterManyQueueNames: each transaction refused, last job not completed before; the simulation's store now refuses rows above 64 KiB in all tests.

--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -207,5 +207,9 @@
 	if age > endive.PlatformTime(statusMaxAge.Milliseconds()) {
 		return 0, endive.ErrUnavailable.New("the status of pool %s is %d ms old", p.name, int64(age))
 	}
-	return status.Pending[queue.Name], nil
+	count, known := status.PendingOf(queue.Name)
+	if !known {
+		return 0, endive.ErrUnavailable.New("the status of pool %s has no space for the queue", p.name)
+	}
+	return count, nil
 }
--- a/flow/forecast.go
+++ b/flow/forecast.go
@@ -27,6 +27,8 @@
 	SumTimes     float64 `json:"times"`
 	SumSquares   float64 `json:"squares"`
 	SumProducts  float64 `json:"products"`
+	// usedAt is when a step was last added, or when the forecast was adopted.
+	usedAt time.Time
 }
 
 const (
@@ -35,6 +37,9 @@
 	// forecastPriorWeight is the number of steps after which the regression counts as much
 	// as the estimate itself.
 	forecastPriorWeight = 4
+	// maxForecasts is the number of queues of which a holder keeps forecasts. Queues come and go with
+	// the configuration, so their number over time has no limit.
+	maxForecasts = 200
 	// slopePriorWeight is the weight of the prior assumption that run times are
 	// proportional to estimates, in steps whose estimates differ by a factor of e.
 	slopePriorWeight = 2
@@ -77,9 +82,21 @@
 	for queue, forecast := range learned {
 		if own := m.forecasts[queue]; forecast != nil && (own == nil || own.Weight < forecast.Weight) {
 			copied := *forecast
+			copied.usedAt = m.now
 			m.forecasts[queue] = &copied
 		}
 	}
+	m.dropOldForecasts()
+}
+
+// dropOldForecasts deletes the forecasts that were used longest ago if there are more than maxForecasts.
+func (m *Machine) dropOldForecasts() {
+	if len(m.forecasts) <= maxForecasts {
+		return
+	}
+	for _, queue := range forecastsByUse(m.forecasts)[maxForecasts:] {
+		delete(m.forecasts, queue)
+	}
 }
 
 // copyForecasts returns a deep copy of the forecasts.
@@ -105,7 +122,9 @@
 	if m.forecasts[queue] == nil {
 		m.forecasts[queue] = &Forecast{}
 	}
+	m.forecasts[queue].usedAt = m.now
 	m.forecasts[queue].add(s.spec.Estimate, meanDuration(s.timedRuns))
+	m.dropOldForecasts()
 	s.timedRuns = nil
 }
 
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -221,7 +221,10 @@
 	}
 }
 
-// apply commits a transaction if its conditions hold.
+// storeRowBytes is the limit of the store for the size of a row.
+const storeRowBytes = 64 << 10
+
+// apply commits a transaction if its conditions hold and the store takes its rows.
 func (w *simulation) apply(txn endive.Transaction) endive.Committed {
 	event := endive.Committed{WriteID: txn.WriteID, Status: endive.CommitConflict}
 	for _, condition := range txn.Conditions {
@@ -232,6 +235,13 @@
 	if len(event.Conflicts) > 0 {
 		return event
 	}
+	for _, write := range txn.Writes {
+		if len(write.Value) > storeRowBytes {
+			w.refusedRows[write.Key]++
+			event.Status = endive.CommitUnavailable
+			return event
+		}
+	}
 	w.version++
 	event.Status = endive.CommitApplied
 	for _, write := range txn.Writes {
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -135,7 +135,7 @@
 		sent.status = &status
 		m.logUsage()
 		m.reportAccounts()
-		txn.Writes = append(txn.Writes, endive.Write{Key: StatusKey(m.pool), Value: encodeRow(status)})
+		txn.Writes = append(txn.Writes, endive.Write{Key: StatusKey(m.pool), Value: status.fit()})
 	}
 	rec.inFlight = sent
 	m.emit(Commit{Transaction: txn})
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -161,11 +161,13 @@
 type Status struct {
 	// Pending counts the workflows of each queue of which no task has started.
 	Pending map[endive.QueueName]int `json:"pending"`
+	// PendingCut is true if Pending leaves out queues, since the row had no space for all.
+	PendingCut bool `json:"pendingCut,omitempty"`
 	// Saturated is true if work waits for free capacity, so that new work won't start at once.
 	Saturated bool `json:"crowded,omitempty"`
 	// HeldBack are the accounts with tasks that wait for their caps.
 	HeldBack []endive.AccountName `json:"heldBack,omitempty"`
-	// Forecasts has the measured run times of each queue's work.
+	// Forecasts has the measured run times of the work of the queues that were used last.
 	Forecasts map[endive.QueueName]*Forecast `json:"forecasts,omitempty"`
 	// At is when the holder wrote the row.
 	At endive.PlatformTime `json:"at"`
--- /dev/null
+++ b/flow/rowsize_test.go
@@ -0,0 +1,73 @@
+package flow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// The routes of a pool change again and again, and each queue has had work. The pool's status row must
+// not grow with the names that there have been: the store would refuse it, and with it all that the
+// holder records.
+func TestRecordingGoesOnAfterManyQueueNames(t *testing.T) {
+	is := is.New(t)
+	w, _ := newSimulationWithHolder(t, faults{}, 4)
+	for i := range 1200 {
+		queue := urgentQueue
+		queue.Name = endive.QueueName(fmt.Sprintf("queue-%04d", i))
+		w.submit(fmt.Sprintf("job%d", i), queue, stepOfTasks(1, 20*time.Millisecond))
+		w.run(time.Second + time.Duration(i)*20*time.Millisecond)
+	}
+	last := w.submit("last", urgentQueue, stepOfTasks(1, 20*time.Millisecond))
+	w.run(28 * time.Second)
+	w.checkViolations()
+	is.Equal(len(w.refusedRows), 0)
+	is.Equal(w.state(last), endive.WorkflowSucceeded)
+}
+
+// largeStatus returns a status with long names of many queues and accounts.
+func largeStatus(queues int) Status {
+	status := Status{Pending: make(map[endive.QueueName]int), Forecasts: make(map[endive.QueueName]*Forecast)}
+	for i := range queues {
+		name := endive.QueueName(fmt.Sprintf("%s\"%05d", strings.Repeat("q", 190), i))
+		status.Pending[name] = i
+		status.Forecasts[name] = &Forecast{Weight: 1.0 / 3, SumEstimates: 1.0 / 7, SumTimes: -1.0 / 9, SumSquares: 1e-7 / 3, SumProducts: -1.0 / 3, usedAt: time.Unix(int64(i), 0)}
+		status.HeldBack = append(status.HeldBack, endive.AccountName(name))
+	}
+	return status
+}
+
+func TestStatusRowIsBounded(t *testing.T) {
+	tests := []struct {
+		name   string
+		queues int
+		cut    bool
+	}{
+		{"few queues", 20, false},
+		{"more forecasts than fit", 150, false},
+		{"more queues than fit", 5000, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			status := largeStatus(tt.queues)
+			value := status.fit()
+			is.True(len(value) <= maxRowBytes)
+			var decoded Status
+			is.NoErr(decodeRow(value, &decoded))
+			is.Equal(decoded.PendingCut, tt.cut)
+			newest := endive.QueueName(fmt.Sprintf("%s\"%05d", strings.Repeat("q", 190), tt.queues-1))
+			is.True(decoded.Forecasts[newest] != nil) // what was used last is kept
+			count, known := decoded.PendingOf(newest)
+			is.True(known)
+			is.Equal(count, tt.queues-1) // most work waits there
+			_, known = decoded.PendingOf("absent")
+			is.Equal(known, !tt.cut) // absent from a cut list isn't absent
+		})
+	}
+}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -27,10 +27,12 @@
 
 	rows    map[string]endive.Row
 	version endive.Version
-	workers map[endive.WorkerID]*fakeWorker
-	listed  []endive.FleetWorker
-	holders []*holder
-	epoch   endive.Epoch
+	// refusedRows counts the transactions that the store refused because of a row's size.
+	refusedRows map[string]int
+	workers     map[endive.WorkerID]*fakeWorker
+	listed      []endive.FleetWorker
+	holders     []*holder
+	epoch       endive.Epoch
 
 	jobs map[endive.JobID]*fakeJob
 	// succeeded are the tasks that succeeded and must not run again; everSucceeded also has
@@ -121,7 +123,7 @@
 	start := time.Unix(1_800_000_000, 0)
 	return &simulation{
 		t: t, random: rand.New(rand.NewSource(seed)), faults: f, start: start, now: start,
-		rows: make(map[string]endive.Row), workers: make(map[endive.WorkerID]*fakeWorker),
+		rows: make(map[string]endive.Row), refusedRows: make(map[string]int), workers: make(map[endive.WorkerID]*fakeWorker),
 		jobs: make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), everSucceeded: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int),
 		successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
 	}
--- a/flow/status.go
+++ b/flow/status.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"encoding/json"
 	"maps"
 	"time"
 
@@ -91,6 +90,3 @@
 	r.checkAt = now.Add(statusInterval)
 	r.writtenAt = now
 }
-
-// decodeRow decodes the JSON of a row.
-func decodeRow(value []byte, into any) error { return json.Unmarshal(value, into) }
