A row that the store rejects stops only its job

A transaction that the store rejects was sent again without end, with the rows of all jobs, and counted as a sign that the store is away.

The holder sends fewer rows at a time until a rejected transaction has one, puts that row aside with an error in the log (kind record, row rejected), and goes on with the others; a job put aside starts nothing more and can be cancelled. A transaction is limited in bytes, too.

--- a/cell.go
+++ b/cell.go
@@ -16,7 +16,8 @@
 	// SubmitNotOwner means that another account's workflow has the id. This submission never
 	// runs.
 	SubmitNotOwner SubmitStatus = "notOwner"
-	// SubmitImpossible means that the workflow can't run within its account's cap. This
+	// SubmitImpossible means that the workflow can't run within its account's cap, or that
+	// the store can't take a row of its size. This
 	// submission never runs.
 	SubmitImpossible SubmitStatus = "impossible"
 	// SubmitUnavailable means that the workflow couldn't be stored. This submission
--- a/commit.go
+++ b/commit.go
@@ -11,6 +11,9 @@
 	CommitConflict CommitStatus = "conflict"
 	// CommitUnavailable means that nothing was written and nothing will be.
 	CommitUnavailable CommitStatus = "unavailable"
+	// CommitRejected means that the table rejected the transaction itself, for example
+	// because a row is too large. Nothing was written, and it would be rejected again.
+	CommitRejected CommitStatus = "rejected"
 	// CommitUnknown means that the response was lost. The store client reads the
 	// rows until it can determine the result, and then sends a second Committed with
 	// one of the other statuses.
--- a/entry/cell/calls.go
+++ b/entry/cell/calls.go
@@ -115,6 +115,8 @@
 	case endive.ErrConflict.Has(err):
 		event.Status = endive.CommitConflict
 		event.Conflicts = conflictingRows(err)
+	case endive.ErrRejected.Has(err):
+		event.Status = endive.CommitRejected
 	case endive.ErrUnavailable.Has(err):
 		event.Status = endive.CommitUnavailable
 	default:
--- a/entry/cell/store.go
+++ b/entry/cell/store.go
@@ -143,7 +143,7 @@
 
 // isAnswer reports whether the store executed a call or rejected it with a definite reason.
 func isAnswer(err error) bool {
-	return err == nil || endive.ErrConflict.Has(err) || endive.ErrHistoryLost.Has(err)
+	return err == nil || endive.ErrConflict.Has(err) || endive.ErrRejected.Has(err) || endive.ErrHistoryLost.Has(err)
 }
 
 // recordResult updates the availability by the result of a call. The caller holds the lock.
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -117,6 +117,8 @@
 			return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: "stored"}
 		case endive.ErrConflict.Has(err):
 			return alreadyStored(err, account)
+		case endive.ErrRejected.Has(err) && !answerLost:
+			return endive.SubmitResult{Status: endive.SubmitImpossible, Reason: "the store rejects the workflow: " + err.Error()}
 		case endive.ErrUnknown.Has(err):
 			answerLost = true
 		}
--- a/errors.go
+++ b/errors.go
@@ -9,6 +9,9 @@
 	ErrUnavailable = errs.Class("unavailable")
 	// ErrUnknown means that the operation may or may not have been performed.
 	ErrUnknown = errs.Class("unknown")
+	// ErrRejected means that a platform service rejected the operation itself, for example
+	// because a row is too large. It was not performed, and would be rejected again.
+	ErrRejected = errs.Class("rejected")
 	// ErrConflict means that a transaction wrote nothing because a condition
 	// failed.
 	ErrConflict = errs.Class("conflict")
--- a/flow/cleanup.go
+++ b/flow/cleanup.go
@@ -93,7 +93,7 @@
 	if due.IsZero() || due.After(m.now) {
 		return false
 	}
-	idle := !m.recorder.urgent && len(m.recorder.listedEnds) == 0 && !m.rosterIncomplete()
+	idle := !m.recorder.urgent && !m.recorder.hasWritableEnds() && !m.rosterIncomplete()
 	return idle || m.now.Sub(due) > cleanupOverdue
 }
 
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -236,13 +236,14 @@
 		return event
 	}
 	for _, write := range txn.Writes {
-		if len(write.Value) > storeRowBytes {
+		if len(write.Value) > storeRowBytes || w.rejects != nil && w.rejects(write.Key, write.Value) {
 			w.refusedRows[write.Key]++
-			event.Status = endive.CommitUnavailable
+			event.Status = endive.CommitRejected
 			return event
 		}
 	}
 	w.version++
+	w.commits++
 	event.Status = endive.CommitApplied
 	for _, write := range txn.Writes {
 		event.Result.Versions = append(event.Result.Versions, w.version)
--- a/flow/job.go
+++ b/flow/job.go
@@ -50,6 +50,8 @@
 	rowLazy
 	// rowUrgent means that a task's or a workflow's end is recorded only with this row.
 	rowUrgent
+	// rowAside means that the store rejects the row.
+	rowAside
 )
 
 // occurrence is one execution of all steps of a workflow.
@@ -279,6 +281,12 @@
 
 // markDirty schedules a write of the job's state row.
 func (m *Machine) markDirty(j *job, status rowStatus) {
+	if j.rowStatus == rowAside {
+		if !j.state.Ended() {
+			return
+		}
+		j.rowStatus = rowCurrent
+	}
 	if j.rowStatus == rowCurrent {
 		m.recorder.dirty = append(m.recorder.dirty, j)
 	}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 	"time"
 
@@ -24,6 +25,8 @@
 
 	listedEnds []listedEnd
 	inFlight   *pendingWrite
+	// batch limits the rows of a transaction after the store has rejected one.
+	batch writeBatch
 	// nextAt is when the next write is due; zero for never.
 	nextAt time.Time
 	// retryAt is the earliest time of the next write after a failed one.
@@ -50,8 +53,9 @@
 	ends    []listedEnd
 	jobs    []*job
 	roster  map[endive.WorkerID]rosterRecord
-	// states are the values of the jobs' rows.
+	// states are the values of the jobs' rows, and bytes is the size of all of them.
 	states   map[*job][]byte
+	bytes    int
 	archived int
 	deleted  int
 	status   *Status
@@ -91,7 +95,7 @@
 func (m *Machine) writeDueAt() time.Time {
 	var due time.Time
 	earliest := endive.Latest(m.recorder.lastWriteAt.Add(minWriteInterval), m.now)
-	if m.recorder.urgent || len(m.recorder.listedEnds) > 0 || m.rosterIncomplete() {
+	if m.recorder.urgent || m.recorder.hasWritableEnds() || m.rosterIncomplete() {
 		due = endive.Earliest(due, earliest)
 	}
 	if len(m.recorder.dirty) > 0 {
@@ -119,18 +123,13 @@
 	rec := &m.recorder
 	txn := m.fencedTransaction()
 	sent := &pendingWrite{writeID: txn.WriteID, states: make(map[*job][]byte)}
-	for _, j := range m.popDirtyJobs() {
-		sent.jobs = append(sent.jobs, j)
-		sent.states[j] = encodeRow(j.progress())
-		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: sent.states[j]})
-		j.rowStatus = rowCurrent
-	}
+	m.addJobRows(&txn, sent)
 	sent.ends = rec.popWritableEnds()
-	if m.rosterIncomplete() || m.rosterHasTerminated() {
+	if (m.rosterIncomplete() || m.rosterHasTerminated()) && rec.batch.allows(sent) {
 		sent.roster = m.newRoster()
 		txn.Writes = append(txn.Writes, m.rosterWrites(sent.roster)...)
 	}
-	if due := m.status.dueAt(m); !due.IsZero() && !due.After(m.now) {
+	if due := m.status.dueAt(m); !due.IsZero() && !due.After(m.now) && rec.batch.allows(sent) {
 		status := m.status.current
 		sent.status = &status
 		m.logUsage()
@@ -141,9 +140,8 @@
 	m.emit(Commit{Transaction: txn})
 }
 
-// popDirtyJobs removes and returns the jobs whose rows go into the next transaction, urgent
-// rows first.
-func (m *Machine) popDirtyJobs() []*job {
+// addJobRows adds the rows of jobs that have changed to a transaction, urgent rows first.
+func (m *Machine) addJobRows(txn *endive.Transaction, sent *pendingWrite) {
 	rec := &m.recorder
 	sort.Slice(rec.dirty, func(a, b int) bool {
 		if rec.dirty[a].rowStatus != rec.dirty[b].rowStatus {
@@ -151,11 +149,17 @@
 		}
 		return rec.dirty[a].id < rec.dirty[b].id
 	})
-	count := min(len(rec.dirty), maxRowsPerWrite)
-	popped := append([]*job(nil), rec.dirty[:count]...)
-	rec.dirty = append([]*job(nil), rec.dirty[count:]...)
+	for len(sent.jobs) < min(len(rec.dirty), rec.batch.maxJobs()) && sent.bytes < maxTransactionBytes {
+		j := rec.dirty[len(sent.jobs)]
+		value := encodeRow(j.progress())
+		sent.jobs = append(sent.jobs, j)
+		sent.states[j] = value
+		sent.bytes += len(value)
+		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: value})
+		j.rowStatus = rowCurrent
+	}
+	rec.dirty = append([]*job(nil), rec.dirty[len(sent.jobs):]...)
 	rec.urgent = len(rec.dirty) > 0 && rec.dirty[0].rowStatus == rowUrgent
-	return popped
 }
 
 // popWritableEnds removes and returns the ends of runs that the transaction being built can
@@ -174,6 +178,11 @@
 	return popped
 }
 
+// hasWritableEnds reports whether there are ends to be recorded of jobs whose rows the store takes.
+func (rec *recorder) hasWritableEnds() bool {
+	return slices.ContainsFunc(rec.listedEnds, func(end listedEnd) bool { return end.job.rowStatus != rowAside })
+}
+
 // handleCommitted processes the result of a transaction.
 func (m *Machine) handleCommitted(e endive.Committed) {
 	rec := &m.recorder
@@ -186,11 +195,15 @@
 		rec.fence.Sequence++
 		rec.fenceVersion = e.Result.Versions[0]
 		rec.lastWriteAt = m.now
+		rec.batch.grow()
 		m.handleWritten(sent)
 		return
 	}
 	m.handleNotWritten(sent)
 	rec.retryAt = m.now.Add(writeRetryDelay)
+	if e.Status == endive.CommitRejected {
+		m.handleRejected(sent)
+	}
 	if sent.archived+sent.deleted > 0 {
 		rec.cleanupRetryAt = m.now.Add(cleanupRetryDelay)
 	}
--- a/flow/rowsize_test.go
+++ b/flow/rowsize_test.go
@@ -71,3 +71,32 @@
 		})
 	}
 }
+
+// The store rejects the row of one job. The other jobs of the pool must be recorded nevertheless, and
+// that job can still be cancelled.
+func TestOneRejectedRowStopsOnlyItsJob(t *testing.T) {
+	is := is.New(t)
+	w, _ := newSimulationWithHolder(t, faults{}, 8)
+	w.rejects = func(key string, value []byte) bool {
+		var p Progress
+		return key == StateKey(testPool, "rejected") && decodeRow(value, &p) == nil && !p.State.Ended()
+	}
+	rejected := w.submit("rejected", urgentQueue, stepOfTasks(2, 100*time.Millisecond), stepOfTasks(2, 20*time.Second, 0))
+	w.run(1500 * time.Millisecond)
+	var others []endive.JobID
+	for i := range 40 {
+		others = append(others, w.submit(fmt.Sprintf("job%d", i), urgentQueue, stepOfTasks(1, 100*time.Millisecond)))
+	}
+	w.run(3 * time.Second)
+	for _, id := range others {
+		is.Equal(w.state(id), endive.WorkflowSucceeded)
+	}
+	is.True(w.refusedRows[StateKey(testPool, rejected)] < 10) // it isn't sent again and again
+	writes := w.commits
+	w.run(4 * time.Second)
+	is.True(w.commits-writes < 10) // ends that can't be recorded cause no writes
+	w.cancel(rejected)
+	w.run(6 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state(rejected), endive.WorkflowCancelled)
+}
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -201,7 +201,8 @@
 	if m.mayRunOnSilentWorker(t) || !m.settlePendingRun(t) {
 		return false
 	}
-	return !t.crashes.unrecorded && !t.step.occ.job.state.Ended()
+	j := t.step.occ.job
+	return !t.crashes.unrecorded && !j.state.Ended() && j.rowStatus != rowAside
 }
 
 // chooseWorkerFor returns the worker on which a task is to start, or nil. isolating is true if the
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -29,10 +29,14 @@
 	version endive.Version
 	// refusedRows counts the transactions that the store refused because of a row's size.
 	refusedRows map[string]int
-	workers     map[endive.WorkerID]*fakeWorker
-	listed      []endive.FleetWorker
-	holders     []*holder
-	epoch       endive.Epoch
+	// rejects reports whether the store rejects a row, besides those that are too large; nil for never.
+	rejects func(key string, value []byte) bool
+	// commits counts the transactions that were committed.
+	commits int
+	workers map[endive.WorkerID]*fakeWorker
+	listed  []endive.FleetWorker
+	holders []*holder
+	epoch   endive.Epoch
 
 	jobs map[endive.JobID]*fakeJob
 	// succeeded are the tasks that succeeded and must not run again; everSucceeded also has
@@ -233,6 +237,14 @@
 	}
 }
 
+// submitScheduled stores a submission with a schedule and returns its id.
+func (w *simulation) submitScheduled(id string, policy endive.Queue, schedule endive.Schedule, steps ...endive.Step) endive.JobID {
+	workflow := endive.Workflow{ID: endive.JobID(id), Queue: policy.Name, Steps: steps, Schedule: schedule}
+	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: policy}
+	w.put(JobKey(testPool, workflow.ID), endive.Submission{Workflow: workflow, Policy: policy, Accepted: simulationClock{w.start}.AtLeast(w.now)})
+	return workflow.ID
+}
+
 // submit stores a submission and returns its id.
 func (w *simulation) submit(id string, policy endive.Queue, steps ...endive.Step) endive.JobID {
 	return w.submitFor("", id, policy, steps...)
--- a/table.go
+++ b/table.go
@@ -66,7 +66,8 @@
 type Table interface {
 	// Commit applies a transaction. Its error is of class ErrConflict (nothing was
 	// written; a *ConflictError lists the conflicting rows), ErrUnavailable (nothing
-	// was written) or ErrUnknown (the transaction may have been applied).
+	// was written), ErrRejected (nothing was written, and never will be) or ErrUnknown
+	// (the transaction may have been applied).
 	Commit(ctx context.Context, txn Transaction) (CommitResult, error)
 	// Read returns the existing rows with the given keys, in the order of keys. Its
 	// error is of class ErrUnavailable.
