The row of a job has a bound, however often it ran and whatever its tasks save

A row above 60 KiB names finished times as a set of bits (finishedBits), and leaves out the checkpoints if that isn't enough. Below that size it is written as before, so an earlier build reads it; an earlier build that takes over a job with more finished times would run them again, but it couldn't record such a job at all (docs/design/upgrade.md).

TestLongScheduleStaysRecorded (2,500 times, a takeover at the end): rejected row before; 2,500 starts now. TestProgressRowIsBounded: 10,000 times and 100 checkpoints of 1 kB.

--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -100,6 +100,7 @@
 		j.state = recorded.State
 		j.started = recorded.State != endive.WorkflowQueued
 	}
+	m.restoreFinished(j, recorded.finishedNumbers())
 	for _, progress := range recorded.Occurrences {
 		m.restore(j, progress)
 	}
--- a/flow/progress.go
+++ b/flow/progress.go
@@ -2,11 +2,23 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"endiveroute.example/endive"
 )
 
+// restoreFinished creates the occurrences that are recorded as finished.
+func (m *Machine) restoreFinished(j *job, numbers []int) {
+	for _, number := range numbers {
+		steps := make([]StepProgress, len(j.spec.Steps))
+		for i := range steps {
+			steps[i].All = true
+		}
+		m.restore(j, OccurrenceProgress{Number: number, Steps: steps})
+	}
+}
+
 // restore creates an occurrence from its recorded progress.
 func (m *Machine) restore(j *job, progress OccurrenceProgress) {
 	if progress.Number < 0 || progress.Number >= j.spec.Schedule.Count() || j.occurrences[progress.Number] != nil {
@@ -70,6 +82,71 @@
 	return endive.JobID(id), progress, true
 }
 
+// encodeProgress returns the value of the job's row. A row that would be larger than maxRowBytes names the
+// finished occurrences as a set of bits, which earlier builds can't read, and if that isn't enough leaves
+// out the checkpoints, so that tasks begin anew after a takeover.
+func (j *job) encodeProgress() []byte {
+	progress := j.progress()
+	value := encodeRow(progress)
+	if len(value) <= maxRowBytes {
+		return value
+	}
+	progress.packFinished()
+	if value = encodeRow(progress); len(value) <= maxRowBytes {
+		return value
+	}
+	progress.dropCheckpoints()
+	return encodeRow(progress)
+}
+
+// packFinished moves the occurrences whose tasks have all succeeded to FinishedBits.
+func (p *Progress) packFinished() {
+	var unfinished []OccurrenceProgress
+	for _, occ := range p.Occurrences {
+		if !occ.finished() {
+			unfinished = append(unfinished, occ)
+			continue
+		}
+		for len(p.FinishedBits) <= occ.Number/8 {
+			p.FinishedBits = append(p.FinishedBits, 0)
+		}
+		p.FinishedBits[occ.Number/8] |= 1 << (occ.Number % 8)
+	}
+	p.Occurrences = unfinished
+}
+
+// dropCheckpoints removes the checkpoints of all tasks.
+func (p *Progress) dropCheckpoints() {
+	for _, occ := range p.Occurrences {
+		for i := range occ.Steps {
+			kept := occ.Steps[i].Tasks[:0]
+			for _, t := range occ.Steps[i].Tasks {
+				t.Checkpoint = ""
+				if !t.empty() {
+					kept = append(kept, t)
+				}
+			}
+			occ.Steps[i].Tasks = kept
+		}
+	}
+}
+
+// finished reports whether all tasks of the occurrence have succeeded.
+func (p OccurrenceProgress) finished() bool {
+	return !slices.ContainsFunc(p.Steps, func(s StepProgress) bool { return !s.All })
+}
+
+// finishedNumbers returns the numbers of the occurrences in FinishedBits.
+func (p Progress) finishedNumbers() []int {
+	var numbers []int
+	for i := range len(p.FinishedBits) * 8 {
+		if p.FinishedBits[i/8]&(1<<(i%8)) != 0 {
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
+}
+
 // progress returns a job's progress to be recorded.
 func (j *job) progress() Progress {
 	p := Progress{State: j.state, Account: j.account}
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -151,7 +151,7 @@
 	})
 	for len(sent.jobs) < min(len(rec.dirty), rec.batch.maxJobs()) && sent.bytes < maxTransactionBytes {
 		j := rec.dirty[len(sent.jobs)]
-		value := encodeRow(j.progress())
+		value := j.encodeProgress()
 		sent.jobs = append(sent.jobs, j)
 		sent.states[j] = value
 		sent.bytes += len(value)
--- a/flow/rejected.go
+++ b/flow/rejected.go
@@ -83,7 +83,7 @@
 	m.logDecision(Decision{Kind: DecisionRecord, Job: j.id, Outcome: "row rejected", Reason: "the store doesn't take the job's row, " + formatInt(int64(size)) + " bytes"})
 	m.recorder.dirty = slices.DeleteFunc(m.recorder.dirty, func(other *job) bool { return other == j })
 	j.rowStatus = rowAside
-	if j.state.Ended() && len(encodeRow(j.progress())) < size {
+	if j.state.Ended() && len(j.encodeProgress()) < size {
 		m.markDirty(j, rowUrgent)
 	}
 }
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -180,6 +180,10 @@
 	Account endive.AccountName `json:"account,omitempty"`
 	// Occurrences lists the occurrences that have recorded progress.
 	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
+	// FinishedBits has a bit for each occurrence, by its number from the lowest bit of the first byte:
+	// 1 if all of its tasks have succeeded. It is used only if the row would be too large otherwise,
+	// and the finished occurrences are then left out of Occurrences.
+	FinishedBits []byte `json:"finishedBits,omitempty"`
 }
 
 // OccurrenceProgress is the recorded progress of one occurrence.
--- a/flow/rowsize_test.go
+++ b/flow/rowsize_test.go
@@ -100,3 +100,44 @@
 	w.checkViolations()
 	is.Equal(w.state(rejected), endive.WorkflowCancelled)
 }
+
+// Each time of a scheduled job leaves a trace in its row. The row must stay below the store's limit, and
+// a later holder must know which times are over.
+func TestLongScheduleStaysRecorded(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 8)
+	const times = 2500
+	id := w.submitScheduled("schedule", urgentQueue, endive.Schedule{Occurrences: times, First: w.now, Period: endive.Interval(10 * time.Millisecond)}, stepOfTasks(1, 20*time.Millisecond))
+	w.run(24 * time.Second)
+	h.kill()
+	w.startHolder()
+	w.run(45 * time.Second)
+	w.checkViolations()
+	is.Equal(len(w.refusedRows), 0)
+	is.Equal(w.state(id), endive.WorkflowSucceeded)
+	is.Equal(w.starts, times)
+}
+
+func TestProgressRowIsBounded(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	id := w.submitScheduled("schedule", urgentQueue, endive.Schedule{Occurrences: endive.MaxOccurrences, First: w.now.Add(time.Hour), Period: 1}, stepOfTasks(1, time.Second))
+	w.run(2 * time.Second)
+	j := h.machine.jobs[id]
+	for number := range endive.MaxOccurrences {
+		occ := h.machine.addOccurrence(j, number)
+		t := occ.steps[0].tasks[0]
+		if number%100 == 7 {
+			t.checkpoint = endive.Checkpoint(strings.Repeat("c", 1000))
+			continue
+		}
+		t.state = taskRecorded
+	}
+	value := j.encodeProgress()
+	is.True(len(value) <= maxRowBytes)
+	var decoded Progress
+	is.NoErr(decodeRow(value, &decoded))
+	finished := decoded.finishedNumbers()
+	is.Equal(len(finished), endive.MaxOccurrences*99/100)
+	is.Equal(finished[7], 8)
+}
