A job is its client's id, in whichever pool it is stored

The marker of an accepted job was kept for each pool, and the pool is that of the newest configuration.

A row for the id (table ids, same partition as the submission) is written with each submission, on the condition that there is none, in any pool; the condition also names the markers of all pools that the entry has known, which is all that earlier builds write. Earlier builds ignore the new row, and their own markers are still written. It is deleted with the job's last state.

TestResubmissionAfterItsQueueHasMoved: both tasks on two workers before, none now.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,6 +122,13 @@
 	return pools
 }
 
+// poolNames returns the names of all pools that this entry has known.
+func (c *Cell) poolNames() []endive.PoolName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.pools))
+}
+
 // poolNamed returns the pool with a name, or nil.
 func (c *Cell) poolNamed(name endive.PoolName) *pool {
 	c.mu.Lock()
--- /dev/null
+++ b/entry/cell/movedqueue_test.go
@@ -0,0 +1,49 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// newMovedQueueCluster returns a cluster with two entries and a worker in each of two pools.
+func newMovedQueueCluster(t *testing.T) *testCluster {
+	r := newTestCluster(t, 1, 2)
+	r.addWorkerOf("i-other", "other")
+	r.awaitReady()
+	return r
+}
+
+// moveQuick moves the queue "quick" to another pool and waits until all entries know that.
+func (r *testCluster) moveQuick(version int, pool endive.PoolName) {
+	r.t.Helper()
+	r.quickPool = string(pool)
+	r.putConfig(version, nil)
+	for _, c := range r.cells {
+		r.waitFor("an entry knows the configuration", func() bool {
+			p := c.poolNamed(pool)
+			return c.Match("a.example", "/quick/", "").Queue.Pool == pool && p != nil && p.currentHolder() != ""
+		})
+	}
+}
+
+// A job's request arrives again after its queue has moved to another pool. It is the same job: it must
+// not run in the other pool as well.
+func TestResubmissionAfterItsQueueHasMoved(t *testing.T) {
+	is := is.New(t)
+	r := newMovedQueueCluster(t)
+	r.taskDuration = 2 * time.Second
+	const id = "00000000000000aa"
+	r.submitAccepted(r.cells[0], "/quick/", id, 2, false)
+	r.waitFor("the tasks run", func() bool { return len(r.log.lines("ordered", id)) == 2 })
+	r.moveQuick(4, "other")
+	for _, c := range r.cells {
+		r.submitAccepted(c, "/quick/", id, 2, false)
+	}
+	r.waitFor("the job has succeeded", func() bool { return r.state(r.cells[1], "/quick/", id) == endive.WorkflowSucceeded })
+	r.checkInvariants()
+	is.Equal(len(r.log.lines("ordered", id)), 2)
+}
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -78,7 +78,7 @@
 	if !c.Store.usableFor(flow.AcceptedKey(pool, id)) {
 		return endive.SubmitResult{Status: endive.SubmitUnavailable, RetryAfter: callerRetryAfter, Reason: "the store partition of the workflow does not answer"}
 	}
-	result := c.commitSubmission(ctx, flow.SubmitTransaction(pool, id, account, job), account)
+	result := c.commitSubmission(ctx, flow.SubmitTransaction(pool, c.poolNames(), id, account, job), account)
 	if result.Status == endive.SubmitAccepted && !result.AlreadyStored {
 		// A workflow that was stored earlier isn't notified again: it may have ended, and
 		// the current holder may not know that.
--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -57,6 +57,8 @@
 	settings func(*setup.CellSettings)
 	// workerHandler, if set, wraps the handlers of the workers added from now on.
 	workerHandler func(http.Handler) http.Handler
+	// quickPool is the pool of the queue "quick"; empty for "svc". It is read by putConfig.
+	quickPool string
 	// key is the key of the calls of submit and state.
 	key string
 }
@@ -108,11 +110,15 @@
 
 // putConfig writes a version of the operators' configuration; without accounts if they are nil.
 func (r *testCluster) putConfig(version int, accounts []map[string]any) {
+	quickPool := r.quickPool
+	if quickPool == "" {
+		quickPool = "svc"
+	}
 	config := map[string]any{
 		"version": version,
 		"routes": []map[string]any{
 			{
-				"name": "quick", "host": "a.example", "prefix": "/quick/", "service": "svc", "max_attempts": 2, "slack_factor": 1.5,
+				"name": "quick", "host": "a.example", "prefix": "/quick/", "service": quickPool, "max_attempts": 2, "slack_factor": 1.5,
 				"target_latency_ms": 600,
 			},
 			{"name": "public", "host": "a.example", "prefix": "/public/", "service": "svc", "max_attempts": 2, "slack_factor": 1.5, "public": true},
@@ -121,7 +127,7 @@
 				"target_latency_ms": 600, "hint": map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000},
 			},
 		},
-		"services": []map[string]any{{"name": "svc"}},
+		"services": []map[string]any{{"name": "svc"}, {"name": "other"}},
 	}
 	if accounts != nil {
 		config["tenants"] = accounts
@@ -143,10 +149,13 @@
 	}
 }
 
-func (r *testCluster) addWorker(id string) {
+func (r *testCluster) addWorker(id string) { r.addWorkerOf(id, "svc") }
+
+// addWorkerOf adds a worker of a pool.
+func (r *testCluster) addWorkerOf(id, pool string) {
 	duration := func(string) time.Duration { return r.taskDuration }
 	fails := func(task string) bool { return r.failingPrefix != "" && strings.HasPrefix(task, r.failingPrefix) }
-	worker := stand.NewWorker(id, "svc", r, duration, fails)
+	worker := stand.NewWorker(id, pool, r, duration, fails)
 	handler := http.Handler(worker)
 	if r.workerHandler != nil {
 		handler = r.workerHandler(worker)
--- a/flow/cleanup.go
+++ b/flow/cleanup.go
@@ -20,7 +20,7 @@
 	// rowsPerArchival is how many rows the archival of one workflow writes. rowsPerDeletion
 	// is how many rows the deletion of an archived workflow's last state writes.
 	rowsPerArchival = 4
-	rowsPerDeletion = 3
+	rowsPerDeletion = 4
 	// cleanupRetryDelay is the pause after a failed archival or deletion.
 	cleanupRetryDelay = 5 * time.Second
 	// cleanupOverdue is how long other writes take precedence over an archival or deletion
@@ -121,6 +121,7 @@
 		txn.Writes = append(txn.Writes,
 			endive.Write{Key: EndedKey(m.pool, ended.id), Delete: true},
 			endive.Write{Key: AcceptedKey(m.pool, ended.id), Delete: true},
+			endive.Write{Key: IDKey(ended.id), Delete: true},
 			endive.Write{Key: CancelKey(m.pool, ended.id), Delete: true},
 		)
 	}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"endiveroute.example/endive"
@@ -15,9 +16,11 @@
 // transaction at a time and may fail alone.
 const (
 	// tableWork has the submissions of live workflows. tableAccepted has a marker for each
-	// accepted workflow until the workflow's last state is deleted.
+	// accepted workflow until the workflow's last state is deleted; earlier builds know no other.
 	tableWork     = "work."
 	tableAccepted = "known."
+	// tableIDs has a row for the id of each accepted workflow, in whichever pool it is.
+	tableIDs = "ids"
 	// tableState has the progress of live workflows. tableEnded has the last states of
 	// archived workflows.
 	tableState = "state."
@@ -99,20 +102,42 @@
 // EndedKey returns the key of the last state of an archived workflow.
 func EndedKey(pool endive.PoolName, id endive.JobID) string { return EndedPrefix(pool) + string(id) }
 
-// SubmitTransaction returns the transaction that stores an encoded submission, on the condition
-// that it wasn't stored before.
-func SubmitTransaction(pool endive.PoolName, id endive.JobID, account endive.AccountName, job []byte) endive.Transaction {
-	acceptedKey := AcceptedKey(pool, id)
+// IDKey returns the key of the row that shows that a workflow's id is in use.
+func IDKey(id endive.JobID) string { return fmt.Sprintf("%s/%03d/%s", tableIDs, shardOf(id), id) }
+
+// SubmitTransaction returns the transaction that stores an encoded submission in a pool, on the
+// condition that it wasn't stored before, in this pool or in another: a queue may move to another pool
+// between two submissions of the same workflow. known are the pools in which an entry of an earlier build
+// may have stored it, without a row for its id.
+func SubmitTransaction(pool endive.PoolName, known []endive.PoolName, id endive.JobID, account endive.AccountName, job []byte) endive.Transaction {
 	return endive.Transaction{
-		Conditions: []endive.Condition{{Key: acceptedKey}},
-		Writes:     []endive.Write{{Key: acceptedKey, Value: encodeRow(Acceptance{Account: account})}, {Key: JobKey(pool, id), Value: job}},
+		Conditions: unusedID(id, append(known, pool)),
+		Writes: []endive.Write{
+			{Key: IDKey(id), Value: encodeRow(Acceptance{Account: account, Pool: pool})},
+			{Key: AcceptedKey(pool, id), Value: encodeRow(Acceptance{Account: account})},
+			{Key: JobKey(pool, id), Value: job},
+		},
+	}
+}
+
+// unusedID returns the conditions that no workflow with the id is stored.
+func unusedID(id endive.JobID, pools []endive.PoolName) []endive.Condition {
+	conditions := []endive.Condition{{Key: IDKey(id)}}
+	for _, pool := range pools {
+		condition := endive.Condition{Key: AcceptedKey(pool, id)}
+		if !slices.Contains(conditions, condition) {
+			conditions = append(conditions, condition)
+		}
 	}
+	return conditions
 }
 
 // Acceptance is the row that marks a workflow as accepted.
 type Acceptance struct {
 	// Account is the client account that the workflow belongs to; empty for none.
 	Account endive.AccountName `json:"account,omitempty"`
+	// Pool is the pool in which the workflow is stored; only in the row of its id.
+	Pool endive.PoolName `json:"pool,omitempty"`
 }
 
 // DecodeAcceptance decodes the row that marks a workflow as accepted.
