The count of waiting jobs includes those in the queue's former pool

The count was read from the status of the pool of the newest configuration.

It is the sum over the status rows of all pools. TestPendingCountsFormerPool: 0 before.

--- a/entry/cell/movedqueue_test.go
+++ b/entry/cell/movedqueue_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,3 +48,26 @@
 	r.checkInvariants()
 	is.Equal(len(r.log.lines("ordered", id)), 2)
 }
+
+// After a queue has moved to another pool, the jobs that wait in its former one still count.
+func TestPendingCountsFormerPool(t *testing.T) {
+	is := is.New(t)
+	r := newMovedQueueCluster(t)
+	r.taskDuration = 10 * time.Second
+	// Each worker has room for a few tasks at a time, so most of the jobs wait.
+	for i := range 40 {
+		r.submitAccepted(r.cells[0], "/quick/", fmt.Sprintf("%016x", i), 8, false)
+	}
+	pending := func() int {
+		count, err := r.cells[1].Pending(t.Context(), r.cells[1].Match("a.example", "/quick/", "").Queue)
+		if err != nil {
+			return -1
+		}
+		return count
+	}
+	r.waitFor("jobs wait", func() bool { return pending() > 10 })
+	before := pending()
+	r.moveQuick(4, "other")
+	r.waitFor("the count is known", func() bool { return pending() >= 0 })
+	is.True(pending() >= before-2)
+}
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -194,9 +194,10 @@
 // holder writes the row at least every 1.5 s.
 const statusMaxAge = 2500 * time.Millisecond
 
-// pendingLocally returns the count of pending workflows in the pool's last status row. It
-// fails while the pool has no holder. Counting the rows instead, in each entry, would
-// saturate the cross-region links just when a new holder needs them.
+// pendingLocally returns the count of pending workflows in the last status rows of the pools. It
+// fails while the queue's pool has no holder. A queue that has moved to another pool may still have
+// workflows in its former one. Counting the rows instead, in each entry, would saturate the
+// cross-region links just when a new holder needs them.
 func (c *Cell) pendingLocally(queue endive.Queue) (int, error) {
 	p := c.poolNamed(queue.Pool)
 	if p == nil {
@@ -207,9 +208,13 @@
 	if age > endive.PlatformTime(statusMaxAge.Milliseconds()) {
 		return 0, endive.ErrUnavailable.New("the status of pool %s is %d ms old", p.name, int64(age))
 	}
-	count, known := status.PendingOf(queue.Name)
-	if !known {
-		return 0, endive.ErrUnavailable.New("the status of pool %s has no space for the queue", p.name)
+	total := 0
+	for _, other := range c.allPools() {
+		count, known := other.status.Load().PendingOf(queue.Name)
+		if !known && other == p {
+			return 0, endive.ErrUnavailable.New("the status of pool %s has no space for the queue", p.name)
+		}
+		total += count
 	}
-	return count, nil
+	return total, nil
 }
