A cancelled job that isn't stored yet is never stored

The answer to the job's write had been lost, the cancel found no job and wrote nothing, and the store performed the write seconds later.

Before 410 is answered, the row of the id is written as revoked, on the condition that no job is stored: a write that is still on its way fails its condition then. A cancel whose write isn't answered gets 503 or 504, not 410. A retry of the job is refused with 409. A row in the pool's table of work makes the holder cancel what an entry of an earlier build stores all the same, and delete both rows after the retention period. Between entries, the answer has a status of its own (RELAY_REVOKED), which earlier builds take as unknown.

TestEarlyCancellationIsKeptAndDeleted: kept over a takeover, deleted in the end.

--- a/cell.go
+++ b/cell.go
@@ -16,6 +16,9 @@
 	// SubmitNotOwner means that another account's workflow has the id. This submission never
 	// runs.
 	SubmitNotOwner SubmitStatus = "notOwner"
+	// SubmitRevoked means that the workflow was cancelled before it was stored. It never
+	// runs.
+	SubmitRevoked SubmitStatus = "revoked"
 	// SubmitImpossible means that the workflow can't run within its account's cap, or that
 	// the store can't take a row of its size. This
 	// submission never runs.
--- a/entry/cell/relayclient.go
+++ b/entry/cell/relayclient.go
@@ -216,7 +216,9 @@
 		answer.Status = wire.RelayStatus_RELAY_DONE
 	case endive.SubmitNotOwner:
 		answer.Status = wire.RelayStatus_RELAY_NOT_OWNER
-	case endive.SubmitRefused, endive.SubmitUnavailable:
+	case endive.SubmitRevoked:
+		answer.Status = wire.RelayStatus_RELAY_REVOKED
+	case endive.SubmitRefused, endive.SubmitUnavailable, endive.SubmitImpossible:
 		answer.Status = wire.RelayStatus_RELAY_UNAVAILABLE
 	}
 	return answer
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -161,20 +161,39 @@
 	return err
 }
 
-// cancelLocally writes a cancellation to the store from this entry.
+// cancelLocally writes a cancellation to the store from this entry. Before it returns ErrNotFound, it
+// makes sure that a submission which is still on its way isn't stored later.
 func (c *Cell) cancelLocally(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) error {
+	err := c.cancelStored(ctx, queue, caller, id)
+	if !endive.ErrNotFound.Has(err) {
+		return err
+	}
+	revoked := c.commitWithRetry(ctx, flow.RevokeTransaction(queue.Pool, c.poolNames(), id, caller.Account))
+	switch {
+	case revoked == nil:
+		return err
+	case endive.ErrConflict.Has(revoked):
+		// It was stored or revoked meanwhile, or belongs to another account.
+		return c.cancelStored(ctx, queue, caller, id)
+	default:
+		return revoked
+	}
+}
+
+// cancelStored writes a cancellation of a stored workflow.
+func (c *Cell) cancelStored(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) error {
 	progress, pool, err := c.findWorkflow(ctx, queue, caller, id)
 	if err != nil || progress.State.Ended() {
 		return err
 	}
-	return c.writeCancel(ctx, pool, id)
+	return c.commitWithRetry(ctx, endive.Transaction{Writes: []endive.Write{{Key: flow.CancelKey(pool, id), Value: []byte("{}")}}})
 }
 
-func (c *Cell) writeCancel(ctx context.Context, pool endive.PoolName, id endive.JobID) error {
-	txn := endive.Transaction{Writes: []endive.Write{{Key: flow.CancelKey(pool, id), Value: []byte("{}")}}}
+// commitWithRetry writes a transaction and retries if it fails, but not after a conflict.
+func (c *Cell) commitWithRetry(ctx context.Context, txn endive.Transaction) error {
 	for try := 1; ; try++ {
 		err := c.commit(ctx, txn)
-		if err == nil || try == maxSubmitTries || ctx.Err() != nil {
+		if err == nil || endive.ErrConflict.Has(err) || try == maxSubmitTries || ctx.Err() != nil {
 			return err
 		}
 		c.sleep(storeRetryDelay)
--- a/entry/cell/submit.go
+++ b/entry/cell/submit.go
@@ -95,6 +95,8 @@
 	switch answer.GetStatus() {
 	case wire.RelayStatus_RELAY_DONE:
 		return endive.SubmitResult{Status: endive.SubmitAccepted, Reason: answer.GetReason()}
+	case wire.RelayStatus_RELAY_REVOKED:
+		return endive.SubmitResult{Status: endive.SubmitRevoked, Reason: answer.GetReason()}
 	case wire.RelayStatus_RELAY_NOT_OWNER:
 		return endive.SubmitResult{Status: endive.SubmitNotOwner, Reason: answer.GetReason()}
 	case wire.RelayStatus_RELAY_UNAVAILABLE:
@@ -136,6 +138,9 @@
 func alreadyStored(conflict error, account endive.AccountName) endive.SubmitResult {
 	for _, row := range conflictingRows(conflict) {
 		acceptance, err := flow.DecodeAcceptance(row)
+		if err == nil && acceptance.Revoked {
+			return endive.SubmitResult{Status: endive.SubmitRevoked, Reason: "the workflow was cancelled before it was stored"}
+		}
 		if err == nil && acceptance.Account != "" && acceptance.Account != account {
 			return endive.SubmitResult{Status: endive.SubmitNotOwner, Reason: "the id belongs to a workflow of another account"}
 		}
--- a/entry/cell/unconfirmedsubmissions.go
+++ b/entry/cell/unconfirmedsubmissions.go
@@ -38,7 +38,7 @@
 		delete(u.lastTryAt, id)
 	case result.Status == endive.SubmitUnknown:
 		u.add(now, id)
-	case result.Status == endive.SubmitNotOwner:
+	case result.Status == endive.SubmitNotOwner, result.Status == endive.SubmitRevoked:
 		// The store has answered: no try of this account was stored.
 	case unconfirmed && now.Sub(at) < unconfirmedRetention:
 		result.Status = endive.SubmitUnknown
--- a/flow/cleanup.go
+++ b/flow/cleanup.go
@@ -21,6 +21,9 @@
 	// is how many rows the deletion of an archived workflow's last state writes.
 	rowsPerArchival = 4
 	rowsPerDeletion = 4
+	// rowsPerRevocation is how many rows the deletion of a cancellation writes whose workflow was never
+	// stored.
+	rowsPerRevocation = 2
 	// cleanupRetryDelay is the pause after a failed archival or deletion.
 	cleanupRetryDelay = 5 * time.Second
 	// cleanupOverdue is how long other writes take precedence over an archival or deletion
@@ -33,7 +36,9 @@
 	// toArchive are the workflows whose submissions aren't deleted yet. archived are the
 	// workflows whose last state can still be read. Both are in the order of dueAt.
 	toArchive, archived []endedJob
-	knownIDs            map[endive.JobID]bool
+	// revoked are the workflows that were cancelled and haven't been stored, in the order of dueAt.
+	revoked  []endedJob
+	knownIDs map[endive.JobID]bool
 }
 
 // endedJob is a workflow that is to be archived or deleted at dueAt.
@@ -75,7 +80,7 @@
 // cleanupDueAt returns when the next archival or deletion is due; zero for never.
 func (m *Machine) cleanupDueAt() time.Time {
 	var due time.Time
-	for _, list := range [][]endedJob{m.endedJobs.toArchive, m.endedJobs.archived} {
+	for _, list := range [][]endedJob{m.endedJobs.toArchive, m.endedJobs.archived, m.endedJobs.revoked} {
 		if len(list) > 0 {
 			due = endive.Earliest(due, list[0].dueAt)
 		}
@@ -125,10 +130,29 @@
 			endive.Write{Key: CancelKey(m.pool, ended.id), Delete: true},
 		)
 	}
+	m.addRevocations(&txn, sent)
 	m.recorder.inFlight = sent
 	m.emit(Commit{Transaction: txn})
 }
 
+// addRevocations adds the deletion of cancellations whose workflow was never stored. The rows of a
+// workflow that has been stored after all are deleted with it.
+func (m *Machine) addRevocations(txn *endive.Transaction, sent *pendingWrite) {
+	for _, revoked := range m.endedJobs.revoked {
+		if revoked.dueAt.After(m.now) || len(txn.Writes)+rowsPerRevocation > maxRowsPerWrite {
+			return
+		}
+		sent.revoked++
+		if m.jobs[revoked.id] != nil || m.endedJobs.knownIDs[revoked.id] {
+			continue
+		}
+		txn.Writes = append(txn.Writes,
+			endive.Write{Key: IDKey(revoked.id), Delete: true},
+			endive.Write{Key: CancelKey(m.pool, revoked.id), Delete: true},
+		)
+	}
+}
+
 // applyCleanup updates endedJobs after a cleanup transaction was committed.
 func (m *Machine) applyCleanup(sent *pendingWrite) {
 	for _, ended := range m.endedJobs.toArchive[:sent.archived] {
@@ -140,4 +164,8 @@
 		m.emit(PublishState{Job: ended.id})
 	}
 	m.endedJobs.archived = m.endedJobs.archived[sent.deleted:]
+	for _, revoked := range m.endedJobs.revoked[:sent.revoked] {
+		delete(m.earlyCancels, revoked.id)
+	}
+	m.endedJobs.revoked = m.endedJobs.revoked[sent.revoked:]
 }
--- a/flow/cleanup_test.go
+++ b/flow/cleanup_test.go
@@ -84,3 +84,25 @@
 	is.Equal(w.countRows(EndedPrefix(testPool)), 0)
 	is.Equal(w.countRows(tableAccepted), 0)
 }
+
+// A workflow is cancelled before it is stored. Its cancellation holds for whatever an entry stores later,
+// also after a takeover, and its rows are deleted in the end.
+func TestEarlyCancellationIsKeptAndDeleted(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 2)
+	w.apply(RevokeTransaction(testPool, nil, "job", ""))
+	w.apply(RevokeTransaction(testPool, nil, "never", ""))
+	h.kill()
+	w.startHolder()
+	w.run(2 * time.Second)
+	is.True(w.apply(SubmitTransaction(testPool, nil, "job", "", []byte("{}"))).Status == endive.CommitConflict)
+	// An entry of an earlier build doesn't look at the row of the id.
+	id := w.submit("job", urgentQueue, stepOfTasks(2, 700*time.Millisecond))
+	w.run(4 * time.Second)
+	is.Equal(w.starts, 0)
+	is.Equal(w.state(id), endive.WorkflowCancelled)
+	w.run(2*time.Second + 2*testRetention)
+	w.checkViolations()
+	is.Equal(w.countRows(WorkPrefix(testPool)), 0)
+	is.Equal(w.countRows(tableIDs), 0)
+}
--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -162,19 +162,22 @@
 }
 
 // maxEarlyCancels limits the cancellations that are kept for unknown workflows.
-const maxEarlyCancels = 4096
+const maxEarlyCancels = 65536
 
-// keepEarlyCancel keeps the cancellation of a workflow whose submission hasn't arrived yet. After the
-// feed has lost its history, submissions come from a scan that may have read them before their
-// cancellation was written, while the feed delivers the cancellation first.
+// keepEarlyCancel keeps the cancellation of a workflow whose submission hasn't arrived yet. It may be
+// written seconds later, after an answer of the store was lost, or by an entry of an earlier build. After
+// the feed has lost its history, submissions come from a scan that may have read them before their
+// cancellation was written, while the feed delivers the cancellation first. The rows of the cancellation
+// are deleted after the retention period.
 func (m *Machine) keepEarlyCancel(id endive.JobID) {
-	if m.endedJobs.knownIDs[id] {
+	if m.endedJobs.knownIDs[id] || m.earlyCancels[id] {
 		return
 	}
 	if len(m.earlyCancels) >= maxEarlyCancels {
 		clear(m.earlyCancels)
 	}
 	m.earlyCancels[id] = true
+	m.endedJobs.revoked = append(m.endedJobs.revoked, endedJob{id: id, dueAt: m.now.Add(time.Duration(m.settings.Retention))})
 }
 
 // removeIfEnded removes a job whose end is recorded and that has no runs.
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -58,6 +58,7 @@
 	bytes    int
 	archived int
 	deleted  int
+	revoked  int
 	status   *Status
 }
 
@@ -204,7 +205,7 @@
 	if e.Status == endive.CommitRejected {
 		m.handleRejected(sent)
 	}
-	if sent.archived+sent.deleted > 0 {
+	if sent.archived+sent.deleted+sent.revoked > 0 {
 		rec.cleanupRetryAt = m.now.Add(cleanupRetryDelay)
 	}
 	m.logDecision(Decision{Kind: DecisionRecord, Outcome: string(e.Status), Reason: formatInt(int64(len(sent.ends))) + " ends not recorded yet"})
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// RevokeTransaction returns the transaction that cancels a workflow which isn't stored, on the condition
+// that it isn't: a submission that gets no answer may be written seconds later. The row of the id keeps
+// it from being stored. An entry of an earlier build doesn't look at that row; the pool's holder cancels
+// what it stores. The holder deletes both rows after the retention period.
+func RevokeTransaction(pool endive.PoolName, known []endive.PoolName, id endive.JobID, account endive.AccountName) endive.Transaction {
+	return endive.Transaction{
+		Conditions: unusedID(id, append(known, pool)),
+		Writes: []endive.Write{
+			{Key: IDKey(id), Value: encodeRow(Acceptance{Account: account, Revoked: true})},
+			{Key: CancelKey(pool, id), Value: []byte("{}")},
+		},
+	}
+}
+
 // unusedID returns the conditions that no workflow with the id is stored.
 func unusedID(id endive.JobID, pools []endive.PoolName) []endive.Condition {
 	conditions := []endive.Condition{{Key: IDKey(id)}}
@@ -138,6 +152,9 @@
 	Account endive.AccountName `json:"account,omitempty"`
 	// Pool is the pool in which the workflow is stored; only in the row of its id.
 	Pool endive.PoolName `json:"pool,omitempty"`
+	// Revoked is true if the workflow was cancelled before it was stored, so that it never will be;
+	// only in the row of its id.
+	Revoked bool `json:"revoked,omitempty"`
 }
 
 // DecodeAcceptance decodes the row that marks a workflow as accepted.
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -119,6 +119,7 @@
 const (
 	testPool          = endive.PoolName("quoting")
 	testLeaseDuration = 4500 * time.Millisecond
+	testRetention     = time.Minute
 	// testMaxLeaseDuration is the limit to which workers shorten longer leases.
 	testMaxLeaseDuration = 10 * time.Second
 )
@@ -290,7 +291,7 @@
 		old.machine.tenure.leaseEnd = w.now
 	}
 	settings := Settings{
-		LeaseDuration: endive.Interval(testLeaseDuration), MaxLeaseDuration: endive.Interval(testMaxLeaseDuration), Retention: endive.Interval(time.Minute),
+		LeaseDuration: endive.Interval(testLeaseDuration), MaxLeaseDuration: endive.Interval(testMaxLeaseDuration), Retention: endive.Interval(testRetention),
 	}
 	ids := endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "flow")
 	h := &holder{sim: w, machine: New(testPool, settings, simulationClock{w.start}, ids, quota.NewStored(testPool, endive.NewWriteIDs("entry", endive.Incarnation(fmt.Sprint(w.epoch)), "quota"), 0.1), speed.NewByLabel(), share.NewRate()), epoch: w.epoch, endOutcomes: make(map[string]int)}
