Waiting jobs are counted by their queue's address

It has the counts by address, too (pendingAt); those by name stay for earlier builds, whose rows are read.

--- a/entry/cell/relayclient.go
+++ b/entry/cell/relayclient.go
@@ -201,7 +201,7 @@
 	case wire.RelayKind_RELAY_CANCEL:
 		return relayAnswer(c.cancelLocally(ctx, queue, caller, id), "", 0)
 	case wire.RelayKind_RELAY_PENDING:
-		count, err := c.pendingLocally(queue)
+		count, err := c.pendingLocally(c.queueNamed(queue))
 		return relayAnswer(err, "", int64(count))
 	default:
 		return &wire.RelayAnswer{Status: wire.RelayStatus_RELAY_UNAVAILABLE, Reason: "unsupported request kind"}
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -213,6 +213,21 @@
 // holder writes the row at least every 1.5 s.
 const statusMaxAge = 2500 * time.Millisecond
 
+// queueNamed returns the configured queue with the name of the given one, or the given one if there is
+// none. A relayed request has the queue's name and pool only.
+func (c *Cell) queueNamed(queue endive.Queue) endive.Queue {
+	config := c.config.current()
+	if config == nil {
+		return queue
+	}
+	for _, configured := range config.Queues {
+		if configured.Name == queue.Name {
+			return configured
+		}
+	}
+	return queue
+}
+
 // pendingLocally returns the count of pending workflows in the last status rows of the pools. It
 // fails while the queue's pool has no holder. A queue that has moved to another pool may still have
 // workflows in its former one. Counting the rows instead, in each entry, would saturate the
@@ -229,7 +244,7 @@
 	}
 	total := 0
 	for _, other := range c.allPools() {
-		count, known := other.status.Load().PendingOf(queue.Name)
+		count, known := other.status.Load().PendingOf(queue)
 		if !known && other == p {
 			return 0, endive.ErrUnavailable.New("the status of pool %s has no space for the queue", p.name)
 		}
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -203,7 +203,10 @@
 type Status struct {
 	// Pending counts the workflows of each queue of which no task has started.
 	Pending map[endive.QueueName]int `json:"pending"`
-	// PendingCut is true if Pending leaves out queues, since the row had no space for all.
+	// PendingAt counts the same workflows by the addresses of their queues, as QueueAddress returns them:
+	// a queue may be removed and another take its place. Earlier builds don't write it.
+	PendingAt map[string]int `json:"pendingAt,omitempty"`
+	// PendingCut is true if Pending or PendingAt leaves out queues, since the row had no space for all.
 	PendingCut bool `json:"pendingCut,omitempty"`
 	// Saturated is true if work waits for free capacity, so that new work won't start at once.
 	Saturated bool `json:"crowded,omitempty"`
@@ -215,6 +218,9 @@
 	At endive.PlatformTime `json:"at"`
 }
 
+// QueueAddress returns the host and the prefix at which clients reach a queue.
+func QueueAddress(queue endive.Queue) string { return strings.ToLower(queue.Host) + queue.Prefix }
+
 // Progress is the row of a workflow's progress. A workflow that waits has none.
 type Progress struct {
 	State endive.WorkflowState `json:"state"`
--- a/flow/rowsize.go
+++ b/flow/rowsize.go
@@ -12,9 +12,9 @@
 const (
 	// maxRowBytes is the maximum size of a row's value. The store takes up to 64 KiB.
 	maxRowBytes = 60 << 10
-	// maxPendingBytes and maxHeldBackBytes are the parts of the status row for the counts of the
-	// queues and for the accounts. The forecasts get what remains.
-	maxPendingBytes  = 40 << 10
+	// maxPendingBytes is the part of the status row for the counts by queue, and again for those by
+	// address; maxHeldBackBytes is the part for the accounts. The forecasts get what remains.
+	maxPendingBytes  = 20 << 10
 	maxHeldBackBytes = 8 << 10
 	// rowOverhead is more than the size of the other fields of a status row.
 	rowOverhead = 512
@@ -40,35 +40,50 @@
 	if value := encodeRow(s); len(value) <= maxRowBytes {
 		return value
 	}
-	pending := rowBudget(maxPendingBytes)
-	heldBack := rowBudget(maxHeldBackBytes)
+	s.cutPending()
+	s.cutHeldBack()
+	forecasts := s.Forecasts
+	s.Forecasts = nil
+	left := rowBudget(maxRowBytes - rowOverhead - len(encodeRow(s)))
+	s.Forecasts = newestForecasts(forecasts, &left)
+	return encodeRow(s)
+}
+
+// cutPending removes the queues and addresses with the fewest waiting workflows that don't fit.
+func (s *Status) cutPending() {
+	pending, pendingAt := rowBudget(maxPendingBytes), rowBudget(maxPendingBytes)
 	kept := make(map[endive.QueueName]int)
-	for _, queue := range s.queuesByPending() {
+	for _, queue := range slices.SortedFunc(maps.Keys(s.Pending), func(a, b endive.QueueName) int {
+		return cmp.Or(cmp.Compare(s.Pending[b], s.Pending[a]), cmp.Compare(a, b))
+	}) {
 		if !pending.take(queue, s.Pending[queue]) {
 			s.PendingCut = true
 			break
 		}
 		kept[queue] = s.Pending[queue]
 	}
-	s.Pending = kept
-	for i, account := range s.HeldBack {
-		if !heldBack.take(account, "") {
-			s.HeldBack = s.HeldBack[:i]
+	keptAt := make(map[string]int)
+	for _, address := range slices.SortedFunc(maps.Keys(s.PendingAt), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.PendingAt[b], s.PendingAt[a]), cmp.Compare(a, b))
+	}) {
+		if !pendingAt.take(address, s.PendingAt[address]) {
+			s.PendingCut = true
 			break
 		}
+		keptAt[address] = s.PendingAt[address]
 	}
-	forecasts := s.Forecasts
-	s.Forecasts = nil
-	left := rowBudget(maxRowBytes - rowOverhead - len(encodeRow(s)))
-	s.Forecasts = newestForecasts(forecasts, &left)
-	return encodeRow(s)
+	s.Pending, s.PendingAt = kept, keptAt
 }
 
-// queuesByPending returns the queues in the order of their waiting workflows, most first.
-func (s *Status) queuesByPending() []endive.QueueName {
-	return slices.SortedFunc(maps.Keys(s.Pending), func(a, b endive.QueueName) int {
-		return cmp.Or(cmp.Compare(s.Pending[b], s.Pending[a]), cmp.Compare(a, b))
-	})
+// cutHeldBack removes the accounts that don't fit. They are only a hint to other entries.
+func (s *Status) cutHeldBack() {
+	left := rowBudget(maxHeldBackBytes)
+	for i, account := range s.HeldBack {
+		if !left.take(account, "") {
+			s.HeldBack = s.HeldBack[:i]
+			return
+		}
+	}
 }
 
 // newestForecasts returns the forecasts that were used last and fit the budget.
@@ -90,10 +105,16 @@
 	})
 }
 
-// PendingOf returns the number of workflows of a queue of which no task has started, and false if the
-// row had no space for the queue.
-func (s *Status) PendingOf(queue endive.QueueName) (count int, known bool) {
-	count, known = s.Pending[queue]
+// PendingOf returns the number of workflows handed in at a queue's address of which no task has started,
+// and false if the row had no space for the queue.
+func (s *Status) PendingOf(queue endive.Queue) (count int, known bool) {
+	if count, known = s.PendingAt[QueueAddress(queue)]; known {
+		return count, true
+	}
+	if s.PendingAt == nil {
+		// A holder of an earlier build counts by the queues' names alone.
+		count, known = s.Pending[queue.Name]
+	}
 	return count, known || !s.PendingCut
 }
 
--- a/flow/status.go
+++ b/flow/status.go
@@ -43,6 +43,7 @@
 	}
 	r.current = Status{
 		Pending:   make(map[endive.QueueName]int),
+		PendingAt: make(map[string]int),
 		Saturated: !r.saturatedSince.IsZero() && m.now.Sub(r.saturatedSince) > saturatedAfter,
 		At:        m.clock.AtLeast(m.now),
 	}
@@ -51,6 +52,7 @@
 	for _, j := range m.jobs {
 		if !j.started && !j.state.Ended() && j.spec.Schedule.Occurrences == 0 {
 			r.current.Pending[j.policy.Name]++
+			r.current.PendingAt[QueueAddress(j.policy)]++
 		}
 	}
 	current := m.now.Sub(r.writtenAt) < maxStatusAge
