A scheduling pass costs linear time in the occurrences that wait

The slack is computed once in a step of the machine; passes go over the occurrences that aren't finished, kept in order; whether a job is done is counted, no longer searched; the pause between passes counts occurrences, as it counted jobs; and occurrences are created only while fewer than 5,000 tasks of the job are open (memory, and the length of a pass).

--- a/flow/job.go
+++ b/flow/job.go
@@ -1,7 +1,9 @@
 package flow
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -18,6 +20,14 @@
 	accepted    time.Time
 	state       endive.WorkflowState
 	occurrences map[int]*occurrence
+	// active are the occurrences with steps whose success isn't fully recorded, in the order of their
+	// numbers.
+	active []*occurrence
+	// unfinished counts the tasks of all occurrences that haven't succeeded.
+	unfinished int
+	// slack is the job's slack in the machine's step slackStep.
+	slack     time.Duration
+	slackStep uint64
 	// nextOccurrence is the first occurrence that isn't due yet; finishedOccurrences counts the
 	// occurrences whose tasks have all succeeded.
 	nextOccurrence      int
@@ -197,9 +207,27 @@
 		occ.steps = append(occ.steps, s)
 	}
 	j.occurrences[number] = occ
+	j.activate(occ)
 	return occ
 }
 
+// activate inserts a new occurrence into the active ones.
+func (j *job) activate(occ *occurrence) {
+	at, _ := slices.BinarySearchFunc(j.active, occ.number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
+	j.active = slices.Insert(j.active, at, occ)
+	for _, s := range occ.steps {
+		j.unfinished += s.unfinished
+	}
+}
+
+// deactivate removes an occurrence whose success is recorded from the active ones.
+func (j *job) deactivate(occ *occurrence) {
+	at, found := slices.BinarySearchFunc(j.active, occ.number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
+	if found {
+		j.active = slices.Delete(j.active, at, at+1)
+	}
+}
+
 // dropOccurrence removes the tasks of an ended occurrence.
 func (m *Machine) dropOccurrence(occ *occurrence) {
 	for _, s := range occ.steps {
@@ -252,13 +280,21 @@
 	return runs
 }
 
+// maxOpenTasks is the number of unfinished tasks of a scheduled job above which no further occurrence is
+// created, so that a job with many overdue occurrences doesn't take all memory and each scheduling pass
+// stays short.
+const maxOpenTasks = 5000
+
+// mayAddOccurrence reports whether a scheduled job has another occurrence that may be created once it is
+// due.
+func (j *job) mayAddOccurrence() bool {
+	return !j.state.Ended() && j.nextOccurrence < j.spec.Schedule.Count() && j.unfinished < maxOpenTasks
+}
+
 // addDueOccurrences creates the occurrences that are due.
 func (m *Machine) addDueOccurrences() {
 	for _, j := range m.scheduled {
-		if j.state.Ended() {
-			continue
-		}
-		for j.nextOccurrence < j.spec.Schedule.Count() && !m.now.Before(j.spec.Schedule.Due(j.nextOccurrence)) {
+		for j.mayAddOccurrence() && !m.now.Before(j.spec.Schedule.Due(j.nextOccurrence)) {
 			if j.occurrences[j.nextOccurrence] == nil {
 				m.addOccurrence(j, j.nextOccurrence)
 			}
@@ -272,7 +308,7 @@
 func (m *Machine) nextOccurrenceDue() time.Time {
 	var next time.Time
 	for _, j := range m.scheduled {
-		if !j.state.Ended() && j.nextOccurrence < j.spec.Schedule.Count() {
+		if j.mayAddOccurrence() {
 			next = endive.Earliest(next, j.spec.Schedule.Due(j.nextOccurrence))
 		}
 	}
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -177,6 +177,7 @@
 		if member.state < taskSucceeded {
 			member.state = taskSucceeded
 			member.step.unfinished--
+			member.step.occ.job.unfinished--
 		}
 	}
 	t.step.gang.run = 0
@@ -189,18 +190,9 @@
 
 // finishIfDone ends a job successfully once all of its tasks have succeeded.
 func (m *Machine) finishIfDone(j *job) {
-	if j.state.Ended() || j.nextOccurrence < j.spec.Schedule.Count() {
+	if j.state.Ended() || j.nextOccurrence < j.spec.Schedule.Count() || j.unfinished > 0 {
 		return
 	}
-	for _, occ := range j.occurrences {
-		for _, s := range occ.steps {
-			for _, t := range s.tasks {
-				if t.state < taskSucceeded {
-					return
-				}
-			}
-		}
-	}
 	m.finishJob(j, endive.WorkflowSucceeded, "all tasks have succeeded")
 }
 
--- a/flow/progress.go
+++ b/flow/progress.go
@@ -41,6 +41,7 @@
 			s.unrecorded--
 			s.unfinished--
 			s.waiting--
+			s.occ.job.unfinished--
 		}
 	}
 	for _, taskProgress := range progress.Tasks {
@@ -64,6 +65,7 @@
 	}
 	if occ.unfinishedSteps > 0 && unfinished == 0 {
 		occ.job.finishedOccurrences++
+		occ.job.deactivate(occ)
 	}
 	occ.unfinishedSteps = unfinished
 }
--- a/flow/quotatakeover.go
+++ b/flow/quotatakeover.go
@@ -23,7 +23,7 @@
 		if j.account == "" || !j.inherited {
 			continue
 		}
-		for _, occ := range j.occurrences {
+		for _, occ := range j.active {
 			for _, s := range occ.steps {
 				if s.waiting > 0 && mayHaveRunOnAny(s, silent) {
 					use := m.quotas.use(j.account)
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -108,7 +108,7 @@
 // computeObjective returns when a job should be finished, from the expected run times and
 // advice requests of its steps.
 func (m *Machine) computeObjective(j *job) time.Time {
-	if j.isLongRunning() || len(j.occurrences) == 0 {
+	if j.isLongRunning() || len(j.active) == 0 {
 		return j.accepted.Add(time.Duration(j.policy.Grace))
 	}
 	adviceTime := time.Duration(0)
@@ -116,7 +116,7 @@
 		adviceTime = time.Duration(j.policy.Advice.Cost(objectiveWorkers))
 	}
 	var chain time.Duration
-	for _, occ := range j.occurrences {
+	for _, occ := range j.active {
 		chain = max(chain, j.longestChain(func(i int) time.Duration { return adviceTime + m.expectedDuration(occ.steps[i]) }))
 	}
 	return j.accepted.Add(time.Duration(j.policy.SlackFactor*float64(chain)) + time.Duration(j.policy.Grace))
@@ -126,14 +126,20 @@
 // of its unfinished steps.
 func (m *Machine) jobRemaining(j *job) time.Duration {
 	var longest time.Duration
-	for _, occ := range j.occurrences {
+	for _, occ := range j.active {
 		longest = max(longest, j.longestChain(func(i int) time.Duration { return m.stepRemaining(occ.steps[i]) }))
 	}
 	return longest
 }
 
-// slack returns the time until a job's objective minus the job's expected remaining time.
-func (m *Machine) slack(j *job) time.Duration { return j.objective.Sub(m.now) - m.jobRemaining(j) }
+// slack returns the time until a job's objective minus the job's expected remaining time. It is computed
+// once in a step of the machine: a scheduling pass asks for it for each step of each occurrence.
+func (m *Machine) slack(j *job) time.Duration {
+	if j.slackStep != m.stepCount {
+		j.slack, j.slackStep = j.objective.Sub(m.now)-m.jobRemaining(j), m.stepCount
+	}
+	return j.slack
+}
 
 // rankedJobs updates the ranks of the jobs that haven't ended and returns these jobs sorted
 // by rank.
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -265,10 +265,7 @@
 // markRecorded marks the succeeded tasks of a job as recorded. It is called only if the job's
 // row hasn't changed since the row was sent: later successes are recorded by the next write.
 func (m *Machine) markRecorded(j *job) {
-	for _, occ := range j.occurrences {
-		if occ.unfinishedSteps == 0 {
-			continue
-		}
+	for _, occ := range slices.Clone(j.active) {
 		for _, s := range occ.steps {
 			for _, t := range s.tasks {
 				t.crashes.unrecorded = false
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -17,7 +17,7 @@
 	}
 	m.passDue = false
 	m.scheduledPassAt = time.Time{}
-	m.earliestPassAt = m.now.Add(minPassInterval + time.Duration(len(m.jobs))*passIntervalPerJob)
+	m.earliestPassAt = m.now.Add(minPassInterval + time.Duration(m.activeOccurrences())*passIntervalPerOccurrence)
 	m.advice.steps, m.advice.plannedCost = m.advice.steps[:0], 0
 	m.advice.freeCapacity = endive.Resources{}
 	m.advice.shortOfCapacity = false
@@ -37,7 +37,7 @@
 	m.waitLog.beginPass(m.now)
 	m.countPossibleRuns()
 	for _, j := range m.rankedJobs() {
-		for _, occ := range j.sortedOccurrences() {
+		for _, occ := range j.active {
 			m.placeOccurrence(occ)
 		}
 	}
@@ -50,6 +50,15 @@
 	}
 }
 
+// activeOccurrences returns the number of occurrences that a scheduling pass considers.
+func (m *Machine) activeOccurrences() int {
+	count := 0
+	for _, j := range m.jobs {
+		count += max(1, len(j.active))
+	}
+	return count
+}
+
 // freedWithin returns the capacity that runs on a worker will probably free within the
 // horizon. Tickets for it are requested ahead of time; otherwise it would be idle until
 // the answer arrives.
--- a/flow/settings.go
+++ b/flow/settings.go
@@ -47,9 +47,9 @@
 	// minPassInterval is the minimum time between two scheduling passes, so that one pass
 	// handles the ends of several runs.
 	minPassInterval = 4 * time.Millisecond
-	// passIntervalPerJob is added to minPassInterval for each job. It limits the share of
-	// the time that scheduling passes take in a backlog.
-	passIntervalPerJob = 50 * time.Microsecond
+	// passIntervalPerOccurrence is added to minPassInterval for each occurrence of a job. It
+	// limits the share of the time that scheduling passes take in a backlog.
+	passIntervalPerOccurrence = 50 * time.Microsecond
 	// writeRetryDelay is the pause after a failed write.
 	writeRetryDelay = 150 * time.Millisecond
 	// minWriteInterval is the minimum time between two writes of ends of runs, so that one
