The soak cuts executors off; some tasks outlast a lease

Executors are cut off from the entries and the platform for 8 s: their address refuses connections, and 4.5 s after their last registration (each 1.5 s, as on the users' machines) they aren't listed. They run on until their leases expire, and come back. One task in twelve takes 7 s. The stand-in tells a run's progress from its time; it said 50% throughout, and longer tasks were restarted as stalled.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -55,7 +55,10 @@
 	}
 }
 
-// markEndsLost marks tasks as not done, because the worker was killed before
+// LeaseExpired implements stand.LeaseObserver.
+func (c *checks) LeaseExpired(tasks []string) { c.markEndsLost(tasks) }
+
+// markEndsLost marks tasks as not done, because the worker was killed, or its lease expired, before
 // the ends of their runs were acknowledged. These tasks may run again.
 func (c *checks) markEndsLost(tasks []string) {
 	c.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,7 +26,7 @@
 	e := s.entries[s.rand.Intn(len(s.entries))]
 	w := s.workers[s.rand.Intn(len(s.workers))]
 	end := &faultEnd{after: duration, revert: func() {}}
-	switch s.rand.Intn(14) {
+	switch s.rand.Intn(16) {
 	case 0:
 		s.restartEntry(e, syscall.SIGKILL, end)
 	case 1:
@@ -53,6 +53,8 @@
 		end.revert = func() { s.store.SetFault(stand.FaultNone) }
 	case 12:
 		s.store.DropHistory()
+	case 14, 15:
+		s.cutOff(w)
 	case 13:
 		for _, one := range s.entries {
 			s.restartEntry(one, syscall.SIGKILL, &faultEnd{})
@@ -88,7 +90,7 @@
 // revertFaults waits for the longest fault to end and makes sure that all
 // faults are reverted.
 func (s *soak) revertFaults() {
-	time.Sleep(maxFaultDuration)
+	time.Sleep(max(maxFaultDuration, cutOffTime))
 	s.store.SetFault(stand.FaultNone)
 	for _, e := range s.entries {
 		e.signal(syscall.SIGCONT)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,12 +24,12 @@
 
 // proxy forwards TCP connections from a loopback address to target.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	mode     mode
+	conns    map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -42,7 +42,13 @@
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.currentListener().Addr().String() }
+
+func (p *proxy) currentListener() net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener
+}
 
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
@@ -78,8 +84,9 @@
 }
 
 func (p *proxy) run() {
+	listener := p.currentListener()
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,10 +20,8 @@
 )
 
 const (
-	// taskDuration is the run time of each task.
+	// taskDuration is the run time of most tasks.
 	taskDuration = 300 * time.Millisecond
-	// registerInterval is the time between two registrations of a worker.
-	registerInterval = 500 * time.Millisecond
 	// completionTimeout bounds the wait for accepted jobs to complete after the faults.
 	completionTimeout = 45 * time.Second
 	// maxFaultPause is the longest pause between two faults.
@@ -91,6 +89,10 @@
 	mu          sync.Mutex
 	incarnation *stand.Worker
 	seq         int
+	// registeredAt is when the worker last registered itself.
+	registeredAt time.Time
+	// cutOff is true while the worker is cut off from the entries and the platform.
+	cutOff bool
 }
 
 func newSoak(upgrade *upgrade, accounts bool, dir string, seed int64, entries, workers int) (*soak, error) {
@@ -166,9 +168,8 @@
 
 // startWorker starts a new incarnation of a worker behind its proxy.
 func (s *soak) startWorker(w *worker) error {
-	duration := func(string) time.Duration { return taskDuration }
 	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, w.pool, s.checks, duration, fails)
+	incarnation := stand.NewWorker(w.id, w.pool, s.checks, runTime, fails)
 	address, err := s.serve(incarnation)
 	if err != nil {
 		return err
@@ -186,17 +187,25 @@
 	return nil
 }
 
+// register renews the worker's registration, unless the worker is cut off.
+func (w *worker) register(store *stand.Store) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutOff {
+		return nil
+	}
+	w.seq++
+	w.registeredAt = time.Now()
+	return w.incarnation.Register(store, w.seq, false)
+}
+
 // registerWorkers registers all workers at a fixed interval until stop.
 func (s *soak) registerWorkers() {
 	ticker := time.NewTicker(registerInterval)
 	defer ticker.Stop()
 	for {
 		for _, w := range s.workers {
-			w.mu.Lock()
-			w.seq++
-			incarnation, seq := w.incarnation, w.seq
-			w.mu.Unlock()
-			if err := incarnation.Register(s.store, seq, false); err != nil {
+			if err := w.register(s.store); err != nil {
 				fmt.Fprintln(os.Stderr, "soak: can't register a worker:", err)
 			}
 		}
