An executor that was cut off and answers again hasn't crashed

Beside the double starts of real processes, the soak's logs showed "late crash: 2 workers have crashed under the task" for tasks of executors that were only cut off: one that refuses connections and isn't listed counts as crashed. Such a task waits until it can start alone, and its job may be given up (LOST).

When the same incarnation answers again, the runs that were counted are taken back (log line, kind end, outcome "not crashed").

--- a/flow/cutoff_test.go
+++ b/flow/cutoff_test.go
@@ -53,3 +53,35 @@
 	w.checkViolations()
 	is.Equal(w.state(id), endive.WorkflowSucceeded)
 }
+
+// A worker that was cut off and answers again hasn't crashed. What it ran isn't suspected of crashing its
+// workers: such a task would wait until it can start alone, and its workflow might be given up.
+func TestCutOffWorkerDoesNotCountAsCrashed(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprintf("longRunning=%v", longRunning), func(t *testing.T) {
+			is := is.New(t)
+			w, h := newSimulationWithHolder(t, faults{}, 2)
+			step := stepOfTasks(4, 30*time.Second)
+			step.LongRunning = longRunning
+			id := w.submit("job", urgentQueue, step)
+			w.run(2 * time.Second)
+			for range 3 {
+				worker := w.workerWithRuns()
+				worker.terminated = true
+				w.run(w.now.Add(3 * time.Second).Sub(w.start))
+				worker.unlisted = true
+				w.publishWorkers()
+				w.run(w.now.Add(5 * time.Second).Sub(w.start))
+				worker.terminated, worker.unlisted = false, false
+				w.publishWorkers()
+				w.run(w.now.Add(2 * time.Second).Sub(w.start))
+			}
+			for _, task := range h.machine.jobs[id].active[0].steps[0].tasks {
+				is.Equal(task.crashes.total(), 0)
+				is.True(!task.crashes.suspected())
+			}
+			is.Equal(w.runningTasks(id), 4)
+			w.checkViolations()
+		})
+	}
+}
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -85,6 +85,7 @@
 // recordLostRun counts the crash of a lost run's worker against the run's task.
 func (m *Machine) recordLostRun(l lostRun) {
 	m.crashLog.deleteOld(m.now)
+	m.counted.add(l, m.now)
 	l.task.crashes.maxAge = max(l.task.crashes.maxAge, l.age)
 	if l.late {
 		m.recordLateCrash(l)
@@ -121,6 +122,9 @@
 		m.removePending(l.task, l.run.number)
 	}
 	w.lost, w.refusing, w.crashLogged = nil, false, false
+	for _, l := range m.counted.take(w) {
+		m.forgetCrash(w, l)
+	}
 }
 
 // recordRestart notes that the incarnation of the worker is over, since a later one has been seen. Its
