A start over a congested link isn't given up while polls show the run

An order to start gets 400 ms and three attempts; if all are unanswered, the holder stopped the run, though polls, which are waited for longer, reported it. Over a link with a round trip above 400 ms no start came through for as long as the link was full.

A run that a poll reports has started, also while an order is in flight. After the last attempt the holder waits for a poll sent later, and stops the run only if that doesn't show it. Gangs are aborted at once, as before.

--- a/flow/fakenetwork_test.go
+++ b/flow/fakenetwork_test.go
@@ -11,6 +11,9 @@
 
 // latency returns the one-way latency to the worker.
 func (f *fakeWorker) latency() time.Duration {
+	if f != nil && f.slowLink > 0 {
+		return f.slowLink
+	}
 	if f != nil && f.remote {
 		return 30 * time.Millisecond
 	}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -37,6 +37,8 @@
 	poweredOff bool
 	// addressReused is true if this worker has terminated and another listens at its address.
 	addressReused bool
+	// slowLink is the one-way latency of a congested link to the worker; 0 for none.
+	slowLink time.Duration
 	// remote is true if the worker is in another region.
 	remote bool
 	// stalled stops the progress of all tasks. slowFactor multiplies the run times of tasks.
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -119,6 +119,13 @@
 			}
 		})
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
+	case 2*latency > timeout:
+		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
+		w.after(latency, func() {
+			if !worker.terminated {
+				execute(worker)
+			}
+		})
 	default:
 		w.after(latency, func() {
 			if worker.terminated {
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -242,6 +242,10 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
+		if !reported[r.id] && r.state == runStarting && r.unansweredStep > 0 && r.unansweredStep < uint64(poll) {
+			m.stopRun(r, "its start is unconfirmed")
+			continue
+		}
 		// A run that was confirmed before this poll was sent would be in the answer.
 		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < uint64(poll) {
 			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
@@ -267,7 +271,7 @@
 	if r.task != nil && report.Checkpoint != "" {
 		r.task.checkpoint = report.Checkpoint
 	}
-	if r.state == runStarting && !r.inFlight {
+	if r.state == runStarting {
 		m.confirmRun(r)
 	}
 }
--- a/flow/run.go
+++ b/flow/run.go
@@ -23,8 +23,11 @@
 	inFlight bool
 	// startUnconfirmed is true if an order to start got no answer and may be carried out late.
 	startUnconfirmed bool
-	attempts         int
-	retryAt          time.Time
+	// unansweredStep is the machine's step in which the last order to start the run was given up without
+	// an answer; 0 if none was. A poll sent later shows whether the worker has carried it out.
+	unansweredStep uint64
+	attempts       int
+	retryAt        time.Time
 	// confirmedStep is the machine's step in which an answer confirmed the start or the stop; 0
 	// without a confirmation. A poll sent later shows for certain whether the run is active.
 	confirmedStep uint64
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -45,6 +45,10 @@
 		m.handleFenced("worker " + string(e.Worker))
 		return
 	}
+	if e.Result == OrderUnknown && r.state == runRunning {
+		// A poll has shown the run meanwhile.
+		return
+	}
 	reason := string(e.Result)
 	if e.Result == OrderAnswered {
 		reason = string(e.Answer.Refused)
@@ -95,6 +99,11 @@
 			m.sendStart(r)
 			return
 		}
+		if !t.step.spec.Gang {
+			// The worker may have started it, and only the answers are late: the next poll shows it.
+			r.unansweredStep = m.stepCount
+			return
+		}
 	case e.Result == OrderNotSent, e.Result == OrderRefused:
 		w.health.avoidUntil = m.now.Add(refusalPause)
 		w.poll.nextAt = m.now
