What a former incarnation said of itself doesn't hold for the next one

When a new incarnation is seen, labels, capacity and state are forgotten, and nothing starts there until its own registration is listed. A start that is sent before any answer of the new incarnation can't be held back: the protocol names an executor by its id alone.

--- a/flow/worker.go
+++ b/flow/worker.go
@@ -196,7 +196,9 @@
 	m.recordRestart(w)
 	w.release()
 	w.isolation.soleRun = nil
-	w.info.StartTime = startTime
+	// What the previous incarnation said of itself doesn't hold for this one, which may be of another kind.
+	// Nothing starts there until the platform's list shows its own registration.
+	w.info = endive.FleetWorker{ID: w.info.ID, Pool: w.info.Pool, Address: w.info.Address, StartTime: startTime, Unconfirmed: true}
 	w.incarnations++
 	w.adopted, w.addressReused = false, false
 	w.recordedTasks = nil
