A task is given up after five crashes, however long after its start

Late crashes counted only against a chance, which the small pool and the long run made unconvincing, and were forgotten once a run had lived for 20 s.

Five crashes in all give a task up, whatever their chance: after three, it is started twice more. Crashes before a run that lived long no longer make the task suspected, but count (crashedEarlier in its row; earlier builds ignore it). A crash taken back since the executor answered again doesn't count.

--- a/flow/countedloss.go
+++ b/flow/countedloss.go
@@ -50,13 +50,14 @@
 func (m *Machine) forgetCrash(w *worker, l lostRun) {
 	t := l.task
 	c := &t.crashes
-	if c.total() == 0 || t.step.occ.job.state.Ended() {
+	if c.total()+len(c.outlived) == 0 || t.step.occ.job.state.Ended() {
 		return
 	}
-	counted := c.total()
+	counted := c.total() + len(c.outlived)
 	isRun := func(n endive.RunNumber) bool { return n == l.run.number }
 	c.runs, c.isolated, c.late = slices.DeleteFunc(c.runs, isRun), slices.DeleteFunc(c.isolated, isRun), slices.DeleteFunc(c.late, isRun)
-	if c.total() == counted {
+	c.outlived = slices.DeleteFunc(c.outlived, isRun)
+	if c.total()+len(c.outlived) == counted {
 		return
 	}
 	c.lateSuspected = c.lateSuspected && c.total() >= minLateCrashes
--- a/flow/crash.go
+++ b/flow/crash.go
@@ -26,6 +26,9 @@
 	// first crash, after which the starts are isolated, the task has then started three times.
 	maxCrashes         = 4
 	maxIsolatedCrashes = 2
+	// maxAllCrashes is the number of crashes, at any time after a start, after which a task is given up
+	// whatever their chance: three more starts after three crashes are too many.
+	maxAllCrashes = 5
 	// unexplainedMemory is how long a crash without a suspect makes other crashes less convincing.
 	unexplainedMemory = 20 * time.Second
 	// maxIsolatedShare is the maximum share of the workers on which isolated runs start at the same
@@ -46,6 +49,9 @@
 	// lateSuspected is true if there are too many of them for a harmless task.
 	late          []endive.RunNumber
 	lateSuspected bool
+	// outlived are the numbers of earlier runs under which workers crashed later, before a run was seen
+	// alive for long. They don't make the task suspected.
+	outlived []endive.RunNumber
 	// maxAge is the highest age of the runs when their workers crashed.
 	maxAge time.Duration
 	// unrecorded is true if a crash isn't recorded yet. The task doesn't start before that, so that
@@ -105,6 +111,10 @@
 	return len(c.runs) >= maxCrashes || len(c.isolated) >= maxIsolatedCrashes && !othersCrash
 }
 
+// tooMany reports whether so many workers have crashed under the task that it is given up, be it their
+// cause or not.
+func (c *crashes) tooMany() bool { return c.total()+len(c.outlived) >= maxAllCrashes }
+
 // mayHaveCrashed reports whether a run may be the cause of a crash of its worker.
 func (r *run) mayHaveCrashed() bool {
 	if r.harmless {
@@ -174,7 +184,7 @@
 	}
 	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: l.run.number, Outcome: "suspect", Reason: crashed})
 	othersCrash := !m.unexplainedCrashAt.IsZero() && m.now.Sub(m.unexplainedCrashAt) < unexplainedMemory
-	if t.crashes.proven(othersCrash) || m.provenWithLate(l) {
+	if t.crashes.proven(othersCrash) || m.provenWithLate(l) || t.crashes.tooMany() {
 		m.finishJob(j, endive.WorkflowFailed, "task "+string(t.id)+" crashes its workers: "+crashed)
 	}
 }
@@ -186,7 +196,7 @@
 		return
 	}
 	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: t.lastRun, Outcome: "cleared", Reason: "its worker lives on after an isolated start"})
-	t.crashes = crashes{late: append(t.crashes.late, t.crashes.runs...), maxAge: t.crashes.maxAge}
+	t.crashes = crashes{late: append(t.crashes.late, t.crashes.runs...), outlived: t.crashes.outlived, maxAge: t.crashes.maxAge}
 	m.markDirty(t.step.occ.job, rowLazy)
 }
 
@@ -248,7 +258,7 @@
 
 // restoreCrashes applies the recorded crashes of a task.
 func (t *task) restoreCrashes(progress TaskProgress) {
-	t.crashes = crashes{runs: progress.Crashed, isolated: progress.CrashedIsolated, late: progress.CrashedLate, pending: pendingRun{
+	t.crashes = crashes{runs: progress.Crashed, isolated: progress.CrashedIsolated, late: progress.CrashedLate, outlived: progress.CrashedEarlier, pending: pendingRun{
 		number: progress.PendingRun, isolated: !progress.PendingShared, worker: progress.PendingWorker, workerStart: progress.PendingWorkerStart,
 	}}
 	t.crashes.lateSuspected = t.crashes.total() >= minLateCrashes
--- a/flow/latecrash.go
+++ b/flow/latecrash.go
@@ -26,7 +26,7 @@
 	// lateIsolation is how long nothing else starts on the worker of such a task.
 	lateIsolation = 6 * time.Second
 	// lateMemory is how long a worker must have been seen alive after the start of a run for the
-	// crashes under earlier runs of the task to be forgotten.
+	// task to be no longer suspected for the crashes under its earlier runs.
 	lateMemory = 20 * time.Second
 )
 
@@ -35,7 +35,7 @@
 
 // addLate counts a late crash under a run once. It reports whether it is new.
 func (c *crashes) addLate(n endive.RunNumber) bool {
-	if slices.Contains(c.runs, n) || slices.Contains(c.late, n) {
+	if slices.Contains(c.runs, n) || slices.Contains(c.late, n) || slices.Contains(c.outlived, n) {
 		return false
 	}
 	c.late = append(c.late, n)
@@ -57,6 +57,11 @@
 	chance := m.chanceOfCrashes(l, others)
 	c.lateSuspected = c.total() >= minLateCrashes && chance < suspiciousChance
 	m.markDirty(j, rowLazy)
+	if c.tooMany() {
+		m.finishJob(j, endive.WorkflowFailed, "task "+string(t.id)+": "+formatInt(maxAllCrashes)+" workers have crashed under it, the last one "+
+			l.age.Round(time.Millisecond).String()+" after its start")
+		return
+	}
 	if c.total() < minLateCrashes {
 		return
 	}
@@ -110,13 +115,14 @@
 	return r.mayHaveCrashed() || suspected && m.now.Sub(r.startedAt) < lateIsolation
 }
 
-// forgetLateCrashes forgets the late crashes under tasks whose runs have lived long enough.
+// forgetLateCrashes ends the suspicion for the late crashes under tasks whose runs have lived long enough.
 func (m *Machine) forgetLateCrashes(w *worker) {
 	for _, r := range w.runs {
 		t := r.task
 		if t == nil || len(t.crashes.late) == 0 || t.step.occ.job.state.Ended() || w.seenAliveAt().Sub(r.startedAt) < lateMemory {
 			continue
 		}
+		t.crashes.outlived = append(t.crashes.outlived, t.crashes.late...)
 		t.crashes.late, t.crashes.lateSuspected, t.crashes.maxAge = nil, false, 0
 		m.markDirty(t.step.occ.job, rowLazy)
 	}
--- a/flow/latecrash_test.go
+++ b/flow/latecrash_test.go
@@ -153,3 +153,25 @@
 		})
 	}
 }
+
+// A task that crashes its workers long after each start, also after it has been seen alive for long, must not
+// be started three times more after three crashes, in a small pool and after a takeover.
+func TestTaskThatCrashesWorkersVeryLateIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{15 * time.Second, 21 * time.Second, 40 * time.Second} {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("after %s takeover=%v", after, takeover), func(t *testing.T) {
+				w, h := newSimulationWithHolder(t, faults{}, 7)
+				deadly := w.submitLateDeadly("deadly", after, stepOfTasks(1, time.Minute))
+				w.run(4 * after)
+				if takeover {
+					h.kill()
+					w.startHolder()
+				}
+				w.run(6*after + 30*time.Second)
+				w.checkViolations()
+				is.New(t).Equal(w.state(deadly), endive.WorkflowFailed)
+				is.New(t).True(w.startsAfter["deadly.0.0.0"] < 3)
+			})
+		}
+	}
+}
--- a/flow/progress.go
+++ b/flow/progress.go
@@ -199,7 +199,7 @@
 func (t *task) progress() TaskProgress {
 	p := TaskProgress{
 		Index: t.index, Failed: t.failedRuns, Checkpoint: t.checkpoint, Crashed: t.crashes.runs, CrashedIsolated: t.crashes.isolated,
-		CrashedLate: t.crashes.late,
+		CrashedLate: t.crashes.late, CrashedEarlier: t.crashes.outlived,
 	}
 	if pending := t.crashes.pending; pending.number > 0 {
 		p.PendingRun, p.PendingShared, p.PendingWorker, p.PendingWorkerStart = pending.number, !pending.isolated, pending.worker, pending.workerStart
--- a/flow/rows.go
+++ b/flow/rows.go
@@ -268,6 +268,9 @@
 	// CrashedLate lists the runs whose workers crashed later after the start. Earlier builds don't know
 	// it.
 	CrashedLate []endive.RunNumber `json:"crashedLate,omitempty"`
+	// CrashedEarlier lists the runs whose workers crashed later after the start and before a run of
+	// the task was seen alive for long. Earlier builds don't know it.
+	CrashedEarlier []endive.RunNumber `json:"crashedEarlier,omitempty"`
 	// PendingRun is a run on PendingWorker, which hasn't been seen alive long enough after its
 	// start. PendingShared is true if it wasn't started alone. PendingWorkerStart is when the
 	// incarnation of the worker began, in milliseconds of Unix time.
@@ -279,7 +282,7 @@
 
 // empty reports whether nothing has to be recorded of the task.
 func (p TaskProgress) empty() bool {
-	return len(p.Failed) == 0 && p.Checkpoint == "" && len(p.Crashed) == 0 && len(p.CrashedLate) == 0 && p.PendingRun == 0
+	return len(p.Failed) == 0 && p.Checkpoint == "" && len(p.Crashed) == 0 && len(p.CrashedLate) == 0 && len(p.CrashedEarlier) == 0 && p.PendingRun == 0
 }
 
 // workRow returns the kind of a row of the table of work and the workflow that it belongs to.
