--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -55,6 +55,8 @@
 	// run's lease has expired or the incarnation that ran it is over.
 	discardedEnd endive.EndNumber
 	pendingPolls []func()
+	// resumes has the checkpoints in the orders to start tasks.
+	resumes map[endive.TaskID]endive.Checkpoint
 	// maxReportedEnds is how many ends the worker lists in one answer; 0 for no limit.
 	maxReportedEnds int
 }
@@ -84,6 +86,7 @@
 	f.runs = make(map[endive.TaskID]*fakeRun)
 	f.stoppedRuns = make(map[endive.TaskID]endive.RunNumber)
 	f.ends, f.pendingPolls = nil, nil
+	f.resumes = make(map[endive.TaskID]endive.Checkpoint)
 	if len(f.capacities) == 0 || f.capacity() != capacity {
 		f.capacities = []capacityPeriod{{from: f.sim.now, capacity: capacity}}
 	}
@@ -181,6 +184,7 @@
 	job, spec := w.findStep(order.Task)
 	run := &fakeRun{task: order.Task, number: order.Run, need: spec.Reserved(), gang: spec.Gang}
 	f.runs[order.Task] = run
+	f.resumes[order.Task] = order.Resume
 	w.checkStart(f, order, job, spec)
 	if job.deadly == order.Task || job.allDeadly {
 		w.after(max(10*time.Millisecond, job.deadlyAfter), func() { f.crashUnder(run) })
--- a/flow/gang.go
+++ b/flow/gang.go
@@ -11,6 +11,8 @@
 type gang struct {
 	// run is the run number that all members share while they run; 0 otherwise.
 	run endive.RunNumber
+	// resume is the checkpoint with which all members of that run start.
+	resume endive.Checkpoint
 	// failedRuns are the run numbers of the gang's failed attempts.
 	failedRuns []endive.RunNumber
 	// reservedWorkers are the workers, one for each member, on which capacity is reserved
@@ -47,11 +49,27 @@
 	s.gang.reservedWorkers, s.gang.drainedWorkers = nil, nil
 	n := m.nextRun(s.tasks...)
 	s.gang.run = n
+	s.gang.resume = s.shareCheckpoint()
 	for i, t := range s.tasks {
 		m.startRun(t, chosen[i], n, m.placeReason(s, chosen[i]))
 	}
 }
 
+// shareCheckpoint gives all members of a gang the checkpoint of the one that has got furthest, and returns
+// it. Each member saves values of its own, and any of them holds for all.
+func (s *step) shareCheckpoint() endive.Checkpoint {
+	best := s.tasks[0]
+	for _, t := range s.tasks {
+		if t.checkpoint != "" && (best.checkpoint == "" || t.savedPercent > best.savedPercent) {
+			best = t
+		}
+	}
+	for _, t := range s.tasks {
+		t.checkpoint, t.savedPercent = best.checkpoint, best.savedPercent
+	}
+	return best.checkpoint
+}
+
 // chooseGang returns a worker for each member, or nil if some member fits nowhere. Members
 // that are slow in different racks are placed in one rack if possible.
 func (m *Machine) chooseGang(s *step) []*worker {
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -13,11 +13,19 @@
 	r.attempts++
 	m.emit(StartRun{Order: endive.StartOrder{
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
-		LeaseEnd: m.newLeaseEnd(w), Epoch: m.tenure.epoch, Resume: t.checkpoint,
+		LeaseEnd: m.newLeaseEnd(w), Epoch: m.tenure.epoch, Resume: t.resume(),
 		Ticket: t.step.tickets.ticketFor(w.id),
 	}, SendBy: m.sendBy()})
 }
 
+// resume returns the checkpoint with which a task starts.
+func (t *task) resume() endive.Checkpoint {
+	if t.step.spec.Gang {
+		return t.step.gang.resume
+	}
+	return t.checkpoint
+}
+
 // maxSendDelay is how long an order to start may take to be sent.
 const maxSendDelay = time.Second
 
