A listener for other entries that fails once goes on

Read in the review: after one failure to accept a session, for example without a free file descriptor, an entry accepted none any more until it was restarted. It retries every 100 ms, with a line in the log. TestMeshAcceptsSessionsAfterFailure: no message delivered before.

--- a/entry/cell/configfollower_test.go
+++ b/entry/cell/configfollower_test.go
@@ -169,7 +169,7 @@
 }
 
 // run ends with an error when the listener is closed at the end of the test.
-func (s *meshServer) run() { _ = s.mesh.Serve(s.listener) }
+func (s *meshServer) run() { s.mesh.Serve(s.listener) }
 
 // addEarlierEntry starts an entry that other entries choose as a reader.
 func (r *testCluster) addEarlierEntry(name string, to *Cell, frozen bool) *earlierEntry {
--- a/entry/cell/peers.go
+++ b/entry/cell/peers.go
@@ -77,11 +77,7 @@
 	listener net.Listener
 }
 
-func (s *peerAcceptor) run() {
-	if err := s.peers.mesh.Serve(s.listener); err != nil {
-		s.peers.cell.Log.Error("peer listener failed", "error", err.Error())
-	}
-}
+func (s *peerAcceptor) run() { s.peers.mesh.Serve(s.listener) }
 
 // run registers this entry periodically and reads the rows of the others.
 func (p *peers) run() {
--- a/entry/shell/shell.go
+++ b/entry/shell/shell.go
@@ -146,8 +146,4 @@
 	listener net.Listener
 }
 
-func (p *peerServer) serve() {
-	if err := p.shell.mesh.Serve(p.listener); err != nil {
-		p.shell.log.Error("listener for peers failed; peers can't connect any more", "error", err.Error())
-	}
-}
+func (p *peerServer) serve() { p.shell.mesh.Serve(p.listener) }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
@@ -99,15 +100,25 @@
 	return l.send(frame)
 }
 
-// Serve accepts sessions until the listener is closed.
-func (m *Mesh) Serve(listener net.Listener) error {
+// acceptRetryDelay is the pause after a session couldn't be accepted.
+const acceptRetryDelay = 100 * time.Millisecond
+
+// Serve accepts sessions until the listener or the mesh is closed. A failure to accept one, for example
+// because the process has too many open files, doesn't end it.
+func (m *Mesh) Serve(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return endive.ErrUnavailable.Wrap(err)
+			m.log.Warn("can't accept a session, will retry", "error", err.Error())
+			select {
+			case <-m.closed:
+				return
+			case <-time.After(acceptRetryDelay):
+				continue
+			}
 		}
 		s := &session{conn: conn, mesh: m}
 		if !m.register(s) {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
@@ -38,11 +40,22 @@
 }
 
 func newTestPeer(t *testing.T, id endive.EntryID) *testPeer {
+	t.Helper()
+	return newTestPeerOn(t, id, listen(t))
+}
+
+// listen returns a listener on a loopback address.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return listener
+}
+
+func newTestPeerOn(t *testing.T, id endive.EntryID, listener net.Listener) *testPeer {
+	t.Helper()
 	s := &testPeer{listener: listener, inbox: make(inbox, 16)}
 	s.mesh = New(endive.Peer{ID: id, Incarnation: "1"}, s.inbox, noMeter{}, hclog.NewNullLogger())
 	t.Cleanup(s.close)
@@ -50,7 +63,7 @@
 	return s
 }
 
-func (s *testPeer) acceptSessions() { _ = s.mesh.Serve(s.listener) }
+func (s *testPeer) acceptSessions() { s.mesh.Serve(s.listener) }
 
 func (s *testPeer) close() {
 	s.listener.Close()
@@ -77,6 +90,35 @@
 	is.True(!a.mesh.Send("entry-9", &wire.StateAsk{})) // the peer is unknown
 }
 
+// exhaustedListener fails to accept the first connections, as in a process with too many open files.
+type exhaustedListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// A listener that fails once must go on to accept sessions; the entry got none any more until it restarted.
+func TestMeshAcceptsSessionsAfterFailure(t *testing.T) {
+	is := is.New(t)
+	a := newTestPeer(t, "entry-1")
+	b := newTestPeerOn(t, "entry-2", &exhaustedListener{Listener: listen(t), failures: 2})
+	a.mesh.SetPeers(endive.Peers{b.addressAs("entry-2")})
+	is.True(a.mesh.Send("entry-2", &wire.StateAsk{}))
+	select {
+	case got := <-b.inbox:
+		is.Equal(got.from, endive.EntryID("entry-1"))
+	case <-time.After(10 * time.Second):
+		t.Fatal("no message was delivered")
+	}
+}
+
 func TestMeshReconnectsWhenAddressChanges(t *testing.T) {
 	is := is.New(t)
 	a, old, replaced := newTestPeer(t, "entry-1"), newTestPeer(t, "entry-2"), newTestPeer(t, "entry-2")
