A scheduling pass over a backlog doesn't search all runs for each waiting step

A profile of a pass over 13,000 waiting workflows has 85% of its time in the search for a run to preempt: for each urgent step that found no worker, all runs of all workers were looked at.

The runs that may be preempted are listed once in a pass, in the order of their ranks; after 50 steps without one, the rest, which go after them, isn't considered. What no worker has free isn't looked for again in the same pass: free capacity only shrinks in it.

TestPassOverBacklogDoesNotSearchAllRunsForEachStep compares pools of 20 and 160 workers.

--- a/flow/machine.go
+++ b/flow/machine.go
@@ -78,6 +78,7 @@
 	// reservedTotals are the reservations of the last scheduling pass.
 	reservedTotals reservedTotals
 	waitLog        waitLog
+	unfitNeeds     unfitNeeds
 	// unexplainedCrashAt is when a worker last crashed without a suspect.
 	unexplainedCrashAt time.Time
 	crashLog           crashLog
--- a/flow/passcost_test.go
+++ b/flow/passcost_test.go
@@ -84,3 +84,41 @@
 		t.Errorf("the job is %s after %d starts", state, w.starts)
 	}
 }
+
+// backlogPassCost returns the shortest of some scheduling passes over a pool full of lasting runs, in which
+// 3,000 urgent workflows wait and can't preempt a run.
+func backlogPassCost(workers int) time.Duration {
+	const waiting, runsPerWorker, passes = 3000, 5, 7
+	w := newSimulation(nil, 1, faults{})
+	for i := range workers {
+		worker := &fakeWorker{sim: w, id: endive.WorkerID(fmt.Sprintf("w%03d", i))}
+		worker.startIncarnation(testCapacity, nil)
+		w.workers[worker.id] = worker
+	}
+	w.publishWorkers()
+	h := w.startHolder()
+	w.run(500 * time.Millisecond)
+	for i := range waiting + workers {
+		w.submit(fmt.Sprintf("job%d", i), urgentQueue, stepOfTasks(runsPerWorker, time.Hour))
+	}
+	w.run(4 * time.Second)
+	shortest := time.Hour
+	for range passes {
+		h.machine.passDue, h.machine.earliestPassAt = true, time.Time{}
+		begin := time.Now()
+		h.machine.Step(w.now, endive.Wake{})
+		shortest = min(shortest, time.Since(begin))
+	}
+	return shortest
+}
+
+// For each urgent step that waited, a scheduling pass looked at all runs for one to preempt, and at all
+// workers for free capacity. With thousands of steps and of runs, the holder had no time left for anything
+// else. The cost of a pass over a backlog may hardly depend on the size of the pool.
+func TestPassOverBacklogDoesNotSearchAllRunsForEachStep(t *testing.T) {
+	const few, factor = 20, 8
+	small, large := backlogPassCost(few), backlogPassCost(few*factor)
+	if large > 3*small {
+		t.Errorf("a pass over the same backlog takes %s with %d workers, %s with %d", small, few, large, few*factor)
+	}
+}
--- a/flow/preempt.go
+++ b/flow/preempt.go
@@ -16,6 +16,9 @@
 	preemptRank = 0
 	// maxPreempted is the maximum number of runs that one scheduling pass stops.
 	maxPreempted = 12
+	// maxFailedSearches is the number of urgent steps in a scheduling pass for which no run to stop is
+	// found until the others, which go after them, are no longer considered.
+	maxFailedSearches = 50
 	// preemptMinSlack is the slack that a workflow must have to be preempted. It covers
 	// the stop, the wait for capacity, new tickets and the restore.
 	preemptMinSlack = 3 * time.Second
@@ -41,9 +44,16 @@
 
 // preempt stops runs of lower-ranked queues for urgent tasks that fit nowhere.
 func (m *Machine) preempt() {
-	stopped := 0
+	if len(m.unplacedUrgent) == 0 {
+		return
+	}
+	stopped, failed := 0, 0
 	freeing := m.freeingCapacity()
+	candidates := m.preemptibleRuns()
 	for _, unplaced := range m.unplacedUrgent {
+		if len(candidates) == 0 || failed == maxFailedSearches {
+			return
+		}
 		need := unplaced.step.spec.Reserved()
 		for range unplaced.tasks {
 			if need.Fits(freeing) {
@@ -53,8 +63,9 @@
 			if stopped == maxPreempted {
 				return
 			}
-			victim := m.findVictim(unplaced.step)
+			victim := m.findVictim(unplaced.step, candidates)
 			if victim == nil {
+				failed++
 				break
 			}
 			stopped++
@@ -85,24 +96,21 @@
 	return freeing
 }
 
-// findVictim returns the run to preempt for a task of a step, or nil: among those that free
-// enough capacity, the one of the lowest rank, because its stop costs least.
-func (m *Machine) findVictim(s *step) *run {
+// preemptibleRuns returns the runs that may be preempted for urgent work, those of the lowest rank first,
+// because their stop costs least. It is called once in a scheduling pass: hundreds of urgent steps may
+// wait, beside thousands of runs.
+func (m *Machine) preemptibleRuns() []*run {
 	var candidates []*run
-	need := s.spec.Reserved()
 	for _, w := range m.sortedWorkers {
-		if !w.usable() || !w.couldRun(s) || m.needsTicket(s) && len(s.tickets.eligible) > 0 && !s.tickets.isEligible(w.id) {
+		if !w.usable() {
 			continue
 		}
 		for _, r := range w.runs {
-			if m.preemptible(r, s) && need.Fits(w.free().Add(r.need)) {
+			if m.preemptible(r) {
 				candidates = append(candidates, r)
 			}
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
-	}
 	sort.Slice(candidates, func(i, j int) bool {
 		a, b := candidates[i], candidates[j]
 		if a.task.step.occ.job.rank != b.task.step.occ.job.rank {
@@ -110,16 +118,32 @@
 		}
 		return a.id < b.id
 	})
-	return candidates[0]
+	return candidates
+}
+
+// findVictim returns the first of the candidates that frees enough capacity for a task of a step, or nil.
+func (m *Machine) findVictim(s *step, candidates []*run) *run {
+	need := s.spec.Reserved()
+	for _, r := range candidates {
+		w := r.worker
+		if r.state != runRunning || !need.Fits(w.free().Add(r.need)) || !w.couldRun(s) {
+			continue
+		}
+		if m.needsTicket(s) && len(s.tickets.eligible) > 0 && !s.tickets.isEligible(w.id) {
+			continue
+		}
+		return r
+	}
+	return nil
 }
 
-// preemptible reports whether a run may be preempted for a step.
-func (m *Machine) preemptible(r *run, s *step) bool {
+// preemptible reports whether a run may be preempted for work of preemptRank.
+func (m *Machine) preemptible(r *run) bool {
 	if r.task == nil || r.state != runRunning || m.now.Sub(r.startedAt) < preemptMinAge {
 		return false
 	}
 	spec, j := r.task.step.spec, r.task.step.occ.job
-	if !spec.Checkpoints || spec.LongRunning || spec.Gang && spec.Tasks > 1 || j.policy.Rank <= s.occ.job.policy.Rank {
+	if !spec.Checkpoints || spec.LongRunning || spec.Gang && spec.Tasks > 1 || j.policy.Rank <= preemptRank {
 		return false
 	}
 	if m.runRemaining(r) < freeingHorizon {
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"endiveroute.example/endive"
@@ -26,6 +27,7 @@
 	m.gangDrains, m.maxGangDrains = 0, m.maxDrains()
 	m.unplacedUrgent = m.unplacedUrgent[:0]
 	m.reservedTotals = reservedTotals{}
+	m.unfitNeeds = m.unfitNeeds[:0]
 	for _, w := range m.sortedWorkers {
 		if w.usable() {
 			w.freeingSoon = m.freedWithin(w, freeingHorizon)
@@ -181,7 +183,8 @@
 // mightFit is a cheap check that rules out most steps in a backlog: it reports whether a task
 // of the step might fit on some worker with a valid ticket.
 func (m *Machine) mightFit(s *step) bool {
-	if !s.spec.Reserved().Fits(m.advice.freeCapacity) {
+	need := s.spec.Reserved()
+	if !need.Fits(m.advice.freeCapacity) || m.unfitNeeds.cover(need) {
 		return false
 	}
 	return !m.needsTicket(s) || m.now.Add(ticketMargin).Before(s.tickets.latestExpiry)
@@ -190,14 +193,41 @@
 // suitableWorkers returns the workers on which a task of the step may start.
 func (m *Machine) suitableWorkers(s *step) []*worker {
 	var suitable []*worker
+	need, fitsAnywhere := s.spec.Reserved(), false
 	for _, w := range m.sortedWorkers {
+		if !w.usable() || !need.Fits(w.free()) {
+			continue
+		}
+		fitsAnywhere = true
 		if m.fits(s, w) {
 			suitable = append(suitable, w)
 		}
 	}
+	if !fitsAnywhere {
+		m.unfitNeeds.add(need)
+	}
 	return suitable
 }
 
+// maxUnfitNeeds limits the needs that a scheduling pass remembers.
+const maxUnfitNeeds = 16
+
+// unfitNeeds are resources that no worker has had free in the current scheduling pass. During a pass, free
+// capacity only shrinks.
+type unfitNeeds []endive.Resources
+
+// add adds a need that fits on no worker.
+func (n *unfitNeeds) add(need endive.Resources) {
+	if len(*n) < maxUnfitNeeds && !n.cover(need) {
+		*n = append(*n, need)
+	}
+}
+
+// cover reports whether a need fits on no worker, since a smaller one doesn't.
+func (n *unfitNeeds) cover(need endive.Resources) bool {
+	return slices.ContainsFunc(*n, func(smaller endive.Resources) bool { return smaller.Fits(need) })
+}
+
 // startable reports whether a task can start as soon as there is free capacity.
 func (m *Machine) startable(t *task) bool {
 	if t.state != taskWaiting || t.run != nil {
