--- a/entry/cell/movedqueue_test.go
+++ b/entry/cell/movedqueue_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/flow"
 )
 
 // newMovedQueueCluster returns a cluster with two entries and a worker in each of two pools.
@@ -71,3 +73,22 @@
 	r.waitFor("the count is known", func() bool { return pending() >= 0 })
 	is.True(pending() >= before-2)
 }
+
+// The pool of a job may be unknown to an entry, which has started after its queue moved and the pool was
+// removed. The job must be found and cancelled by its id all the same.
+func TestJobInUnknownPoolIsFoundByItsID(t *testing.T) {
+	is := is.New(t)
+	r := newTestCluster(t, 1, 1)
+	r.awaitReady()
+	const id = "00000000000000aa"
+	for _, write := range flow.SubmitTransaction("removed", nil, id, "", []byte("{}")).Writes {
+		table, partition, key := splitRowKey(write.Key)
+		is.NoErr(r.store.Put(table, partition, key, json.RawMessage(write.Value)))
+	}
+	c := r.cells[0]
+	is.Equal(r.state(c, "/quick/", id), endive.WorkflowQueued)
+	match := c.Match("a.example", "/quick/"+id, "")
+	is.NoErr(c.Cancel(t.Context(), match.Queue, match.Caller, id))
+	is.True(r.store.Get(splitRowKey(flow.CancelKey("removed", id))) != nil)
+	is.Equal(r.submit(c, "/quick/", id, 2, false).AlreadyStored, true)
+}
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -52,33 +53,55 @@
 
 // findWorkflow returns the recorded progress of a workflow and the pool in which it is
 // stored. It reads the queue's pool first and then all others, since the queue may have
-// belonged to another pool when the workflow was submitted. A workflow of another account than
-// the caller's isn't found.
+// belonged to another pool when the workflow was submitted, and at last the row of the id, since
+// this entry needn't know that pool. A workflow of another account than the caller's isn't found.
 func (c *Cell) findWorkflow(ctx context.Context, queue endive.Queue, caller endive.Caller, id endive.JobID) (flow.Progress, endive.PoolName, error) {
 	pools := []endive.PoolName{queue.Pool}
-	for _, p := range c.allPools() {
-		if p.name != queue.Pool {
-			pools = append(pools, p.name)
+	for _, name := range c.poolNames() {
+		if name != queue.Pool {
+			pools = append(pools, name)
 		}
 	}
 	for _, pool := range pools {
-		progress, found, err := c.findInPool(ctx, pool, id)
-		if found && err == nil && progress.Account == "" && caller.Account != "" {
-			progress.Account, err = c.findOwner(ctx, pool, id)
-		}
-		if err != nil {
+		if progress, found, err := c.findOwned(ctx, pool, caller, id); found || err != nil {
 			return progress, pool, err
 		}
-		if found && !caller.MayAccess(progress.Account) {
-			break
-		}
-		if found {
-			return progress, pool, nil
+	}
+	pool, err := c.poolOf(ctx, id)
+	if err != nil {
+		return flow.Progress{}, "", err
+	}
+	if pool != "" && !slices.Contains(pools, pool) {
+		if progress, found, err := c.findOwned(ctx, pool, caller, id); found || err != nil {
+			return progress, pool, err
 		}
 	}
 	return flow.Progress{}, "", endive.ErrNotFound.New("there is no workflow %s", id)
 }
 
+// findOwned returns the recorded progress of a workflow in a pool, and whether the pool has it and the
+// caller may access it.
+func (c *Cell) findOwned(ctx context.Context, pool endive.PoolName, caller endive.Caller, id endive.JobID) (flow.Progress, bool, error) {
+	progress, found, err := c.findInPool(ctx, pool, id)
+	if found && err == nil && progress.Account == "" && caller.Account != "" {
+		progress.Account, err = c.findOwner(ctx, pool, id)
+	}
+	return progress, found && err == nil && caller.MayAccess(progress.Account), err
+}
+
+// poolOf returns the pool that the row of a workflow's id names; empty if there is no such row.
+func (c *Cell) poolOf(ctx context.Context, id endive.JobID) (endive.PoolName, error) {
+	rows, err := c.readWithRetry(ctx, flow.IDKey(id))
+	if err != nil || len(rows) == 0 {
+		return "", err
+	}
+	acceptance, err := flow.DecodeAcceptance(rows[0])
+	if err != nil {
+		return "", endive.ErrUnavailable.New("cannot decode the row of the id %s: %w", id, err)
+	}
+	return acceptance.Pool, nil
+}
+
 // findInPool returns the recorded progress of a workflow in a pool, and whether the pool has
 // it. An accepted workflow without recorded progress is queued. Rows move from the table of
 // states to that of ended workflows, so the tables are read in this order.
--- a/flow/rejected.go
+++ b/flow/rejected.go
@@ -18,6 +18,10 @@
 	rejectedRetryDelay = 5 * time.Second
 )
 
+// OutcomeRowRejected is the outcome of a Decision about a row that the store rejects. It is logged as an
+// error.
+const OutcomeRowRejected = "row rejected"
+
 // writeBatch limits the rows of a transaction after the store has rejected one. The zero value is the
 // usual limit.
 type writeBatch struct {
@@ -69,10 +73,10 @@
 		m.putAside(sent.jobs[0], len(sent.states[sent.jobs[0]]))
 		rec.retryAt = m.now
 	case sent.roster != nil:
-		m.logDecision(Decision{Kind: DecisionRecord, Outcome: "row rejected", Reason: "the roster, " + formatInt(int64(len(sent.roster))) + " workers"})
+		m.logDecision(Decision{Kind: DecisionRecord, Outcome: OutcomeRowRejected, Reason: "the roster, " + formatInt(int64(len(sent.roster))) + " workers"})
 		rec.retryAt = m.now.Add(rejectedRetryDelay)
 	case sent.status != nil:
-		m.logDecision(Decision{Kind: DecisionRecord, Outcome: "row rejected", Reason: "the status, " + formatInt(int64(len(sent.status.Pending))) + " queues"})
+		m.logDecision(Decision{Kind: DecisionRecord, Outcome: OutcomeRowRejected, Reason: "the status, " + formatInt(int64(len(sent.status.Pending))) + " queues"})
 		m.status.checkAt = m.now.Add(rejectedRetryDelay)
 	}
 }
@@ -80,7 +84,7 @@
 // putAside stops the recording of a job whose row the store rejects. Nothing more of it is started, and
 // the ends of its runs aren't acknowledged, until the job ends: the row of an ended job is small.
 func (m *Machine) putAside(j *job, size int) {
-	m.logDecision(Decision{Kind: DecisionRecord, Job: j.id, Outcome: "row rejected", Reason: "the store doesn't take the job's row, " + formatInt(int64(size)) + " bytes"})
+	m.logDecision(Decision{Kind: DecisionRecord, Job: j.id, Outcome: OutcomeRowRejected, Reason: "the store doesn't take the job's row, " + formatInt(int64(size)) + " bytes"})
 	m.recorder.dirty = slices.DeleteFunc(m.recorder.dirty, func(other *job) bool { return other == j })
 	j.rowStatus = rowAside
 	if j.state.Ended() && len(j.encodeProgress()) < size {
