--- a/flow/passcost_test.go
+++ b/flow/passcost_test.go
@@ -8,14 +8,23 @@
 	"endiveroute.example/endive"
 )
 
-// passCost returns the shortest of some scheduling passes over a full pool in which a scheduled job has
-// the given number of overdue occurrences that wait.
-func passCost(tb testing.TB, occurrences int) time.Duration {
-	const passes = 9
-	w, h := overdueSchedule(occurrences)
-	if waiting := len(h.machine.jobs["schedule"].active); waiting < occurrences*9/10 {
-		tb.Fatalf("%d occurrences wait, want about %d", waiting, occurrences)
+// newLargePool returns a simulation with a holder and many workers, whose list is published once.
+func newLargePool(workers int) (*simulation, *holder) {
+	w := newSimulation(nil, 1, faults{})
+	for i := range workers {
+		worker := &fakeWorker{sim: w, id: endive.WorkerID(fmt.Sprintf("w%03d", i))}
+		worker.startIncarnation(testCapacity, nil)
+		w.workers[worker.id] = worker
 	}
+	w.publishWorkers()
+	h := w.startHolder()
+	w.run(500 * time.Millisecond)
+	return w, h
+}
+
+// shortestPass returns the run time of the shortest of some scheduling passes.
+func shortestPass(w *simulation, h *holder) time.Duration {
+	const passes = 9
 	shortest := time.Hour
 	for range passes {
 		h.machine.passDue, h.machine.earliestPassAt = true, time.Time{}
@@ -26,17 +35,19 @@
 	return shortest
 }
 
+// passCost returns the shortest of some scheduling passes over a full pool in which a scheduled job has
+// the given number of overdue occurrences that wait.
+func passCost(tb testing.TB, occurrences int) time.Duration {
+	w, h := overdueSchedule(occurrences)
+	if waiting := len(h.machine.jobs["schedule"].active); waiting < occurrences*9/10 {
+		tb.Fatalf("%d occurrences wait, want about %d", waiting, occurrences)
+	}
+	return shortestPass(w, h)
+}
+
 // overdueSchedule returns a pool that is full and a scheduled job whose occurrences are overdue.
 func overdueSchedule(occurrences int) (*simulation, *holder) {
-	w := newSimulation(nil, 1, faults{})
-	for i := range 4 {
-		worker := &fakeWorker{sim: w, id: endive.WorkerID(fmt.Sprintf("w%d", i))}
-		worker.startIncarnation(testCapacity, nil)
-		w.workers[worker.id] = worker
-	}
-	w.publishWorkers()
-	h := w.startHolder()
-	w.run(500 * time.Millisecond)
+	w, h := newLargePool(4)
 	w.submitScheduled("schedule", adviceQueue, endive.Schedule{Occurrences: 2 * occurrences, First: w.now.Add(-time.Duration(occurrences) * time.Minute), Period: endive.Interval(time.Minute)},
 		stepOfTasks(1, time.Hour))
 	w.run(3 * time.Second)
@@ -88,28 +99,13 @@
 // backlogPassCost returns the shortest of some scheduling passes over a pool full of lasting runs, in which
 // 3,000 urgent workflows wait and can't preempt a run.
 func backlogPassCost(workers int) time.Duration {
-	const waiting, runsPerWorker, passes = 3000, 5, 7
-	w := newSimulation(nil, 1, faults{})
-	for i := range workers {
-		worker := &fakeWorker{sim: w, id: endive.WorkerID(fmt.Sprintf("w%03d", i))}
-		worker.startIncarnation(testCapacity, nil)
-		w.workers[worker.id] = worker
-	}
-	w.publishWorkers()
-	h := w.startHolder()
-	w.run(500 * time.Millisecond)
+	const waiting, runsPerWorker = 3000, 5
+	w, h := newLargePool(workers)
 	for i := range waiting + workers {
 		w.submit(fmt.Sprintf("job%d", i), urgentQueue, stepOfTasks(runsPerWorker, time.Hour))
 	}
 	w.run(4 * time.Second)
-	shortest := time.Hour
-	for range passes {
-		h.machine.passDue, h.machine.earliestPassAt = true, time.Time{}
-		begin := time.Now()
-		h.machine.Step(w.now, endive.Wake{})
-		shortest = min(shortest, time.Since(begin))
-	}
-	return shortest
+	return shortestPass(w, h)
 }
 
 // For each urgent step that waited, a scheduling pass looked at all runs for one to preempt, and at all
--- a/flow/rowsize.go
+++ b/flow/rowsize.go
@@ -51,28 +51,33 @@
 
 // cutPending removes the queues and addresses with the fewest waiting workflows that don't fit.
 func (s *Status) cutPending() {
-	pending, pendingAt := rowBudget(maxPendingBytes), rowBudget(maxPendingBytes)
-	kept := make(map[endive.QueueName]int)
-	for _, queue := range slices.SortedFunc(maps.Keys(s.Pending), func(a, b endive.QueueName) int {
-		return cmp.Or(cmp.Compare(s.Pending[b], s.Pending[a]), cmp.Compare(a, b))
-	}) {
-		if !pending.take(queue, s.Pending[queue]) {
-			s.PendingCut = true
-			break
-		}
-		kept[queue] = s.Pending[queue]
+	byName := make(map[string]int, len(s.Pending))
+	for queue, count := range s.Pending {
+		byName[string(queue)] = count
+	}
+	byName, allNames := largestCounts(byName)
+	s.Pending = make(map[endive.QueueName]int, len(byName))
+	for name, count := range byName {
+		s.Pending[endive.QueueName(name)] = count
 	}
-	keptAt := make(map[string]int)
-	for _, address := range slices.SortedFunc(maps.Keys(s.PendingAt), func(a, b string) int {
-		return cmp.Or(cmp.Compare(s.PendingAt[b], s.PendingAt[a]), cmp.Compare(a, b))
+	byAddress, allAddresses := largestCounts(s.PendingAt)
+	s.PendingAt = byAddress
+	s.PendingCut = !allNames || !allAddresses
+}
+
+// largestCounts returns the largest counts that fit into maxPendingBytes, and whether all of them do.
+func largestCounts(counts map[string]int) (kept map[string]int, all bool) {
+	left := rowBudget(maxPendingBytes)
+	kept = make(map[string]int)
+	for _, name := range slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	}) {
-		if !pendingAt.take(address, s.PendingAt[address]) {
-			s.PendingCut = true
-			break
+		if !left.take(name, counts[name]) {
+			return kept, false
 		}
-		keptAt[address] = s.PendingAt[address]
+		kept[name] = counts[name]
 	}
-	s.Pending, s.PendingAt = kept, keptAt
+	return kept, true
 }
 
 // cutHeldBack removes the accounts that don't fit. They are only a hint to other entries.
