--- a/entry/cell/movedqueue_test.go
+++ b/entry/cell/movedqueue_test.go
@@ -15,6 +15,8 @@
 // newMovedQueueCluster returns a cluster with two entries and a worker in each of two pools.
 func newMovedQueueCluster(t *testing.T) *testCluster {
 	r := newTestCluster(t, 1, 2)
+	r.otherPool = true
+	r.putConfig(4, nil)
 	r.addWorkerOf("i-other", "other")
 	r.awaitReady()
 	return r
@@ -42,7 +44,7 @@
 	const id = "00000000000000aa"
 	r.submitAccepted(r.cells[0], "/quick/", id, 2, false)
 	r.waitFor("the tasks run", func() bool { return len(r.log.lines("ordered", id)) == 2 })
-	r.moveQuick(4, "other")
+	r.moveQuick(5, "other")
 	for _, c := range r.cells {
 		r.submitAccepted(c, "/quick/", id, 2, false)
 	}
@@ -69,7 +71,7 @@
 	}
 	r.waitFor("jobs wait", func() bool { return pending() > 10 })
 	before := pending()
-	r.moveQuick(4, "other")
+	r.moveQuick(5, "other")
 	r.waitFor("the count is known", func() bool { return pending() >= 0 })
 	is.True(pending() >= before-2)
 }
--- a/entry/cell/testcluster_test.go
+++ b/entry/cell/testcluster_test.go
@@ -57,7 +57,9 @@
 	settings func(*setup.CellSettings)
 	// workerHandler, if set, wraps the handlers of the workers added from now on.
 	workerHandler func(http.Handler) http.Handler
-	// quickPool is the pool of the queue "quick"; empty for "svc". It is read by putConfig.
+	// otherPool is true if the configuration also has the pool "other". quickPool is the pool of the
+	// queue "quick"; empty for "svc". Both are read by putConfig.
+	otherPool bool
 	quickPool string
 	// key is the key of the calls of submit and state.
 	key string
@@ -127,7 +129,10 @@
 				"target_latency_ms": 600, "hint": map[string]any{"decision_ms": 5, "interval_ms": 0.5, "validity_ms": 2000},
 			},
 		},
-		"services": []map[string]any{{"name": "svc"}, {"name": "other"}},
+		"services": []map[string]any{{"name": "svc"}},
+	}
+	if r.otherPool {
+		config["services"] = []map[string]any{{"name": "svc"}, {"name": "other"}}
 	}
 	if accounts != nil {
 		config["tenants"] = accounts
