A run that a poll has shown isn't dropped when a repeated order to start it fails

Since polls confirm runs while an order to start is in flight, an order repeated meanwhile that couldn't be sent, or was refused, took the run as not started, and its task started elsewhere.

What becomes of a repeated order no longer matters once a poll has shown the run; a higher epoch still ends the tenure. TestRunShownByPollIsKeptWhenRepeatedStartIsNotSent: two runs at once before.

--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -39,6 +39,9 @@
 	addressReused bool
 	// slowLink is the one-way latency of a congested link to the worker; 0 for none.
 	slowLink time.Duration
+	// unsentFrom is the number of the first order to the worker that can't be sent; 0 for none. orders
+	// counts the orders.
+	unsentFrom, orders int
 	// remote is true if the worker is in another region.
 	remote bool
 	// stalled stops the progress of all tasks. slowFactor multiplies the run times of tasks.
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -94,7 +94,12 @@
 	const timeout = 400 * time.Millisecond
 	worker := w.workers[id]
 	latency := worker.latency()
+	if worker != nil {
+		worker.orders++
+	}
 	switch {
+	case worker != nil && worker.unsentFrom > 0 && worker.orders >= worker.unsentFrom:
+		w.after(timeout, func() { h.step(answer(OrderNotSent, endive.OrderAnswer{})) })
 	case worker != nil && worker.addressReused:
 		w.after(latency, func() { h.step(answer(OrderAnswered, endive.OrderAnswer{Refused: endive.RefusalIncarnation})) })
 	case worker != nil && worker.terminated:
--- a/flow/slowlink_test.go
+++ b/flow/slowlink_test.go
@@ -37,3 +37,22 @@
 		}
 	}
 }
+
+// A poll has shown that a task runs while the order to start it, which was repeated, is in flight. The
+// repeated order can't be sent. The run must not be taken as not started: its task would be started elsewhere.
+func TestRunShownByPollIsKeptWhenRepeatedStartIsNotSent(t *testing.T) {
+	for _, unsentFrom := range []int{2, 3} {
+		t.Run(fmt.Sprintf("order %d isn't sent", unsentFrom), func(t *testing.T) {
+			is := is.New(t)
+			w, _ := newSimulationWithHolder(t, faults{}, 2)
+			for _, worker := range w.workers {
+				worker.slowLink, worker.unsentFrom = 230*time.Millisecond, unsentFrom
+			}
+			id := w.submit("job", urgentQueue, stepOfTasks(1, 4*time.Second))
+			w.run(12 * time.Second)
+			w.checkViolations()
+			is.Equal(w.state(id), endive.WorkflowSucceeded)
+			is.Equal(w.starts, 1)
+		})
+	}
+}
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -53,8 +53,9 @@
 		m.handleFenced("worker " + string(e.Worker))
 		return
 	}
-	if e.Result == OrderUnknown && r.state == runRunning {
-		// A poll has shown the run meanwhile.
+	if r.state == runRunning {
+		// A poll has shown the run meanwhile: whatever came of an order that was repeated, it runs, and the
+		// next polls show how it goes on.
 		return
 	}
 	reason := string(e.Result)
