A hand-over passes on cancellations of jobs that aren't stored

Found in reading the diff: a planned hand-over gave the next holder the rows of jobs only, so it neither cancelled what an entry of an earlier build stored late nor deleted the two rows. TestEarlyCancellationIsKeptAndDeleted/hand-over failed before.

--- a/flow/cleanup_test.go
+++ b/flow/cleanup_test.go
@@ -86,23 +86,33 @@
 }
 
 // A workflow is cancelled before it is stored. Its cancellation holds for whatever an entry stores later,
-// also after a takeover, and its rows are deleted in the end.
+// also after a takeover or a hand-over, and its rows are deleted in the end.
 func TestEarlyCancellationIsKeptAndDeleted(t *testing.T) {
-	is := is.New(t)
-	w, h := newSimulationWithHolder(t, faults{}, 2)
-	w.apply(RevokeTransaction(testPool, nil, "job", ""))
-	w.apply(RevokeTransaction(testPool, nil, "never", ""))
-	h.kill()
-	w.startHolder()
-	w.run(2 * time.Second)
-	is.True(w.apply(SubmitTransaction(testPool, nil, "job", "", []byte("{}"))).Status == endive.CommitConflict)
-	// An entry of an earlier build doesn't look at the row of the id.
-	id := w.submit("job", urgentQueue, stepOfTasks(2, 700*time.Millisecond))
-	w.run(4 * time.Second)
-	is.Equal(w.starts, 0)
-	is.Equal(w.state(id), endive.WorkflowCancelled)
-	w.run(2*time.Second + 2*testRetention)
-	w.checkViolations()
-	is.Equal(w.countRows(WorkPrefix(testPool)), 0)
-	is.Equal(w.countRows(tableIDs), 0)
+	changes := map[string]func(w *simulation, h *holder){
+		"takeover":  func(w *simulation, h *holder) { h.kill(); w.startHolder() },
+		"hand-over": func(_ *simulation, h *holder) { h.handOver() },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1, faults{})
+			w.addWorkers(2)
+			w.apply(RevokeTransaction(testPool, nil, "job", ""))
+			w.apply(RevokeTransaction(testPool, nil, "never", ""))
+			h := w.startHolder()
+			w.run(time.Second)
+			change(w, h)
+			w.run(2 * time.Second)
+			is.True(w.apply(SubmitTransaction(testPool, nil, "job", "", []byte("{}"))).Status == endive.CommitConflict)
+			// An entry of an earlier build doesn't look at the row of the id.
+			id := w.submit("job", urgentQueue, stepOfTasks(2, 700*time.Millisecond))
+			w.run(4 * time.Second)
+			is.Equal(w.starts, 0)
+			is.Equal(w.state(id), endive.WorkflowCancelled)
+			w.run(2*time.Second + 2*testRetention)
+			w.checkViolations()
+			is.Equal(w.countRows(WorkPrefix(testPool)), 0)
+			is.Equal(w.countRows(tableIDs), 0)
+		})
+	}
 }
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -33,6 +33,9 @@
 		snapshot.WorkRows = append(snapshot.WorkRows, endive.Row{Key: JobKey(m.pool, ended.id)})
 		snapshot.StateRows = append(snapshot.StateRows, endive.Row{Key: StateKey(m.pool, ended.id), Value: encodeRow(ended.lastProgress())})
 	}
+	for _, revoked := range m.endedJobs.revoked {
+		snapshot.WorkRows = append(snapshot.WorkRows, endive.Row{Key: CancelKey(m.pool, revoked.id), Value: []byte("{}")})
+	}
 	for _, ended := range m.endedJobs.archived {
 		snapshot.EndedJobs = append(snapshot.EndedJobs, ended.id)
 	}
