--- a/flow/countedloss.go
+++ b/flow/countedloss.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"endiveroute.example/endive"
 )
 
 // countedMemory is how long a counted loss is kept. A worker that is cut off for longer is taken as crashed.
@@ -49,20 +47,11 @@
 // forgetCrash takes back that a run was counted as a crash of its worker, which has answered again.
 func (m *Machine) forgetCrash(w *worker, l lostRun) {
 	t := l.task
-	c := &t.crashes
-	if c.total()+len(c.outlived) == 0 || t.step.occ.job.state.Ended() {
-		return
-	}
-	counted := c.total() + len(c.outlived)
-	isRun := func(n endive.RunNumber) bool { return n == l.run.number }
-	c.runs, c.isolated, c.late = slices.DeleteFunc(c.runs, isRun), slices.DeleteFunc(c.isolated, isRun), slices.DeleteFunc(c.late, isRun)
-	c.outlived = slices.DeleteFunc(c.outlived, isRun)
-	if c.total()+len(c.outlived) == counted {
+	if t.step.occ.job.state.Ended() || !t.crashes.remove(l.run.number) {
 		return
 	}
-	c.lateSuspected = c.lateSuspected && c.total() >= minLateCrashes
 	m.markDirty(t.step.occ.job, rowUrgent)
 	m.passDue = true
 	m.logDecision(Decision{Kind: DecisionEnd, Task: t.id, Run: l.run.number, Worker: w.id, Outcome: "not crashed", Reason: "the worker of the run answers again, " +
-		formatInt(int64(c.total())) + " crashes remain"})
+		formatInt(int64(t.crashes.total())) + " crashes remain"})
 }
--- a/flow/crash.go
+++ b/flow/crash.go
@@ -115,6 +115,19 @@
 // cause or not.
 func (c *crashes) tooMany() bool { return c.total()+len(c.outlived) >= maxAllCrashes }
 
+// remove removes a run under which a worker was taken as crashed, and reports whether it was counted.
+func (c *crashes) remove(n endive.RunNumber) bool {
+	counted := false
+	for _, runs := range []*[]endive.RunNumber{&c.runs, &c.isolated, &c.late, &c.outlived} {
+		if i := slices.Index(*runs, n); i >= 0 {
+			*runs = slices.Delete(*runs, i, i+1)
+			counted = true
+		}
+	}
+	c.lateSuspected = c.lateSuspected && c.total() >= minLateCrashes
+	return counted
+}
+
 // mayHaveCrashed reports whether a run may be the cause of a crash of its worker.
 func (r *run) mayHaveCrashed() bool {
 	if r.harmless {
--- a/flow/job.go
+++ b/flow/job.go
@@ -25,14 +25,12 @@
 	active []*occurrence
 	// unfinished counts the tasks of all occurrences that haven't succeeded.
 	unfinished int
-	// slack is the job's slack in the machine's step slackStep.
-	slack     time.Duration
-	slackStep uint64
-	// nextOccurrence is the first occurrence that isn't due yet; finishedOccurrences counts the
-	// occurrences whose tasks have all succeeded.
-	nextOccurrence      int
-	finishedOccurrences int
-	started             bool
+	// expectedEnd is when the job will probably end, as of the machine's step expectedEndStep.
+	expectedEnd     time.Time
+	expectedEndStep uint64
+	// nextOccurrence is the first occurrence that isn't due yet.
+	nextOccurrence int
+	started        bool
 	// submissionValue and stateValue are the stored values of the job's submission and of its
 	// state; cancelled is true if the client has requested its cancellation.
 	submissionValue, stateValue []byte
@@ -211,9 +209,14 @@
 	return occ
 }
 
+// activePosition returns where an occurrence is or belongs among the active ones, and whether it is there.
+func (j *job) activePosition(occ *occurrence) (at int, found bool) {
+	return slices.BinarySearchFunc(j.active, occ.number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
+}
+
 // activate inserts a new occurrence into the active ones.
 func (j *job) activate(occ *occurrence) {
-	at, _ := slices.BinarySearchFunc(j.active, occ.number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
+	at, _ := j.activePosition(occ)
 	j.active = slices.Insert(j.active, at, occ)
 	for _, s := range occ.steps {
 		j.unfinished += s.unfinished
@@ -222,8 +225,7 @@
 
 // deactivate removes an occurrence whose success is recorded from the active ones.
 func (j *job) deactivate(occ *occurrence) {
-	at, found := slices.BinarySearchFunc(j.active, occ.number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
-	if found {
+	if at, found := j.activePosition(occ); found {
 		j.active = slices.Delete(j.active, at, at+1)
 	}
 }
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -242,12 +242,12 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if !reported[r.id] && r.state == runStarting && r.unansweredStep > 0 && r.unansweredStep < uint64(poll) {
+		switch {
+		case reported[r.id]:
+		case r.state == runStarting && r.unansweredStep > 0 && r.unansweredStep < uint64(poll):
 			m.stopRun(r, "its start is unconfirmed")
-			continue
-		}
-		// A run that was confirmed before this poll was sent would be in the answer.
-		if !reported[r.id] && r.confirmedStep > 0 && r.confirmedStep < uint64(poll) {
+		case r.confirmedStep > 0 && r.confirmedStep < uint64(poll):
+			// A run that was confirmed before this poll was sent would be in the answer.
 			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
 			m.removeRun(r)
 			m.recordAbsence(r)
--- a/flow/preempt.go
+++ b/flow/preempt.go
@@ -47,11 +47,14 @@
 	if len(m.unplacedUrgent) == 0 {
 		return
 	}
+	candidates := m.preemptibleRuns()
+	if len(candidates) == 0 {
+		return
+	}
 	stopped, failed := 0, 0
 	freeing := m.freeingCapacity()
-	candidates := m.preemptibleRuns()
 	for _, unplaced := range m.unplacedUrgent {
-		if len(candidates) == 0 || failed == maxFailedSearches {
+		if failed == maxFailedSearches {
 			return
 		}
 		need := unplaced.step.spec.Reserved()
--- a/flow/progress.go
+++ b/flow/progress.go
@@ -64,7 +64,6 @@
 		}
 	}
 	if occ.unfinishedSteps > 0 && unfinished == 0 {
-		occ.job.finishedOccurrences++
 		occ.job.deactivate(occ)
 	}
 	occ.unfinishedSteps = unfinished
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -132,13 +132,13 @@
 	return longest
 }
 
-// slack returns the time until a job's objective minus the job's expected remaining time. It is computed
+// slack returns the time until a job's objective minus the job's expected remaining time, which is computed
 // once in a step of the machine: a scheduling pass asks for it for each step of each occurrence.
 func (m *Machine) slack(j *job) time.Duration {
-	if j.slackStep != m.stepCount {
-		j.slack, j.slackStep = j.objective.Sub(m.now)-m.jobRemaining(j), m.stepCount
+	if j.expectedEndStep != m.stepCount {
+		j.expectedEnd, j.expectedEndStep = m.now.Add(m.jobRemaining(j)), m.stepCount
 	}
-	return j.slack
+	return j.objective.Sub(m.now) - j.expectedEnd.Sub(m.now)
 }
 
 // rankedJobs updates the ranks of the jobs that haven't ended and returns these jobs sorted
--- a/flow/recorder.go
+++ b/flow/recorder.go
@@ -53,9 +53,8 @@
 	ends    []listedEnd
 	jobs    []*job
 	roster  map[endive.WorkerID]rosterRecord
-	// states are the values of the jobs' rows, and bytes is the size of all of them.
+	// states are the values of the jobs' rows.
 	states   map[*job][]byte
-	bytes    int
 	archived int
 	deleted  int
 	revoked  int
@@ -150,12 +149,13 @@
 		}
 		return rec.dirty[a].id < rec.dirty[b].id
 	})
-	for len(sent.jobs) < min(len(rec.dirty), rec.batch.maxJobs()) && sent.bytes < maxTransactionBytes {
+	limit, size := min(len(rec.dirty), rec.batch.maxJobs()), 0
+	for len(sent.jobs) < limit && size < maxTransactionBytes {
 		j := rec.dirty[len(sent.jobs)]
 		value := j.encodeProgress()
 		sent.jobs = append(sent.jobs, j)
 		sent.states[j] = value
-		sent.bytes += len(value)
+		size += len(value)
 		txn.Writes = append(txn.Writes, endive.Write{Key: StateKey(m.pool, j.id), Value: value})
 		j.rowStatus = rowCurrent
 	}
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -80,9 +80,6 @@
 }
 
 func (m *Machine) placeOccurrence(occ *occurrence) {
-	if occ.unfinishedSteps == 0 {
-		return
-	}
 	for _, s := range occ.steps {
 		if s.unrecorded == 0 || s.waiting == 0 {
 			continue
@@ -199,7 +196,7 @@
 			continue
 		}
 		fitsAnywhere = true
-		if m.fits(s, w) {
+		if m.meetsConstraints(s, w) && m.hasTicket(s, w) {
 			suitable = append(suitable, w)
 		}
 	}
