--- a/cell.go
+++ b/cell.go
@@ -20,8 +20,7 @@
 	// runs.
 	SubmitRevoked SubmitStatus = "revoked"
 	// SubmitImpossible means that the workflow can't run within its account's cap, or that
-	// the store can't take a row of its size. This
-	// submission never runs.
+	// the store can't take a row of its size. This submission never runs.
 	SubmitImpossible SubmitStatus = "impossible"
 	// SubmitUnavailable means that the workflow couldn't be stored. This submission
 	// never runs.
--- a/entry/cell/requests.go
+++ b/entry/cell/requests.go
@@ -209,7 +209,7 @@
 	if err != nil || progress.State.Ended() {
 		return err
 	}
-	return c.commitWithRetry(ctx, endive.Transaction{Writes: []endive.Write{{Key: flow.CancelKey(pool, id), Value: []byte("{}")}}})
+	return c.commitWithRetry(ctx, endive.Transaction{Writes: []endive.Write{flow.CancelWrite(pool, id)}})
 }
 
 // commitWithRetry writes a transaction and retries if it fails, but not after a conflict.
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -34,7 +34,7 @@
 		snapshot.StateRows = append(snapshot.StateRows, endive.Row{Key: StateKey(m.pool, ended.id), Value: encodeRow(ended.lastProgress())})
 	}
 	for _, revoked := range m.endedJobs.revoked {
-		snapshot.WorkRows = append(snapshot.WorkRows, endive.Row{Key: CancelKey(m.pool, revoked.id), Value: []byte("{}")})
+		snapshot.WorkRows = append(snapshot.WorkRows, cancelRow(m.pool, revoked.id))
 	}
 	for _, ended := range m.endedJobs.archived {
 		snapshot.EndedJobs = append(snapshot.EndedJobs, ended.id)
@@ -46,7 +46,7 @@
 func (j *job) addToSnapshot(snapshot *PoolSnapshot, m *Machine) {
 	snapshot.WorkRows = append(snapshot.WorkRows, endive.Row{Key: JobKey(m.pool, j.id), Value: j.submissionValue})
 	if j.cancelled {
-		snapshot.WorkRows = append(snapshot.WorkRows, endive.Row{Key: CancelKey(m.pool, j.id), Value: []byte("{}")})
+		snapshot.WorkRows = append(snapshot.WorkRows, cancelRow(m.pool, j.id))
 	}
 	if j.stateValue != nil {
 		snapshot.StateRows = append(snapshot.StateRows, endive.Row{Key: StateKey(m.pool, j.id), Value: j.stateValue})
--- a/flow/rowsize.go
+++ b/flow/rowsize.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 
@@ -122,6 +121,3 @@
 	}
 	return count, known || !s.PendingCut
 }
-
-// decodeRow decodes the JSON of a row.
-func decodeRow(value []byte, into any) error { return json.Unmarshal(value, into) }
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -238,29 +238,11 @@
 	}
 }
 
-// submitScheduled stores a submission with a schedule and returns its id.
-func (w *simulation) submitScheduled(id string, policy endive.Queue, schedule endive.Schedule, steps ...endive.Step) endive.JobID {
-	workflow := endive.Workflow{ID: endive.JobID(id), Queue: policy.Name, Steps: steps, Schedule: schedule}
-	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: policy}
-	w.put(JobKey(testPool, workflow.ID), endive.Submission{Workflow: workflow, Policy: policy, Accepted: simulationClock{w.start}.AtLeast(w.now)})
-	return workflow.ID
-}
-
 // submit stores a submission and returns its id.
 func (w *simulation) submit(id string, policy endive.Queue, steps ...endive.Step) endive.JobID {
 	return w.submitFor("", id, policy, steps...)
 }
 
-// submitFor stores a submission of an account and returns its id.
-func (w *simulation) submitFor(account endive.AccountName, id string, policy endive.Queue, steps ...endive.Step) endive.JobID {
-	workflow := endive.Workflow{ID: endive.JobID(id), Queue: policy.Name, Steps: steps}
-	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: policy, account: account}
-	w.put(JobKey(testPool, workflow.ID), endive.Submission{
-		Workflow: workflow, Policy: policy, Account: account, Accepted: simulationClock{w.start}.AtLeast(w.now), Advised: w.forwardsAdvice,
-	})
-	return workflow.ID
-}
-
 // cancel requests a workflow's cancellation.
 func (w *simulation) cancel(id endive.JobID) {
 	w.jobs[id].cancelledAt = w.now
--- a/soak/cutoff.go
+++ b/soak/cutoff.go
@@ -95,10 +95,3 @@
 		return
 	}
 }
-
-// registeredFor returns how long the platform goes on listing the worker if it doesn't register again.
-func (w *worker) registeredFor() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return time.Until(w.registeredAt.Add(registrationLifetime))
-}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,21 +80,6 @@
 	close(p.ended)
 }
 
-// worker is a worker id with its proxy and the incarnation that runs behind it.
-type worker struct {
-	id    string
-	pool  string
-	proxy *proxy
-
-	mu          sync.Mutex
-	incarnation *stand.Worker
-	seq         int
-	// registeredAt is when the worker last registered itself.
-	registeredAt time.Time
-	// cutOff is true while the worker is cut off from the entries and the platform.
-	cutOff bool
-}
-
 func newSoak(upgrade *upgrade, accounts bool, dir string, seed int64, entries, workers int) (*soak, error) {
 	dir = filepath.Join(dir, fmt.Sprintf("soak-%d-%d", os.Getpid(), seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
@@ -157,66 +142,6 @@
 
 func (s *server) run() { _ = http.Serve(s.listener, s.handler) }
 
-func (s *soak) addWorker(id, pool string) error {
-	w := &worker{id: id, pool: pool}
-	if err := s.startWorker(w); err != nil {
-		return err
-	}
-	s.workers = append(s.workers, w)
-	return nil
-}
-
-// startWorker starts a new incarnation of a worker behind its proxy.
-func (s *soak) startWorker(w *worker) error {
-	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, w.pool, s.checks, runTime, fails)
-	address, err := s.serve(incarnation)
-	if err != nil {
-		return err
-	}
-	if w.proxy == nil {
-		if w.proxy, err = newProxy(address); err != nil {
-			return err
-		}
-	}
-	w.proxy.setTarget(address)
-	incarnation.Address = w.proxy.address()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.incarnation = incarnation
-	return nil
-}
-
-// register renews the worker's registration, unless the worker is cut off.
-func (w *worker) register(store *stand.Store) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.cutOff {
-		return nil
-	}
-	w.seq++
-	w.registeredAt = time.Now()
-	return w.incarnation.Register(store, w.seq, false)
-}
-
-// registerWorkers registers all workers at a fixed interval until stop.
-func (s *soak) registerWorkers() {
-	ticker := time.NewTicker(registerInterval)
-	defer ticker.Stop()
-	for {
-		for _, w := range s.workers {
-			if err := w.register(s.store); err != nil {
-				fmt.Fprintln(os.Stderr, "soak: can't register a worker:", err)
-			}
-		}
-		select {
-		case <-s.stopped:
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 const (
 	// firstPort and portCount are the ports of entries: below those that the kernel chooses itself,
 	// so that no other connection gets an entry's port while the entry is restarted.
--- /dev/null
+++ b/soak/worker.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"endiveroute.example/endive/platform/stand"
+)
+
+// worker is a worker id with its proxy and the incarnation that runs behind it.
+type worker struct {
+	id    string
+	pool  string
+	proxy *proxy
+
+	mu          sync.Mutex
+	incarnation *stand.Worker
+	seq         int
+	// registeredAt is when the worker last registered itself.
+	registeredAt time.Time
+	// cutOff is true while the worker is cut off from the entries and the platform.
+	cutOff bool
+}
+
+func (s *soak) addWorker(id, pool string) error {
+	w := &worker{id: id, pool: pool}
+	if err := s.startWorker(w); err != nil {
+		return err
+	}
+	s.workers = append(s.workers, w)
+	return nil
+}
+
+// startWorker starts a new incarnation of a worker behind its proxy.
+func (s *soak) startWorker(w *worker) error {
+	fails := func(string) bool { return false }
+	incarnation := stand.NewWorker(w.id, w.pool, s.checks, runTime, fails)
+	address, err := s.serve(incarnation)
+	if err != nil {
+		return err
+	}
+	if w.proxy == nil {
+		if w.proxy, err = newProxy(address); err != nil {
+			return err
+		}
+	}
+	w.proxy.setTarget(address)
+	incarnation.Address = w.proxy.address()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.incarnation = incarnation
+	return nil
+}
+
+// register renews the worker's registration, unless the worker is cut off.
+func (w *worker) register(store *stand.Store) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutOff {
+		return nil
+	}
+	w.seq++
+	w.registeredAt = time.Now()
+	return w.incarnation.Register(store, w.seq, false)
+}
+
+// registerWorkers registers all workers at a fixed interval until stop.
+func (s *soak) registerWorkers() {
+	ticker := time.NewTicker(registerInterval)
+	defer ticker.Stop()
+	for {
+		for _, w := range s.workers {
+			if err := w.register(s.store); err != nil {
+				fmt.Fprintln(os.Stderr, "soak: can't register a worker:", err)
+			}
+		}
+		select {
+		case <-s.stopped:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// registeredFor returns how long the platform goes on listing the worker if it doesn't register again.
+func (w *worker) registeredFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.registeredAt.Add(registrationLifetime))
+}
