--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(*Rig) (bool, error){
 	"takeover": playTakeover,
+	"watcher":  playWatcher,
 	"wide":     playWide,
 }
 
