--- a/review/stand-2/cell.go
+++ b/review/stand-2/cell.go
@@ -36,13 +36,29 @@
 	portCount = 10000
 )
 
-// freeAddress returns a loopback address with a port that is free now.
+// ports are those that were given out, which need not be bound yet.
+var ports struct {
+	sync.Mutex
+	used map[int]bool
+}
+
+// freeAddress returns a loopback address with a port that is free now and is given out once.
 func freeAddress() string {
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.used == nil {
+		ports.used = make(map[int]bool)
+	}
 	for {
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(portCount))
+		port := firstPort + rand.IntN(portCount)
+		address := "127.0.0.1:" + strconv.Itoa(port)
+		if ports.used[port] {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			listener.Close()
+			ports.used[port] = true
 			return address
 		}
 	}
