--- a/entry/cell/decisionlog.go
+++ b/entry/cell/decisionlog.go
@@ -48,6 +48,8 @@
 	// they have, and nil if none were granted.
 	Lease  *int64 `json:"leaseMillis,omitempty"`
 	Listed bool   `json:"listed"`
+	// Reported is true if the worker's current incarnation has listed the run.
+	Reported bool `json:"reported"`
 }
 
 // decisionMessage is the message of the lines about decisions.
@@ -85,7 +87,7 @@
 	if contact == nil {
 		return nil
 	}
-	fields := &contactFields{Listed: contact.Listed}
+	fields := &contactFields{Listed: contact.Listed, Reported: contact.Reported}
 	if !contact.AnsweredAt.IsZero() {
 		age := now.Sub(contact.AnsweredAt).Milliseconds()
 		fields.LastAnswer = &age
--- a/entry/cell/decisionlog_test.go
+++ b/entry/cell/decisionlog_test.go
@@ -125,9 +125,10 @@
 		want    string
 	}{
 		{"no contact", nil, `null`},
-		{"never answered", &flow.Contact{Listed: true}, `{"listed":true}`},
-		{"lease expired", &flow.Contact{AnsweredAt: now.Add(-time.Second), LeasesEnd: now.Add(-time.Millisecond)}, `{"lastAnswerMillis":1000,"leaseMillis":-1,"listed":false}`},
-		{"answered just now", &flow.Contact{AnsweredAt: now, LeasesEnd: now}, `{"lastAnswerMillis":0,"leaseMillis":0,"listed":false}`},
+		{"never answered", &flow.Contact{Listed: true}, `{"listed":true,"reported":false}`},
+		{"lease expired", &flow.Contact{AnsweredAt: now.Add(-time.Second), LeasesEnd: now.Add(-time.Millisecond)}, `{"lastAnswerMillis":1000,"leaseMillis":-1,"listed":false,"reported":false}`},
+		{"listed the run", &flow.Contact{Listed: true, Reported: true}, `{"listed":true,"reported":true}`},
+		{"answered just now", &flow.Contact{AnsweredAt: now, LeasesEnd: now}, `{"lastAnswerMillis":0,"leaseMillis":0,"listed":false,"reported":false}`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -37,6 +37,10 @@
 	OutcomeNotCrashed  = "not crashed"
 )
 
+// OutcomeOtherIncarnation is the outcome of a decision about an order to start that a later incarnation of the worker
+// than the known one has answered.
+const OutcomeOtherIncarnation = "answered by a later incarnation"
+
 // CrashCount is how many crashes of workers count against a task.
 type CrashCount struct{ Proven, Unproven int }
 
@@ -47,6 +51,8 @@
 	// LeasesEnd is when all leases granted to the worker have surely expired; zero if none were.
 	LeasesEnd time.Time
 	Listed    bool
+	// Reported is true if the worker's current incarnation has listed the run in an answer to a poll.
+	Reported bool
 }
 
 // Proof reports whether the evidence proves that the incarnation of a worker is over.
@@ -100,7 +106,7 @@
 	}
 	m.logDecision(Decision{
 		Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: OutcomeLost, Reason: reason, Evidence: evidence,
-		Contact: &Contact{AnsweredAt: w.answeredAt, LeasesEnd: w.leasesExpireAt(), Listed: w.listed},
+		Contact: &Contact{AnsweredAt: w.answeredAt, LeasesEnd: w.leasesExpireAt(), Listed: w.listed, Reported: r.reported},
 	})
 }
 
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -272,7 +272,7 @@
 	if r.unread != nil {
 		r.unread.report = report
 	}
-	r.loss = nil
+	r.loss, r.reported = nil, true
 	if report.Percent != r.percent {
 		r.percent, r.percentAt = report.Percent, m.now
 	}
--- a/flow/run.go
+++ b/flow/run.go
@@ -23,8 +23,13 @@
 	inFlight bool
 	// sentTo is the number of the worker's incarnation to which that order was sent.
 	sentTo int
+	// sentClock is the worker's time that was known when the order was sent.
+	sentClock endive.WorkerTime
 	// startUnconfirmed is true if an order to start got no answer and may be carried out late.
 	startUnconfirmed bool
+	// reported is true once the worker's current incarnation has listed the run in an answer to a poll. Until then
+	// the run may be on a later incarnation, since the answer to an order doesn't tell from which one it is.
+	reported bool
 	// unansweredStep is the machine's step in which the last order to start the run was given up without
 	// an answer; 0 if none was. A poll sent later shows whether the worker has carried it out.
 	unansweredStep uint64
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -9,7 +9,7 @@
 
 func (m *Machine) sendStart(r *run) {
 	t, w := r.task, r.worker
-	r.inFlight, r.sentTo = true, r.worker.incarnations
+	r.inFlight, r.sentTo, r.sentClock = true, w.incarnations, w.clock.workerTime
 	r.attempts++
 	m.emit(StartRun{Order: endive.StartOrder{
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
@@ -40,6 +40,7 @@
 	}
 	r.inFlight = false
 	m.pollNow(r.worker)
+	m.logOtherIncarnation(r, e.Answer.Clock)
 	r.readClock(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && r.attempts == 1 && r.state == runStarting {
 		r.worker.recordRoundTrip(m.now.Sub(r.startedAt))
--- a/flow/unknownrun.go
+++ b/flow/unknownrun.go
@@ -24,7 +24,7 @@
 	}
 	r := m.addRun(w, t, report.Run, runRunning)
 	r.confirmedStep = m.stepCount
-	r.harmless = true
+	r.harmless, r.reported = true, true
 	r.percent, r.firstPercent = report.Percent, report.Percent
 	t.checkpoint = report.Checkpoint
 	j := t.step.occ.job
@@ -42,7 +42,7 @@
 // addOrphan adds a run that is to be stopped and allocates its resources. The run doesn't become
 // its task's current run.
 func (m *Machine) addOrphan(w *worker, t *task, report endive.RunReport) *run {
-	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: m.now, percentAt: m.now}
+	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: m.now, percentAt: m.now, reported: true}
 	m.allocate(r, t)
 	return r
 }
