A run that only a later incarnation can have is given up by the longest lease

Cause: an order to start that reaches the next incarnation of a worker has a lease by the former clock, far in the future of the new one, which shortens it to MaxLeaseDuration (6 s on the users' sites). The holder counted the 4.5 s that it had granted, gave the run up, and started the task elsewhere while it ran on. The answer to the order doesn't name its incarnation, so this holds until the known one has listed the run, or has answered with a clock that a later one can't show yet. Evidence: TestRunOfNextIncarnationOutlivesLeaseOfFormerClock failed before: 34.730 s: twice: job.0.0.0 runs on w9 and w0. Why it works: leases are counted by run: for one that the known incarnation has, as before; for the others from the last call that may have been carried out, for the longest lease. Runs of a worker are dropped as their own leases expire.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -37,9 +37,9 @@
 	OutcomeNotCrashed  = "not crashed"
 )
 
-// OutcomeOtherIncarnation is the outcome of a decision about an order to start that a later incarnation of the worker
+// OutcomeLaterIncarnation is the outcome of a decision about an order to start that a later incarnation of the worker
 // than the known one has answered.
-const OutcomeOtherIncarnation = "answered by a later incarnation"
+const OutcomeLaterIncarnation = "answered by a later incarnation"
 
 // CrashCount is how many crashes of workers count against a task.
 type CrashCount struct{ Proven, Unproven int }
@@ -51,7 +51,7 @@
 	// LeasesEnd is when all leases granted to the worker have surely expired; zero if none were.
 	LeasesEnd time.Time
 	Listed    bool
-	// Reported is true if the worker's current incarnation has listed the run in an answer to a poll.
+	// Reported is true if the worker's known incarnation has listed the run, or has answered the order to start it.
 	Reported bool
 }
 
--- /dev/null
+++ b/flow/formercalls.go
@@ -0,0 +1,92 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"endiveroute.example/endive"
+)
+
+// A worker that restarts under its id carries out calls that were meant for its former incarnation, also calls that
+// were sent before the restart and got no answer. The lease in such a call is by the former clock, far in the future of the
+// new one, and the worker shortens it to MaxLeaseDuration. So a run that the known incarnation hasn't listed may be on
+// a later one, with the longest lease from the last call that may have been carried out.
+
+// maxCallDelay is how much later a worker may carry out a call that got no answer.
+const maxCallDelay = 12 * time.Second
+
+// longestLease returns the longest time for which a worker can hold a lease after it has carried out a call, by the
+// holder's clock.
+func (m *Machine) longestLease() time.Duration {
+	return longestDuration(time.Duration(m.settings.MaxLeaseDuration)) + clockErrorMargin + leaseMargin
+}
+
+// lateCallsUntil returns until when the worker may carry out a call with a lease that was sent before now: an order to
+// start, or a poll.
+func (m *Machine) lateCallsUntil(w *worker) time.Time {
+	until := w.lateCallsUntil
+	for _, r := range w.runs {
+		if r.inFlight {
+			until = endive.Latest(until, m.now.Add(maxCallDelay))
+		}
+	}
+	for _, poll := range w.poll.open {
+		until = endive.Latest(until, poll.lateUntil())
+	}
+	return until
+}
+
+// recordLatePoll records that a poll that renews leases got no answer, and may be carried out late.
+func (m *Machine) recordLatePoll(w *worker, e PollResult) {
+	if e.Result == OrderUnknown {
+		w.lateCallsUntil = endive.Latest(w.lateCallsUntil, w.poll.open[e.Poll].lateUntil())
+	}
+}
+
+// recordStartCall records when the worker carried out an order to start, or until when it may still do so.
+func (m *Machine) recordStartCall(e StartResult) {
+	w := m.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	switch e.Result {
+	case OrderAnswered:
+		w.startAnsweredAt = m.now
+	case OrderUnknown:
+		w.lateCallsUntil = endive.Latest(w.lateCallsUntil, m.now.Add(maxCallDelay))
+		if r := w.findRun(e.Task, e.Run); r != nil {
+			r.lateStartUntil = m.now.Add(maxCallDelay)
+		}
+	case OrderNotSent, OrderRefused:
+	}
+}
+
+// leasesExpireAnywhere returns when the leases of the worker have surely expired in any of its incarnations.
+func (m *Machine) leasesExpireAnywhere(w *worker) time.Time {
+	lastCall := endive.Latest(w.startAnsweredAt, m.lateCallsUntil(w))
+	return endive.Latest(w.leasesExpireAt(), lastCall.Add(m.longestLease()))
+}
+
+// leaseExpiresAt returns when the lease of a run has surely expired.
+func (m *Machine) leaseExpiresAt(r *run) time.Time {
+	if r.reported && !r.lateStartUntil.After(r.worker.seenAliveAt()) {
+		return r.worker.leasesExpireAt()
+	}
+	return m.leasesExpireAnywhere(r.worker)
+}
+
+// expiredRuns returns the runs of a worker whose leases have surely expired.
+func (m *Machine) expiredRuns(w *worker) []*run {
+	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return m.now.Before(m.leaseExpiresAt(r)) })
+}
+
+// nextExpiry returns when the next lease of a run on the worker will surely have expired; zero if all have.
+func (m *Machine) nextExpiry(w *worker) time.Time {
+	var next time.Time
+	for _, r := range w.runs {
+		if expiresAt := m.leaseExpiresAt(r); expiresAt.After(m.now) {
+			next = endive.Earliest(next, expiresAt)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/flow/formercalls_test.go
@@ -0,0 +1,48 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// simulationWithUnseenRestart returns a simulation in which the only worker has restarted under its id, and then got
+// an order to start a long task that was meant for the earlier incarnation: its lease is by the earlier clock.
+func simulationWithUnseenRestart(t *testing.T) (*simulation, *holder, *fakeWorker) {
+	t.Helper()
+	w := newSimulation(t, 1, faults{})
+	w.trace, w.renewals = *followTasks, true
+	w.addWorkers(1)
+	h := w.startHolder()
+	w.run(30 * time.Second)
+	worker := w.workers["w0"]
+	worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+	w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
+	// The answer to the order arrives, that to the poll after it doesn't.
+	w.run(30*time.Second + 8*time.Millisecond)
+	worker.answersLost = true
+	if worker.runs["job.0.0.0"] == nil {
+		t.Fatal("the task hasn't started")
+	}
+	return w, h, worker
+}
+
+// cutOffBeside cuts a worker off from the holders and the platform, and adds another one.
+func (w *simulation) cutOffBeside(worker *fakeWorker) {
+	worker.unreachable, worker.answersLost, worker.unlisted = true, true, true
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+}
+
+// A worker restarts under its id, takes an order to start for its former incarnation, and is cut off before a poll
+// shows the restart. It shortens the order's lease by its former clock only to the longest one, and the task must not
+// start elsewhere before that has expired.
+func TestRunOfNextIncarnationOutlivesLeaseOfFormerClock(t *testing.T) {
+	w, _, worker := simulationWithUnseenRestart(t)
+	w.cutOffBeside(worker)
+	w.run(90 * time.Second)
+	w.checkViolations()
+	is.New(t).True(w.starts >= 2) // the task starts again once its lease has expired
+}
--- a/flow/incarnation.go
+++ b/flow/incarnation.go
@@ -12,10 +12,7 @@
 func (m *Machine) beginIncarnation(w *worker, startTime time.Time) {
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "started anew", Reason: formatInt(int64(len(w.runs))) + " runs of the previous incarnation, " +
 		formatInt(int64(w.openCalls())) + " calls to it without an answer yet"})
-	// Such an order has a lease by the clock of the previous incarnation, which the new one shortens to
-	// MaxLeaseDuration when it carries the order out.
-	longestLease := longestDuration(time.Duration(m.settings.MaxLeaseDuration)) + clockErrorMargin + leaseMargin
-	w.oldLeasesExpireAt = endive.Latest(w.leasesExpireAt(), m.lateOrdersUntil(w).Add(longestLease))
+	w.oldLeasesExpireAt = endive.Latest(w.leasesExpireAt(), endive.Latest(m.now, m.lateCallsUntil(w)).Add(m.longestLease()))
 	m.recordRestart(w, startTime)
 	w.release()
 	for _, r := range w.runs {
@@ -35,16 +32,6 @@
 	w.poll.nextAt = m.now
 }
 
-// lateOrdersUntil returns until when the worker may carry out an order to start that was sent before now.
-func (m *Machine) lateOrdersUntil(w *worker) time.Time {
-	for _, r := range w.runs {
-		if r.inFlight {
-			return m.now.Add(maxOrderDelay)
-		}
-	}
-	return endive.Latest(m.now, w.lateOrdersUntil)
-}
-
 // incarnationKnown reports whether the platform's list or an answer has shown which incarnation of
 // the worker it is. A worker of the roster need not be listed.
 func (w *worker) incarnationKnown() bool { return !w.info.StartTime.IsZero() }
@@ -60,11 +47,19 @@
 	return calls
 }
 
-// logOtherIncarnation logs that the answer to an order to start shows a clock that began after the known incarnation
-// did: the worker has restarted. The order has the lease by the clock of the earlier incarnation.
-func (m *Machine) logOtherIncarnation(r *run, clock endive.WorkerTime) {
-	if clock > 0 && r.sentTo == r.worker.incarnations && clock < r.sentClock {
-		m.logDecision(Decision{Kind: DecisionStart, Task: r.id, Run: r.number, Worker: r.worker.id, Outcome: OutcomeOtherIncarnation,
-			Reason: "the worker's clock shows " + formatInt(int64(clock)) + " after " + formatInt(int64(r.sentClock)) + "; lease by that clock"})
+// answeredByKnown reports whether the answer to the last order of the run is surely from the worker's known incarnation.
+// A later one began after the reading of the clock that was known when the order was sent, so its clock shows less
+// than the time since then.
+func (r *run) answeredByKnown(clock endive.WorkerTime, now time.Time) bool {
+	sinceReading := endive.WorkerTime(now.Sub(r.sentClock.receivedAt).Milliseconds())
+	return r.sentTo == r.worker.incarnations && clock >= r.sentClock.workerTime && clock > sinceReading
+}
+
+// logLaterIncarnation logs that the answer to an order to start shows a clock that began later than that of the known
+// incarnation: the worker has restarted. The order has a lease by the clock of the earlier incarnation.
+func (m *Machine) logLaterIncarnation(r *run, clock endive.WorkerTime) {
+	if clock > 0 && r.sentTo == r.worker.incarnations && clock < r.sentClock.workerTime {
+		m.logDecision(Decision{Kind: DecisionStart, Task: r.id, Run: r.number, Worker: r.worker.id, Outcome: OutcomeLaterIncarnation,
+			Reason: "the worker's clock shows " + formatInt(int64(clock)) + " after " + formatInt(int64(r.sentClock.workerTime)) + "; the lease is by that clock"})
 	}
 }
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// lostRuns returns the runs of the worker that may be the cause if its incarnation is over. A run
+// lostRuns returns those of the given runs of the worker that may be the cause if its incarnation is over. A run
 // that has just started alone is the only one.
-func (m *Machine) lostRuns(w *worker) []lostRun {
+func (m *Machine) lostRuns(w *worker, runs []*run) []lostRun {
 	sole := w.isolation.soleRun
 	onlySole := sole != nil && sole.isolated && sole.mayHaveCrashed()
 	aliveUntil := m.now
@@ -43,7 +43,7 @@
 		aliveUntil = endive.Earliest(m.now, w.seenAliveAt().Add(time.Duration(pollWait)))
 	}
 	var lost []lostRun
-	for _, r := range w.sortedRuns() {
+	for _, r := range runs {
 		switch {
 		case r.task == nil:
 		case r.loss != nil:
@@ -164,7 +164,7 @@
 	if len(w.lost) > 0 {
 		m.countLoss(w, EvidenceRestarted, overAt)
 	}
-	lost := m.lostRuns(w)
+	lost := m.lostRuns(w, w.sortedRuns())
 	if w.answered() {
 		m.logCrash(w, lost)
 	}
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -51,8 +51,8 @@
 	}
 	m.sendPoll(w)
 	m.retryStops(w)
-	if w.failedPolls > 0 && len(w.runs) > 0 && leasesEnd.After(m.now) {
-		w.dueAt = endive.Earliest(w.dueAt, leasesEnd)
+	if w.failedPolls > 0 {
+		w.dueAt = endive.Earliest(w.dueAt, m.nextExpiry(w))
 	}
 	if w.mayStillReport(m.now) {
 		w.dueAt = endive.Earliest(w.dueAt, w.reportsUntil())
@@ -89,7 +89,7 @@
 	}
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
-	w.poll.open[w.poll.id] = m.now
+	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, renews: order.LeaseEnd > 0}
 	m.probes.calls[pollCall{w.id, w.poll.id}] = true
 	w.poll.sentAt, w.poll.immediate, w.poll.recorded = m.now, maxWait == 0, order.Recorded
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -19,6 +19,7 @@
 		return
 	}
 	m.markChanged(w)
+	m.recordLatePoll(w, e)
 	sentAt, current := w.poll.end(e)
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
 	switch {
@@ -34,7 +35,7 @@
 // end records the result of a poll. It returns when the poll was sent, and whether it is the one in
 // flight.
 func (p *pollState) end(e PollResult) (sentAt time.Time, current bool) {
-	sentAt = p.open[e.Poll]
+	sentAt = p.open[e.Poll].sentAt
 	if !e.Overdue {
 		delete(p.open, e.Poll)
 	}
--- a/flow/run.go
+++ b/flow/run.go
@@ -23,13 +23,15 @@
 	inFlight bool
 	// sentTo is the number of the worker's incarnation to which that order was sent.
 	sentTo int
-	// sentClock is the worker's time that was known when the order was sent.
-	sentClock endive.WorkerTime
+	// sentClock is the reading of the worker's clock that was known when the order was sent.
+	sentClock clockReading
 	// startUnconfirmed is true if an order to start got no answer and may be carried out late.
 	startUnconfirmed bool
-	// reported is true once the worker's current incarnation has listed the run in an answer to a poll. Until then
-	// the run may be on a later incarnation, since the answer to an order doesn't tell from which one it is.
+	// reported is true once the worker's known incarnation has listed the run, or has answered the order to start it.
+	// Until then the run may be on a later incarnation.
 	reported bool
+	// lateStartUntil is until when an order to start the run that got no answer may be carried out.
+	lateStartUntil time.Time
 	// unansweredStep is the machine's step in which the last order to start the run was given up without
 	// an answer; 0 if none was. A poll sent later shows whether the worker has carried it out.
 	unansweredStep uint64
@@ -165,11 +167,10 @@
 	m.removeIfEnded(t.step.occ.job)
 }
 
-// dropRuns removes all runs of a worker. They have surely ended, but the worker will never
-// report how.
-func (m *Machine) dropRuns(w *worker, reason string) {
-	lost := m.lostRuns(w)
-	for _, r := range w.sortedRuns() {
+// dropRuns removes runs of a worker that have surely ended. The worker will never report how.
+func (m *Machine) dropRuns(w *worker, runs []*run, reason string) {
+	lost := m.lostRuns(w, runs)
+	for _, r := range runs {
 		m.logLost(r, reason)
 		m.removeRun(r)
 	}
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -98,11 +98,15 @@
 // dropExpiredRuns removes the runs of a silent worker whose leases have expired, but not those whose
 // end the worker may still report.
 func (m *Machine) dropExpiredRuns(w *worker) {
+	expired := m.expiredRuns(w)
+	if len(expired) == 0 {
+		return
+	}
 	if !w.mayStillReport(m.now) {
-		m.dropRuns(w, "its leases have expired")
+		m.dropRuns(w, expired, "its leases have expired")
 		return
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range expired {
 		if !r.waitsForReport() {
 			m.logLost(r, "its leases have expired, and its worker is silent")
 			m.removeRun(r)
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -9,7 +9,7 @@
 
 func (m *Machine) sendStart(r *run) {
 	t, w := r.task, r.worker
-	r.inFlight, r.sentTo, r.sentClock = true, w.incarnations, w.clock.workerTime
+	r.inFlight, r.sentTo, r.sentClock = true, w.incarnations, w.clock
 	r.attempts++
 	m.emit(StartRun{Order: endive.StartOrder{
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
@@ -29,25 +29,21 @@
 // maxSendDelay is how long an order to start may take to be sent.
 const maxSendDelay = time.Second
 
-// maxOrderDelay is how much later a worker may carry out an order that got no answer.
-const maxOrderDelay = 10 * time.Second
-
 // handleStartResult processes the answer to an order to start.
 func (m *Machine) handleStartResult(e StartResult) {
+	m.recordStartCall(e)
 	r := m.findRun(e.Worker, e.Task, e.Run)
 	if r == nil {
 		return
 	}
 	r.inFlight = false
 	m.pollNow(r.worker)
-	m.logOtherIncarnation(r, e.Answer.Clock)
+	m.logLaterIncarnation(r, e.Answer.Clock)
+	r.reported = r.reported || e.Result == OrderAnswered && r.answeredByKnown(e.Answer.Clock, m.now)
 	r.readClock(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && r.attempts == 1 && r.state == runStarting {
 		r.worker.recordRoundTrip(m.now.Sub(r.startedAt))
 	}
-	if e.Result == OrderUnknown {
-		r.worker.lateOrdersUntil = m.now.Add(maxOrderDelay)
-	}
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone {
 		m.confirmRun(r)
 		if r.state == runStopping {
--- a/flow/terminatedworkers.go
+++ b/flow/terminatedworkers.go
@@ -25,6 +25,9 @@
 // granted to a worker.
 func (m *Machine) leasesSurelyOver(w *worker) time.Time {
 	expired := w.leasesExpireAt()
+	for _, r := range w.runs {
+		expired = endive.Latest(expired, m.leaseExpiresAt(r))
+	}
 	if !w.answered() {
 		return endive.Latest(expired, m.tenure.takeoverDeadline)
 	}
@@ -34,7 +37,7 @@
 // handleTerminated drops the runs of a terminated worker, and removes the worker unless it is
 // still listed.
 func (m *Machine) handleTerminated(w *worker, reason string) {
-	m.dropRuns(w, "its worker has terminated")
+	m.dropRuns(w, w.sortedRuns(), "its worker has terminated")
 	m.passDue = true
 	if w.listed {
 		// The list is out of date. The worker is kept until it is unlisted; otherwise it would
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -43,8 +43,10 @@
 	incarnations int
 	// oldLeasesExpireAt is when leases of an earlier incarnation have surely expired.
 	oldLeasesExpireAt time.Time
-	// lateOrdersUntil is until when an order to start that got no answer may still be carried out.
-	lateOrdersUntil time.Time
+	// lateCallsUntil is until when a call with a lease that got no answer may still be carried out.
+	lateCallsUntil time.Time
+	// startAnsweredAt is when the last answer to an order to start arrived, of whatever incarnation.
+	startAnsweredAt time.Time
 
 	// lastEnd is the highest number of a processed end of a run; unrecordedEnds are the numbers
 	// of the processed ends that aren't recorded yet.
@@ -95,14 +97,30 @@
 	immediate bool
 	// recorded is the end up to which the last poll acknowledged the ends.
 	recorded endive.EndNumber
-	// open has the polls whose calls haven't ended, with the times when they were sent.
-	open map[PollID]time.Time
+	// open has the polls whose calls haven't ended.
+	open map[PollID]openPoll
 	// nextAt is when the next poll is due.
 	nextAt time.Time
 	// queued is true while the worker waits to be probed.
 	queued bool
 }
 
+// openPoll is a poll whose call hasn't ended.
+type openPoll struct {
+	sentAt time.Time
+	// renews is true if the poll renews the worker's leases.
+	renews bool
+}
+
+// lateUntil returns until when the worker may carry out the poll if there is no answer, as far as that matters to its
+// leases.
+func (p openPoll) lateUntil() time.Time {
+	if !p.renews {
+		return time.Time{}
+	}
+	return p.sentAt.Add(maxCallDelay)
+}
+
 // clockReading relates a worker's clock to the local one: the worker's clock showed
 // workerTime when it answered, and the answer arrived at receivedAt.
 type clockReading struct {
@@ -202,7 +220,7 @@
 
 func newWorker(id endive.WorkerID) *worker {
 	w := &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool)}
-	w.poll.open = make(map[PollID]time.Time)
+	w.poll.open = make(map[PollID]openPoll)
 	return w
 }
 
