A takeover waits for the longest lease on workers that don't answer

Cause: the next holder counted the lease that holders grant (4.5 s). It can't know that a worker has restarted unseen and holds a lease by its former clock, of up to MaxLeaseDuration. Likewise a worker that answers the next holder once, and then falls silent. Why it works: the deadline for workers that never answer counts the longest lease. A worker that answers shows by its clock how long ago it started; from that answer on it refuses the calls of earlier holders, and calls by a former clock end 18 s after a restart, so most workers count as before. A worker that wasn't in the roster has had no calls of an earlier holder.

--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -46,3 +46,22 @@
 	w.checkViolations()
 	is.New(t).True(w.starts >= 2) // the task starts again once its lease has expired
 }
+
+// The same with a takeover: the next holder knows neither the restart nor the lease.
+func TestTakeoverAfterUnseenRestartOfWorker(t *testing.T) {
+	for _, how := range []string{"killed", "hands over"} {
+		t.Run(how, func(t *testing.T) {
+			w, h, worker := simulationWithUnseenRestart(t)
+			w.cutOffBeside(worker)
+			if how == "killed" {
+				h.kill()
+				w.startHolder()
+			} else {
+				h.handOver()
+			}
+			w.run(90 * time.Second)
+			w.checkViolations()
+			is.New(t).True(w.starts >= 2) // the task starts again once its lease has expired
+		})
+	}
+}
--- a/flow/knowledge.go
+++ b/flow/knowledge.go
@@ -66,8 +66,9 @@
 	previous := w.knowledge
 	if previous == knowsNothing {
 		w.knowledge = knowsRuns
-		// Leases that the previous holder renewed may last until then.
-		w.oldLeasesExpireAt = endive.Latest(w.oldLeasesExpireAt, m.tenure.takeoverDeadline)
+		if w.inherited {
+			w.oldLeasesExpireAt = endive.Latest(w.oldLeasesExpireAt, m.earlierLeasesExpireAt(answer.Clock))
+		}
 		m.passDue = true
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "adopted", Reason: formatInt(int64(len(w.runs))) + " runs on the worker" + describeMore(answer.More)})
 	}
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -48,6 +48,7 @@
 	if w == nil {
 		return
 	}
+	w.inherited = true
 	w.largestCapacity = w.largestCapacity.Max(r.Capacity)
 	if !r.Draining || !r.TasksKnown {
 		return
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -45,11 +45,10 @@
 }
 
 // takeoverDeadlineNow returns when all leases have surely expired that the previous holder has granted up to now, or
-// grants for as long as it may start tasks.
+// grants for as long as it may start tasks. The worker may have restarted since that holder read its clock, and may have
+// been granted the longest lease.
 func (m *Machine) takeoverDeadlineNow() time.Time {
-	granted := endive.Latest(m.now, m.tenure.previousLeaseEnd)
-	longestLease := longestDuration(time.Duration(m.settings.LeaseDuration)) + clockErrorMargin + leaseMargin
-	return granted.Add(longestLease)
+	return endive.Latest(m.now, m.tenure.previousLeaseEnd).Add(m.longestLease())
 }
 
 func (m *Machine) endTenure(e TenureEnded) {
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -15,6 +15,9 @@
 	listed bool
 	// knowledge is what is known of the runs that earlier holders have started on the worker.
 	knowledge knowledge
+	// inherited is true if the worker was in the roster when this tenure began: only then may an earlier holder have
+	// started anything on it.
+	inherited bool
 	// addressReused is true if another incarnation answers at the address.
 	addressReused bool
 
