After a restart of an executor its calls carry a higher epoch

Cause: the next incarnation knows no epoch, and the holder went on with the same one, so nothing told its calls to the next incarnation from those to the former. It also took a run as absent by an answer to a poll that was sent before the restart. With each restart that a holder sees it raises the epoch of its calls to that worker, and polls it at once, beside a poll to the former incarnation. Once such a poll is answered, all calls to former incarnations are refused, an absent run is absent for good (no stop needed), leases of theirs end within the longest lease, and the worker may be given work. A refusal of such a call isn't taken as the sign of another holder. Evidence: TestLateOrderReachesNextIncarnation fails with one epoch: the order is carried out (both cases). Why it works: PROTOCOL.md: the executor keeps the highest token that it has seen, and does nothing for a lower one. Tests: elect's literal epochs follow the size of a tenure, with the same relations. TestAnswerOfEarlierIncarnationSetsClock: the first task is found absent 170 ms earlier and starts again alone on the next incarnation, where the second one can't start beside it; the case 'start' therefore looks for the first one there, the check for violations is the same. Ruled out: one epoch per tenure and worker as a number of its own (an earlier build would be refused for ever); a write of the lease at each restart (a restart of all executors of a zone would cost one each).

--- a/elect/machine.go
+++ b/elect/machine.go
@@ -136,9 +136,9 @@
 	if e.Version > 0 {
 		if err := json.Unmarshal(e.Value, &m.lease); err != nil {
 			// A malformed row belongs to no entry. The next epoch must be higher than any
-			// earlier one. Each epoch needs a write, so the row's version is an upper
-			// bound.
-			m.lease = Lease{Epoch: endive.Epoch(e.Version)}
+			// earlier one. Each tenure needs a write, so the row's version is an upper
+			// bound of their number.
+			m.lease = Lease{Epoch: endive.Epoch(e.Version) * endive.EpochsPerTenure}
 		}
 	}
 	if m.holding && (m.lease.Epoch != m.writtenLease.Epoch || m.lease.Incarnation != m.incarnation) {
@@ -238,7 +238,7 @@
 		m.previousLeaseEnd = m.now.Add(time.Duration(remaining) * time.Millisecond)
 	}
 	m.writeLease(Lease{
-		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch + 1,
+		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch.NextTenure(),
 		Until: m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds()),
 	}, true)
 }
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -11,12 +11,12 @@
 	r := newFixture(t)
 	b, ok := tenureBegan(r.commit(r.readRow()))
 	r.is.True(ok)
-	r.is.Equal(b.Epoch, endive.Epoch(1))
+	r.is.Equal(b.Epoch, endive.EpochsPerTenure)
 	r.is.True(b.LeaseEnd.Before(r.now.Add(lease)))
 	r.now = r.now.Add(lease / 2)
 	actions := r.commit(r.step(endive.Wake{}))
 	r.is.Equal(actions[0], TenureRenewed{LeaseEnd: r.now.Add(lease - safetyMargin)})
-	r.is.Equal(r.row().Epoch, endive.Epoch(1))
+	r.is.Equal(r.row().Epoch, endive.EpochsPerTenure)
 }
 
 func TestDoesNotAcquireHeldPool(t *testing.T) {
@@ -30,7 +30,7 @@
 	r.now = r.now.Add(200 * time.Millisecond)
 	b, ok := tenureBegan(r.commit(r.step(endive.Wake{})))
 	r.is.True(ok)
-	r.is.Equal(b.Epoch, endive.Epoch(5))
+	r.is.Equal(b.Epoch, endive.Epoch(4).NextTenure())
 }
 
 func TestWaitsForPreferredEntries(t *testing.T) {
@@ -89,7 +89,7 @@
 	r.now = r.now.Add(lease)
 	b, ok := tenureBegan(r.commit(r.readRow()))
 	r.is.True(ok)
-	r.is.Equal(b.Epoch, endive.Epoch(2))
+	r.is.Equal(b.Epoch, 2*endive.EpochsPerTenure)
 }
 
 func TestTenureEnds(t *testing.T) {
@@ -98,11 +98,11 @@
 		event func(r *fixture) []endive.Action
 	}{
 		{"the row names another entry", func(r *fixture) []endive.Action {
-			r.writeAsOtherEntry(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 2, Until: 9000})
+			r.writeAsOtherEntry(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: endive.EpochsPerTenure + 1, Until: 9000})
 			return r.readRow()
 		}},
-		{"a worker refused the epoch", func(r *fixture) []endive.Action { return r.step(Fenced{Epoch: 1}) }},
-		{"another entry reports a higher epoch", func(r *fixture) []endive.Action { return r.step(Superseded{Epoch: 2}) }},
+		{"a worker refused the epoch", func(r *fixture) []endive.Action { return r.step(Fenced{Epoch: endive.EpochsPerTenure}) }},
+		{"another entry reports a higher epoch", func(r *fixture) []endive.Action { return r.step(Superseded{Epoch: endive.EpochsPerTenure + 1}) }},
 		{"released", func(r *fixture) []endive.Action { return r.commit(r.step(Release{})) }},
 	}
 	for _, tt := range tests {
@@ -120,7 +120,7 @@
 	r.writeAsOtherEntry(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 7, Until: 99000, Vacant: true})
 	b, ok := tenureBegan(r.commit(r.readRow()))
 	r.is.True(ok)
-	r.is.Equal(b.Epoch, endive.Epoch(8))
+	r.is.Equal(b.Epoch, endive.Epoch(7).NextTenure())
 }
 
 // A holder whose process has probably ended must be replaced before its lease expires, but
@@ -149,13 +149,13 @@
 }
 
 // A malformed lease row belongs to no entry, so the pool must be acquired. The epoch in the
-// row may have been any number up to the row's version, so the new epoch must be higher.
+// row may have been that of any tenure up to the row's version, so the new epoch must be higher.
 func TestAcquiresPoolWithMalformedLease(t *testing.T) {
 	r := newFixture(t)
 	r.version, r.value = 40, []byte("?")
 	b, ok := tenureBegan(r.commit(r.readRow()))
 	r.is.True(ok)
-	r.is.Equal(b.Epoch, endive.Epoch(41))
+	r.is.Equal(b.Epoch, 41*endive.EpochsPerTenure)
 }
 
 // All entries restart at the same time. The entry that held the pool finds its own name in
--- a/entry/cell/workfollower.go
+++ b/entry/cell/workfollower.go
@@ -29,10 +29,10 @@
 }
 
 // newFollower returns a follower for a tenure. It ignores a handed-over state that isn't from
-// the epoch just before the tenure's, since another entry held the pool in between.
+// the tenure just before, since another entry held the pool in between.
 func newFollower(p *pool, epoch endive.Epoch, handedOver *flow.PoolSnapshot) *workFollower {
 	ctx, cancel := context.WithCancel(p.cell.ctx)
-	if handedOver != nil && (handedOver.Epoch+1 != epoch || handedOver.Revision == 0) {
+	if handedOver != nil && (handedOver.Epoch.NextTenure() != epoch || handedOver.Revision == 0) {
 		handedOver = nil
 	}
 	f := &workFollower{pool: p, epoch: epoch, ctx: ctx, cancel: cancel, handedOver: handedOver}
--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -54,9 +54,9 @@
 }
 
 // recordLatePoll records that a poll that renews leases got no answer, and may be carried out late.
-func (m *Machine) recordLatePoll(w *worker, e PollResult) {
-	if e.Result == OrderUnknown {
-		w.lateCallsUntil = endive.Latest(w.lateCallsUntil, w.poll.open[e.Poll].lateUntil())
+func (m *Machine) recordLatePoll(w *worker, poll openPoll, result OrderResult) {
+	if result == OrderUnknown {
+		w.lateCallsUntil = endive.Latest(w.lateCallsUntil, poll.lateUntil())
 	}
 }
 
--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -65,3 +65,37 @@
 		})
 	}
 }
+
+// An order to start gets no answer, the worker restarts under its id, and the order is carried out by the next
+// incarnation after the holder has seen the restart. The worker must refuse it: the task has started elsewhere.
+func TestLateOrderReachesNextIncarnation(t *testing.T) {
+	for _, seen := range []string{"in an answer", "in the list"} {
+		t.Run(seen, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1, faults{})
+			w.trace, w.renewals = *followTasks, true
+			w.addWorkers(1)
+			h := w.startHolder()
+			w.run(30 * time.Second)
+			worker := w.workers["w0"]
+			order := endive.StartOrder{
+				Worker: endive.WorkerRef{ID: worker.id}, Task: "job.0.0.0", LeaseEnd: worker.clock() + endive.WorkerTime(testLeaseDuration.Milliseconds()),
+				Epoch: h.machine.epochFor(h.machine.workers[worker.id]),
+			}
+			w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
+			w.run(30*time.Second + 20*time.Millisecond)
+			order.Run = worker.runs["job.0.0.0"].number
+			worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+			w.addWorker("w1", testCapacity, endive.Label("rack0"))
+			if seen == "in an answer" {
+				w.run(33 * time.Second)
+			}
+			w.run(w.now.Add(20 * time.Millisecond).Sub(w.start))
+			answer := worker.start(order)
+			is.Equal(answer.Refused, endive.RefusalEpoch)
+			w.run(70 * time.Second)
+			w.checkViolations()
+			is.Equal(w.state("job"), endive.WorkflowSucceeded)
+		})
+	}
+}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -142,7 +142,7 @@
 // load loads the rows for a new tenure, those read when it began or the current ones, or uses the snapshot that was
 // handed over.
 func (h *holder) load(epoch endive.Epoch, first PoolSnapshot) {
-	if handedOver := h.sim.handedOver; handedOver != nil && handedOver.Epoch+1 == epoch {
+	if handedOver := h.sim.handedOver; handedOver != nil && handedOver.Epoch.NextTenure() == epoch {
 		h.loadHandedOver(*handedOver)
 		return
 	}
@@ -207,7 +207,7 @@
 
 // loadTime returns how long a new holder takes to load the rows.
 func (w *simulation) loadTime(epoch endive.Epoch) time.Duration {
-	if w.handedOver != nil && w.handedOver.Epoch+1 == epoch {
+	if w.handedOver != nil && w.handedOver.Epoch.NextTenure() == epoch {
 		return time.Millisecond
 	}
 	return max(w.loadDuration, 10*time.Millisecond)
--- a/flow/incarnation.go
+++ b/flow/incarnation.go
@@ -7,8 +7,8 @@
 )
 
 // beginIncarnation resets a worker that has restarted. The new incarnation has none of the
-// earlier runs, but it may still carry out an order that is in flight. So a run is removed only
-// when the new incarnation doesn't report it.
+// earlier runs, but it may still carry out calls to the earlier ones until it has received one with a
+// higher epoch. So a run is removed only when the new incarnation doesn't report it after that.
 func (m *Machine) beginIncarnation(w *worker, startTime time.Time) {
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "started anew", Reason: formatInt(int64(len(w.runs))) + " runs of the previous incarnation, " +
 		formatInt(int64(w.openCalls())) + " calls to it without an answer yet"})
@@ -22,14 +22,16 @@
 	// What the previous incarnation said of itself doesn't hold for this one, which may be of another kind.
 	// Nothing starts there until the platform's list shows its own registration.
 	w.info = endive.FleetWorker{ID: w.info.ID, Pool: w.info.Pool, Address: w.info.Address, StartTime: startTime, Unconfirmed: true}
-	w.incarnations++
+	w.incarnations, w.fenced = m.countIncarnation(w.id), false
 	w.knowledge, w.addressReused = knowsNothing, false
 	w.recordedTasks = nil
 	m.forgetDraining(w)
 	w.lastEnd, w.leaseEnd, w.clock, w.lastReport = 0, 0, clockReading{}, 0
 	w.answeredAt, w.answersLate = time.Time{}, false
 	w.unrecordedEnds, w.unreadEnds = make(map[endive.EndNumber]bool), nil
-	w.poll.nextAt = m.now
+	// A poll with the next epoch is sent at once, beside one to the earlier incarnation that has no answer yet.
+	w.poll.inFlight, w.poll.nextAt = false, m.now
+	m.markChanged(w)
 }
 
 // incarnationKnown reports whether the platform's list or an answer has shown which incarnation of
--- a/flow/oldclock_test.go
+++ b/flow/oldclock_test.go
@@ -49,7 +49,12 @@
 			at(800 * time.Millisecond)
 			w.submit("second", urgentQueue, stepOfTasks(1, 30*time.Second))
 			at(900 * time.Millisecond)
-			is.True(worker.runs["second.0.0.0"] != nil)
+			if order == "start" {
+				// The first task starts again on the next incarnation, alone, since it may have crashed the worker.
+				is.True(worker.runs["first.0.0.0"] != nil)
+			} else {
+				is.True(worker.runs["second.0.0.0"] != nil)
+			}
 			w.addWorker("w1", testCapacity, endive.Label("rack0"))
 			at(40 * time.Second)
 			w.checkViolations()
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -76,20 +76,20 @@
 	}
 	maxWait := pollWait
 	switch {
-	case !w.endsKnown() || w.failedPolls > 0 || w.hasOpenEnds() || len(w.runs) == 0:
+	case !w.endsKnown() || !w.fenced || w.failedPolls > 0 || w.hasOpenEnds() || len(w.runs) == 0:
 		maxWait = 0
 	case w.hasUnconfirmedRuns():
 		maxWait = unconfirmedPollWait
 	case w.hasSuspects():
 		maxWait = suspectPollWait(m.now, w.suspectsUntil())
 	}
-	order := endive.PollOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
+	order := endive.PollOrder{Worker: w.ref(), Epoch: m.epochFor(w), Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
 	if w.renewsLeases(m.now) && m.mayRenew() {
 		order.LeaseEnd = m.newLeaseEnd(w)
 	}
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
-	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, renews: order.LeaseEnd > 0}
+	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, sentTo: w.incarnations, renews: order.LeaseEnd > 0}
 	m.probes.calls[pollCall{w.id, w.poll.id}] = true
 	w.poll.sentAt, w.poll.immediate, w.poll.recorded = m.now, maxWait == 0, order.Recorded
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -19,36 +19,37 @@
 		return
 	}
 	m.markChanged(w)
-	m.recordLatePoll(w, e)
-	sentAt, current := w.poll.end(e)
+	sent, current := w.poll.end(e)
+	m.recordLatePoll(w, sent, e.Result)
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
 	switch {
+	case e.Answer.Refused == endive.RefusalEpoch && sent.sentTo < w.incarnations:
+		// The poll was sent to an earlier incarnation, and the worker has received a higher epoch since.
 	case current && !answered:
 		m.handlePollFailure(w, e)
 	case current || answered && w.acceptsLateReport(e.Report):
-		m.applyPollReport(w, e, sentAt, current)
+		m.applyPollReport(w, e, sent, current)
 	case e.Result == OrderNotSent && w.failedPolls > 0 && m.hasLeft(w, e):
 		m.handleTerminated(w, string(e.Result))
 	}
 }
 
-// end records the result of a poll. It returns when the poll was sent, and whether it is the one in
-// flight.
-func (p *pollState) end(e PollResult) (sentAt time.Time, current bool) {
-	sentAt = p.open[e.Poll].sentAt
+// end records the result of a poll. It returns the poll, and whether it is the one in flight.
+func (p *pollState) end(e PollResult) (sent openPoll, current bool) {
+	sent = p.open[e.Poll]
 	if !e.Overdue {
 		delete(p.open, e.Poll)
 	}
 	if !p.inFlight || p.id != e.Poll {
-		return sentAt, false
+		return sent, false
 	}
 	p.inFlight = false
-	return sentAt, true
+	return sent, true
 }
 
 // applyPollReport applies what a worker reports in its answer to a poll. current is false if the answer
 // arrived late.
-func (m *Machine) applyPollReport(w *worker, e PollResult, sentAt time.Time, current bool) {
+func (m *Machine) applyPollReport(w *worker, e PollResult, sent openPoll, current bool) {
 	if w.failedPolls > 0 {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "answers again", Reason: formatInt(int64(w.failedPolls)) + " failed polls before"})
 		w.failedPolls, w.lossRecorded = 0, false
@@ -73,18 +74,19 @@
 		w.poll.nextAt = m.now
 		return
 	}
-	w.recordAnswer(m.now, sentAt, e.Report.Clock, !current)
+	w.recordAnswer(m.now, sent.sentAt, e.Report.Clock, !current)
+	m.recordFence(w, sent)
 	knownEnd := w.lastEnd
 	m.applyEnds(w, e.Report.Ended)
-	m.reconcileRuns(w, e.Poll, e.Report)
+	m.reconcileRuns(w, e.Poll, e.Report, sent)
 	recorded := endive.EndNumber(0)
-	if current {
+	if current && sent.sentTo == w.incarnations {
 		recorded = w.poll.recorded
 	}
 	m.learn(w, e.Report, w.lastEnd > knownEnd, recorded)
 	w.poll.nextAt = m.now
 	switch {
-	case e.Report.More && w.lastEnd > knownEnd:
+	case !w.fenced, e.Report.More && w.lastEnd > knownEnd:
 	case w.hasOpenEnds() && len(w.runs) > 0:
 		w.poll.nextAt = m.now.Add(unrecordedPollInterval)
 	case w.hasOpenEnds():
@@ -234,7 +236,7 @@
 
 // reconcileRuns compares the runs that a worker reports in the answer to a poll with those that it
 // should have.
-func (m *Machine) reconcileRuns(w *worker, poll PollID, answer endive.PollReport) {
+func (m *Machine) reconcileRuns(w *worker, poll PollID, answer endive.PollReport, sent openPoll) {
 	reported := make(map[endive.TaskID]bool, len(answer.Running))
 	for _, report := range answer.Running {
 		reported[report.Task] = true
@@ -251,23 +253,34 @@
 		// A run that isn't reported may have ended: its end may be one of those that are left out.
 		return
 	}
+	if sent.sentTo < w.incarnations {
+		// The worker may still carry out a late order to start that was sent to an earlier incarnation.
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		switch {
 		case reported[r.id]:
+		case r.isOnFormer():
+			m.removeAbsent(r, "the worker has restarted, and reports neither the run nor its end")
 		case r.state == runStarting && r.unansweredStep > 0 && r.unansweredStep < uint64(poll):
 			m.stopRun(r, "its start is unconfirmed")
 		case r.confirmedStep > 0 && r.confirmedStep < uint64(poll):
 			// A run that was confirmed before this poll was sent would be in the answer.
-			m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: w.id, Outcome: "absent", Reason: "the worker reports neither the run nor its end"})
-			m.removeRun(r)
-			m.recordAbsence(r)
-			if r.task != nil {
-				m.abortGang(r.task.step, "a member of the gang is absent")
-			}
+			m.removeAbsent(r, "the worker reports neither the run nor its end")
 		}
 	}
 }
 
+// removeAbsent removes a run that its worker neither has nor will have.
+func (m *Machine) removeAbsent(r *run, reason string) {
+	m.logDecision(Decision{Kind: DecisionEnd, Task: r.id, Run: r.number, Worker: r.worker.id, Outcome: "absent", Reason: reason})
+	m.removeRun(r)
+	m.recordAbsence(r)
+	if r.task != nil {
+		m.abortGang(r.task.step, "a member of the gang is absent")
+	}
+}
+
 // updateRun applies the reported progress of a run.
 func (m *Machine) updateRun(r *run, report endive.RunReport) {
 	if r.unread != nil {
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -91,7 +91,7 @@
 // regain makes a holder that has lost the pool hold it again under the next epoch.
 func (h *holder) regain() {
 	w := h.sim
-	w.epoch++
+	w.epoch = w.epoch.NextTenure()
 	h.epoch = w.epoch
 	w.version++
 	fence := FenceWrite(testPool, w.epoch)
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -298,7 +298,7 @@
 // startHolderBefore starts a new process that holds the pool under the next epoch, while the previous holder may
 // start tasks until previousLeaseEnd; zero if its lease has expired.
 func (w *simulation) startHolderBefore(previousLeaseEnd time.Time) *holder {
-	w.epoch++
+	w.epoch = w.epoch.NextTenure()
 	settings := Settings{
 		LeaseDuration: endive.Interval(testLeaseDuration), MaxLeaseDuration: endive.Interval(testMaxLeaseDuration), Retention: endive.Interval(testRetention),
 	}
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -13,7 +13,7 @@
 	r.attempts++
 	m.emit(StartRun{Order: endive.StartOrder{
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
-		LeaseEnd: m.newLeaseEnd(w), Epoch: m.tenure.epoch, Resume: t.resume(),
+		LeaseEnd: m.newLeaseEnd(w), Epoch: m.epochFor(w), Resume: t.resume(),
 		Ticket: t.step.tickets.ticketFor(w.id),
 	}, SendBy: m.sendBy()})
 }
@@ -53,7 +53,7 @@
 		return
 	}
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
-		m.handleFenced("worker " + string(e.Worker))
+		m.handleRefusedEpoch(r)
 		return
 	}
 	if r.state == runRunning {
--- a/flow/stop.go
+++ b/flow/stop.go
@@ -20,9 +20,10 @@
 }
 
 func (m *Machine) sendStop(r *run) {
-	r.inFlight, r.sentTo = true, r.worker.incarnations
+	w := r.worker
+	r.inFlight, r.sentTo = true, w.incarnations
 	r.retryAt = time.Time{}
-	m.emit(StopRun{Order: endive.StopOrder{Worker: r.worker.ref(), Task: r.id, Run: r.number, Epoch: m.tenure.epoch}})
+	m.emit(StopRun{Order: endive.StopOrder{Worker: w.ref(), Task: r.id, Run: r.number, Epoch: m.epochFor(w)}})
 }
 
 // handleStopResult processes the answer to an order to stop.
@@ -35,7 +36,7 @@
 	m.markChanged(r.worker)
 	r.readClock(e.Answer.Clock, m.now)
 	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
-		m.handleFenced("worker " + string(e.Worker))
+		m.handleRefusedEpoch(r)
 		return
 	}
 	confirmed := e.Result == OrderAnswered && e.Answer.Refused != endive.RefusalUnhealthy && e.Answer.Refused != endive.RefusalInvalid
--- a/flow/unreadjob_test.go
+++ b/flow/unreadjob_test.go
@@ -45,7 +45,7 @@
 	worker := w.workers["w0"]
 	workflow := endive.Workflow{ID: "gone", Queue: urgentQueue.Name, Steps: []endive.Step{stepOfTasks(1, 30*time.Second)}}
 	w.jobs[workflow.ID] = &fakeJob{workflow: workflow, policy: urgentQueue}
-	worker.start(endive.StartOrder{Worker: endive.WorkerRef{ID: worker.id}, Task: "gone.0.0.0", Run: 1, LeaseEnd: worker.clock() + 20_000, Epoch: w.epoch})
+	worker.start(endive.StartOrder{Worker: endive.WorkerRef{ID: worker.id}, Task: "gone.0.0.0", Run: 1, LeaseEnd: worker.clock() + 20_000, Epoch: w.epoch.AfterRestarts(0)})
 	return worker
 }
 
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -42,8 +42,10 @@
 	// leaseEnd is the latest end of a lease in all orders sent to the worker.
 	leaseEnd endive.WorkerTime
 
-	// incarnations counts the restarts of the worker that this machine has observed.
+	// incarnations counts the earlier incarnations of the worker that this tenure has known. fenced is true once the newest
+	// incarnation has answered a poll that was sent to it: from then on it refuses calls to earlier ones.
 	incarnations int
+	fenced       bool
 	// oldLeasesExpireAt is when leases of an earlier incarnation have surely expired.
 	oldLeasesExpireAt time.Time
 	// lateCallsUntil is until when a call with a lease that got no answer may still be carried out.
@@ -111,6 +113,8 @@
 // openPoll is a poll whose call hasn't ended.
 type openPoll struct {
 	sentAt time.Time
+	// sentTo is the number of the worker's incarnation to which the poll was sent.
+	sentTo int
 	// renews is true if the poll renews the worker's leases.
 	renews bool
 }
@@ -158,7 +162,7 @@
 
 // usable reports whether new tasks may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered() && !w.addressReused && !w.info.Draining && !w.info.Unconfirmed && w.failedPolls == 0
+	return w.listed && w.answered() && w.fenced && !w.addressReused && !w.info.Draining && !w.info.Unconfirmed && w.failedPolls == 0
 }
 
 // couldRun reports whether a task of a step could run on the worker if nothing else ran there.
@@ -215,12 +219,19 @@
 // addUnlisted adds a worker that is in the roster but isn't listed: it may have runs that
 // aren't recorded.
 func (m *Machine) addUnlisted(rosterWorker RosterWorker) {
-	w := newWorker(rosterWorker.ID)
+	w := m.trackWorker(rosterWorker.ID)
 	w.setInfo(endive.FleetWorker{Address: rosterWorker.Address, Capacity: rosterWorker.Capacity})
-	m.workers[rosterWorker.ID] = w
 	m.sortWorkers()
 }
 
+// trackWorker adds a worker that this tenure hasn't known, or has removed. Then it may have restarted since.
+func (m *Machine) trackWorker(id endive.WorkerID) *worker {
+	w := newWorker(id)
+	w.incarnations = m.countIncarnation(id)
+	m.workers[id] = w
+	return w
+}
+
 func newWorker(id endive.WorkerID) *worker {
 	w := &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool)}
 	w.poll.open = make(map[PollID]openPoll)
@@ -262,8 +273,7 @@
 		m.beginIncarnation(w, info.StartTime)
 	}
 	if w == nil {
-		w = newWorker(info.ID)
-		m.workers[info.ID] = w
+		w = m.trackWorker(info.ID)
 	}
 	if !w.listed {
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "listed", Reason: info.Capacity.String()})
--- a/ids.go
+++ b/ids.go
@@ -67,7 +67,7 @@
 type (
 	// TicketNumber numbers the tickets, which change the configuration.
 	TicketNumber uint64
-	// Epoch increases whenever another entry takes over a slice. A worker refuses
+	// Epoch increases whenever another entry takes over a slice or a pool. A worker refuses
 	// commands with a lower epoch than the highest it has received.
 	Epoch uint64
 	// RunNumber counts the starts of one task. A worker refuses a run whose number
