Ends are acknowledged only while the executor lists them

Cause: each poll repeated the highest acknowledged number, also when the executor had forgotten the ends long ago. Change: the number is sent only if the last answer listed an end up to it, so that hardly any poll in flight carries one. TestLatePollForgetsEndOfNextIncarnation fails without the change. What is left: a poll that carries a number, gets no answer, and reaches an incarnation that no holder has seen.

--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -99,3 +99,22 @@
 		})
 	}
 }
+
+// A poll that gets no answer is carried out late, by the worker's next incarnation. It must not acknowledge an end of
+// that incarnation, which no holder has received: the task would count as lost and run again.
+func TestLatePollForgetsEndOfNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.addWorkers(1)
+	h := w.startHolder()
+	w.run(time.Second)
+	worker := w.workers["w0"]
+	w.submit("first", urgentQueue, stepOfTasks(3, 300*time.Millisecond))
+	w.run(2 * time.Second)
+	is.Equal(len(worker.ends), 0) // they have been acknowledged
+	w.submit("second", urgentQueue, stepOfTasks(1, 20*time.Second))
+	w.run(3 * time.Second)
+	tracked := h.machine.workers[worker.id]
+	is.Equal(tracked.recordedEnd(), endive.EndNumber(3))
+	is.Equal(tracked.acknowledgedEnd(w.now), endive.EndNumber(0))
+}
--- a/flow/incarnation.go
+++ b/flow/incarnation.go
@@ -26,7 +26,8 @@
 	w.knowledge, w.addressReused = knowsNothing, false
 	w.recordedTasks = nil
 	m.forgetDraining(w)
-	w.lastEnd, w.leaseEnd, w.clock, w.lastReport = 0, 0, clockReading{}, 0
+	w.lastEnd, w.firstListedEnd = 0, 0
+	w.leaseEnd, w.clock, w.lastReport = 0, clockReading{}, 0
 	w.answeredAt, w.answersLate = time.Time{}, false
 	w.unrecordedEnds, w.unreadEnds = make(map[endive.EndNumber]bool), nil
 	// A poll with the next epoch is sent at once, beside one to the earlier incarnation that has no answer yet.
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -132,8 +132,12 @@
 // acknowledgedEnd returns the number of the newest reported end of a run that the worker may
 // delete; 0 for none. A worker that hasn't answered lately may have restarted and numbered its
 // ends from 1 again. Acknowledging an old number would make the worker delete ends that the
-// holder hasn't received. A late answer may be as old as its poll.
+// holder hasn't received. A late answer may be as old as its poll. A number is sent only while the worker
+// lists an end up to it: the poll may be carried out late, by an incarnation that the holder hasn't seen.
 func (w *worker) acknowledgedEnd(now time.Time) endive.EndNumber {
+	if w.firstListedEnd == 0 || w.firstListedEnd > w.recordedEnd() {
+		return 0
+	}
 	if !w.answered() || w.failedPolls > 0 && !w.answersLate || now.Sub(w.seenAliveAt()) > maxAckAge {
 		return 0
 	}
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -104,6 +104,10 @@
 // each ended run is free from now on.
 func (m *Machine) applyEnds(w *worker, ends []endive.EndReport) {
 	sort.Slice(ends, func(i, j int) bool { return ends[i].Number < ends[j].Number })
+	w.firstListedEnd = 0
+	if len(ends) > 0 {
+		w.firstListedEnd = ends[0].Number
+	}
 	for _, end := range ends {
 		if end.Number <= w.lastEnd {
 			continue
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -57,6 +57,8 @@
 	// of the processed ends that aren't recorded yet.
 	lastEnd        endive.EndNumber
 	unrecordedEnds map[endive.EndNumber]bool
+	// firstListedEnd is the lowest number of an end in the worker's last answer; 0 if it listed none.
+	firstListedEnd endive.EndNumber
 	// unreadEnds are ends of runs whose workflows may be stored and unread.
 	unreadEnds []unreadEnd
 
