A workflow accepted before the tenure counts as inherited

What callers could see (TWICE): a task starts on a second worker while the first runs on. Cause: a workflow that the second holder hadn't read when it handed the pool over reaches the third by the feed, after the lease of the first, which had started it, has passed. It counted as new, so its tasks didn't wait for a worker that doesn't answer. Why it works: what was accepted before the tenure began may have been started by an earlier holder, whichever that was.

--- a/flow/joblifecycle.go
+++ b/flow/joblifecycle.go
@@ -98,8 +98,9 @@
 		return
 	}
 	j := m.newJob(s)
-	// The feed may deliver it only after the lease of the holder that could start it has expired.
-	inherited = inherited || j.accepted.Before(m.tenure.previousLeaseEnd)
+	// The feed may deliver it only after the lease of the holder that could start it has expired, or to a holder after the
+	// next one.
+	inherited = inherited || j.accepted.Before(endive.Latest(m.tenure.beganAt, m.tenure.previousLeaseEnd))
 	j.inherited = inherited
 	if account, ok := m.accounts.Named(j.account); ok && !inherited {
 		j.beyondShare = m.order.BeyondShare(account, j.accepted)
--- a/flow/tenure.go
+++ b/flow/tenure.go
@@ -11,6 +11,8 @@
 	active bool
 	loaded bool
 	epoch  endive.Epoch
+	// beganAt is when the tenure began.
+	beganAt time.Time
 	// leaseEnd is when the lease of the pool ends. Nothing is started after it. The leases
 	// of runs are still renewed until this entry learns of another holder, or may have missed one.
 	leaseEnd time.Time
@@ -34,7 +36,9 @@
 
 func (m *Machine) beginTenure(e TenureBegan) {
 	m.reset()
-	m.tenure = tenure{active: true, epoch: e.Epoch, leaseEnd: e.LeaseEnd, previousLeaseEnd: e.PreviousLeaseEnd, firstPoll: PollID(m.stepCount)}
+	m.tenure = tenure{
+		active: true, epoch: e.Epoch, beganAt: m.now, leaseEnd: e.LeaseEnd, previousLeaseEnd: e.PreviousLeaseEnd, firstPoll: PollID(m.stepCount),
+	}
 	m.quotas.division.Begin(e.Epoch)
 	m.mergeForecasts(e.Forecasts)
 	m.recorder.fence = Fence{Epoch: e.Epoch}
