A long-running task that has lost its run starts before other work

The task lost its worker in the restart of a zone, and its step waited 28 and 50 s behind up to 34 steps of a more urgent queue, which take what becomes free on the workers that may run it. Cause: starvation by rank. A long-running workflow is ranked like new work of its queue, whether it has lost its run or not. Change: a workflow with a long-running task that has run and waits goes first, unless the task's runs end again and again soon after their start (the count that delays such restarts). Evidence: TestInterruptedLongRunningTaskStarves failed before, with and without a takeover (0 != 1).

--- a/flow/rank.go
+++ b/flow/rank.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -9,7 +10,8 @@
 
 // rank orders workflows when there is more work than capacity, in bursts and in the backlog
 // after a takeover. Workflows that can still meet their objective come before late ones,
-// and those before workflows that are too late to be worth anything. Late workflows of
+// and those before workflows that are too late to be worth anything. Long-running tasks that have lost their
+// run come before all: they had their capacity, and somebody relies on them. Late workflows of
 // urgent queues still come before on-time workflows of other queues: they are small,
 // clients wait for them, and the others have slack. Work beyond its account's share comes
 // after all that is still worth running. Workflows with the same precedence are ordered by the
@@ -24,6 +26,8 @@
 	lastStart time.Time
 	// beyondShare is true for work beyond its account's share.
 	beyondShare bool
+	// interrupted is true for a workflow with a long-running task that has lost its run.
+	interrupted bool
 }
 
 // tier says whether a workflow can still meet its objective, and if not, whether it is
@@ -40,7 +44,8 @@
 type precedence int
 
 const (
-	urgentOnTime precedence = iota
+	longRunningInterrupted precedence = iota
+	urgentOnTime
 	urgentLate
 	otherOnTime
 	otherLate
@@ -51,6 +56,8 @@
 func (r rank) precedence() precedence {
 	urgent := r.queue == preemptRank
 	switch {
+	case r.interrupted:
+		return longRunningInterrupted
 	case r.tier == tierTooLate:
 		return anyTooLate
 	case r.beyondShare:
@@ -84,6 +91,7 @@
 // and returns the job's current rank.
 func (m *Machine) computeRank(j *job) rank {
 	r := rank{queue: j.policy.Rank, objective: j.objective, lastStart: endive.Latest(j.accepted, j.lastStart), beyondShare: j.beyondShare && !j.isLongRunning()}
+	r.interrupted = j.hasInterruptedTask()
 	if j.isLongRunning() || j.spec.Schedule.Occurrences > 0 {
 		return r
 	}
@@ -101,6 +109,25 @@
 	return r
 }
 
+// hasInterruptedTask reports whether a long-running task of the job has run and waits to start again. One whose runs
+// end again and again soon after their start isn't put before other work.
+func (j *job) hasInterruptedTask() bool {
+	for _, occ := range j.active {
+		for _, s := range occ.steps {
+			if s.spec.LongRunning && s.waiting > 0 && slices.ContainsFunc(s.tasks, (*task).isInterrupted) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isInterrupted reports whether the task has run and waits to start again.
+func (t *task) isInterrupted() bool {
+	hasRun := t.lastRun > 0 || t.inherited && t.step.occ.job.started
+	return t.state == taskWaiting && hasRun && t.shortRuns <= freeShortRuns
+}
+
 // objectiveWorkers is the number of workers in the advice request that a workflow's objective
 // allows for in each step.
 const objectiveWorkers = 30
--- a/flow/rank_test.go
+++ b/flow/rank_test.go
@@ -10,12 +10,13 @@
 
 // In a backlog as after a takeover, with late urgent workflows next to batch workflows that
 // have slack, the urgent workflows must come first, the late ones after those on time, and
-// workflows that are too late must come last.
+// workflows that are too late must come last. Only interrupted long-running work goes before.
 func TestBacklogOrder(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(1_800_000_000, 0)
 	const urgent, batch = preemptRank, 2
 	want := []rank{
+		{tier: tierOnTime, queue: batch, objective: at, interrupted: true},
 		{tier: tierOnTime, queue: urgent, objective: at},
 		{tier: tierOnTime, queue: urgent, objective: at.Add(time.Second)},
 		{tier: tierLate, queue: urgent, objective: at.Add(-time.Second)},
--- a/flow/starvation_test.go
+++ b/flow/starvation_test.go
@@ -84,3 +84,38 @@
 		})
 	}
 }
+
+// A long-running task that had lost its worker waited for as long as urgent work filled the pool.
+func TestInterruptedLongRunningTaskStarves(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover=%v", takeover), func(t *testing.T) {
+			is := is.New(t)
+			w, h := newSimulationWithHolder(t, faults{}, 3)
+			w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 1}
+			longRunning := stepOfTasks(1, time.Second)
+			longRunning.LongRunning, longRunning.Need.Processors = true, 8000
+			id := w.submit("watch", adviceQueue, longRunning)
+			w.run(3 * time.Second)
+			is.Equal(w.runningTasks(id), 1)
+			for i := range 400 {
+				urgent := stepOfTasks(2, 900*time.Millisecond)
+				urgent.Need.Processors = 6000
+				w.after(time.Duration(i)*100*time.Millisecond, func() { w.submit(fmt.Sprintf("urgent%d", i), urgentQueue, urgent) })
+			}
+			w.run(6 * time.Second)
+			for _, worker := range w.workers {
+				if worker.runs["watch.0.0.0"] != nil {
+					worker.restart()
+				}
+			}
+			if takeover {
+				h.kill()
+				w.run(8 * time.Second)
+				w.startHolder()
+			}
+			w.run(w.now.Add(5 * time.Second).Sub(w.start))
+			is.Equal(w.runningTasks(id), 1)
+			w.checkViolations()
+		})
+	}
+}
