A worker that restarts again and again doesn't end the pool's tenure

What operators could see: a pool that changes its holder every 32 restarts of one broken executor. Cause: the tenure was given up once the epoch of calls to a worker couldn't be raised any more.

--- a/flow/fencing.go
+++ b/flow/fencing.go
@@ -15,14 +15,14 @@
 func (m *Machine) countIncarnation(id endive.WorkerID) int {
 	earlier := m.incarnations[id]
 	m.incarnations[id] = earlier + 1
-	m.epochsUsedUp = m.epochsUsedUp || earlier >= int(endive.EpochsPerTenure)
 	return earlier
 }
 
 // recordFence records that the worker has answered a poll, which may have been sent to an earlier incarnation. Leases
-// that calls to those have granted may be as old as the answer.
+// that calls to those have granted may be as old as the answer. A worker that has restarted so often in this tenure that
+// its epoch can't be raised any more isn't used until the next one.
 func (m *Machine) recordFence(w *worker, poll openPoll) {
-	if w.fenced || poll.sentTo != w.incarnations {
+	if !w.awaitsFence() || poll.sentTo != w.incarnations {
 		return
 	}
 	w.fenced = true
@@ -31,6 +31,10 @@
 	}
 }
 
+// awaitsFence reports whether the next poll tells the worker a higher epoch than any that was sent to its earlier
+// incarnations.
+func (w *worker) awaitsFence() bool { return !w.fenced && w.incarnations < int(endive.EpochsPerTenure) }
+
 // handleRefusedEpoch handles that a worker refused the epoch of an order of a run. If the order was sent to an earlier
 // incarnation, it was refused as it should be, and the next poll shows what the worker has of the run.
 func (m *Machine) handleRefusedEpoch(r *run) {
--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -118,3 +118,15 @@
 	is.Equal(tracked.recordedEnd(), endive.EndNumber(3))
 	is.Equal(tracked.acknowledgedEnd(w.now), endive.EndNumber(0))
 }
+
+// One worker restarts again and again. The holder must not give up the whole pool for it.
+func TestRestartsOfOneWorkerEndTenure(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	worker := w.workers["w0"]
+	for i := range 40 {
+		w.run(time.Duration(2+3*i) * time.Second)
+		worker.restart()
+	}
+	is.True(h.machine.tenure.active)
+}
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -91,10 +91,8 @@
 	isolatedWorkers int
 	// startCount counts the runs started in this epoch; run numbers are derived from it.
 	startCount int64
-	// incarnations has the incarnations of each worker that this tenure has known. epochsUsedUp is true if they are so many
-	// that the epoch of calls to a worker can't be raised.
+	// incarnations counts the incarnations of each worker that this tenure has known.
 	incarnations map[endive.WorkerID]int
-	epochsUsedUp bool
 }
 
 // New returns the machine of a pool that this entry doesn't hold yet.
@@ -127,7 +125,7 @@
 	m.crashLog = crashLog{since: m.now}
 	m.unproven = make(unprovenCrashes)
 	m.unreadReports = make(map[endive.WorkerID]*worker)
-	m.startCount, m.epochsUsedUp = 0, false
+	m.startCount = 0
 	m.incarnations = make(map[endive.WorkerID]int)
 }
 
@@ -232,10 +230,6 @@
 		m.abandonTenure("its run numbers are used up")
 		return
 	}
-	if m.epochsUsedUp {
-		m.abandonTenure("its epochs are used up")
-		return
-	}
 	m.addDueOccurrences()
 	m.finishTakeover()
 	m.schedule()
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -76,7 +76,7 @@
 	}
 	maxWait := pollWait
 	switch {
-	case !w.endsKnown() || !w.fenced || w.failedPolls > 0 || w.hasOpenEnds() || len(w.runs) == 0:
+	case !w.endsKnown() || w.awaitsFence() || w.failedPolls > 0 || w.hasOpenEnds() || len(w.runs) == 0:
 		maxWait = 0
 	case w.hasUnconfirmedRuns():
 		maxWait = unconfirmedPollWait
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -86,7 +86,7 @@
 	m.learn(w, e.Report, w.lastEnd > knownEnd, recorded)
 	w.poll.nextAt = m.now
 	switch {
-	case !w.fenced, e.Report.More && w.lastEnd > knownEnd:
+	case w.awaitsFence(), e.Report.More && w.lastEnd > knownEnd:
 	case w.hasOpenEnds() && len(w.runs) > 0:
 		w.poll.nextAt = m.now.Add(unrecordedPollInterval)
 	case w.hasOpenEnds():
