Tasks wait for a worker that has restarted no longer than a lease of it can last

Cause: (1) a run that the ended incarnation is known to have had waited for late calls to the next one, which can't start it; (2) orders to stop in flight counted as calls with a lease, and two of them in turn never end; (3) the start of a long-running task that got no answer waited 12 s for its late execution. Change: (1) such a run waits for an answer for one longest lease, as before; (2) only starts count; (3) for long-running tasks a call counts as carried out when it was sent: a start that comes late to an incarnation that nobody has seen is rarer than a worker that crashes at a start. Runs of one worker are dropped as their own leases expire.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -43,7 +43,7 @@
 func (m *Machine) lateCallsUntil(w *worker) time.Time {
 	until := w.lateCallsUntil
 	for _, r := range w.runs {
-		if r.inFlight {
+		if r.startInFlight() {
 			until = endive.Latest(until, m.now.Add(maxCallDelay))
 		}
 	}
@@ -84,17 +84,49 @@
 	return endive.Latest(w.leasesExpireAt(), lastCall.Add(m.longestLease()))
 }
 
-// leaseExpiresAt returns when the lease of a run has surely expired.
+// leaseExpiresAt returns when the lease of a run has surely expired. A long-running task must not stay away for as long as a
+// late call may take: its calls count as carried out when they were sent.
 func (m *Machine) leaseExpiresAt(r *run) time.Time {
-	if r.reported && !r.lateStartUntil.After(r.worker.seenAliveAt()) {
-		return r.worker.leasesExpireAt()
+	w := r.worker
+	switch {
+	case !r.formerLeaseEnd.IsZero():
+		return r.formerLeaseEnd
+	case r.isKnownPlace():
+		return w.leasesExpireAt()
+	case r.spec != nil && r.spec.LongRunning:
+		return endive.Latest(w.leasesExpireAt(), w.lastLeaseAt.Add(maxSendDelay+m.longestLease()))
+	default:
+		return m.leasesExpireAnywhere(w)
 	}
-	return m.leasesExpireAnywhere(r.worker)
 }
 
-// expiredRuns returns the runs of a worker whose leases have surely expired.
+// isKnownPlace reports whether the run is on the known incarnation of its worker, and can be on no later one.
+func (r *run) isKnownPlace() bool {
+	return r.reported && !r.lateStartUntil.After(r.worker.seenAliveAt())
+}
+
+// expiredRuns returns the runs of a worker whose leases have surely expired, in the order of these times.
 func (m *Machine) expiredRuns(w *worker) []*run {
-	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return m.now.Before(m.leaseExpiresAt(r)) })
+	expired := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
+		expiresAt := m.leaseExpiresAt(r)
+		return expiresAt.IsZero() || m.now.Before(expiresAt)
+	})
+	slices.SortStableFunc(expired, func(a, b *run) int { return m.leaseExpiresAt(a).Compare(m.leaseExpiresAt(b)) })
+	return expired
+}
+
+// removeEndedWithFormer removes those of the runs that have surely ended with an earlier incarnation of their worker, and
+// returns the others.
+func (m *Machine) removeEndedWithFormer(runs []*run) []*run {
+	var others []*run
+	for _, r := range runs {
+		if r.formerLeaseEnd.IsZero() {
+			others = append(others, r)
+			continue
+		}
+		m.removeAbsent(r, "its worker has restarted, and no order to start it may still be carried out")
+	}
+	return others
 }
 
 // nextExpiry returns when the next lease of a run on the worker will surely have expired; zero if all have.
--- a/flow/incarnation.go
+++ b/flow/incarnation.go
@@ -12,10 +12,14 @@
 func (m *Machine) beginIncarnation(w *worker, startTime time.Time) {
 	m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "started anew", Reason: formatInt(int64(len(w.runs))) + " runs of the previous incarnation, " +
 		formatInt(int64(w.openCalls())) + " calls to it without an answer yet"})
-	w.oldLeasesExpireAt = endive.Latest(w.leasesExpireAt(), endive.Latest(m.now, m.lateCallsUntil(w)).Add(m.longestLease()))
+	formerLeaseEnd := endive.Latest(w.leasesExpireAt(), m.now.Add(m.longestLease()))
+	w.oldLeasesExpireAt = endive.Latest(formerLeaseEnd, endive.Latest(m.now, m.lateCallsUntil(w)).Add(m.longestLease()))
 	m.recordRestart(w, startTime)
 	w.release()
 	for _, r := range w.runs {
+		if r.isKnownPlace() && !r.startInFlight() {
+			r.formerLeaseEnd = formerLeaseEnd
+		}
 		r.reported = false
 	}
 	w.isolation.soleRun = nil
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -41,8 +41,7 @@
 	if m.workers[w.id] != w {
 		return false
 	}
-	leasesEnd := w.leasesExpireAt()
-	if w.failedPolls > 0 && len(w.runs) > 0 && !leasesEnd.IsZero() && !m.now.Before(leasesEnd) && m.surelySilent(w, leasesEnd) {
+	if w.failedPolls > 0 {
 		m.dropExpiredRuns(w)
 	}
 	if !w.listed && m.tenure.takeoverDone && len(w.runs) == 0 && !w.hasOpenEnds() {
@@ -121,7 +120,7 @@
 // it in leaseEnd.
 func (m *Machine) newLeaseEnd(w *worker) endive.WorkerTime {
 	end := w.clock.estimate(m.now) + endive.WorkerTime(time.Duration(m.settings.LeaseDuration).Milliseconds())
-	w.leaseEnd = max(w.leaseEnd, end)
+	w.leaseEnd, w.lastLeaseAt = max(w.leaseEnd, end), m.now
 	return end
 }
 
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -290,7 +290,7 @@
 	if r.unread != nil {
 		r.unread.report = report
 	}
-	r.loss, r.reported = nil, true
+	r.loss, r.reported, r.formerLeaseEnd = nil, true, time.Time{}
 	if report.Percent != r.percent {
 		r.percent, r.percentAt = report.Percent, m.now
 	}
--- /dev/null
+++ b/flow/restartwait_test.go
@@ -0,0 +1,89 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
+)
+
+// userMaxLease is the limit to which the users' workers shorten longer leases.
+const userMaxLease = endive.Interval(6 * time.Second)
+
+// longRunningRestart is by when a lasting task must run again after its worker is gone: 6 s after its last run, while the
+// 3 s and the 4 s before are calm.
+const longRunningRestart = 9 * time.Second
+
+// newSimulationWithUserLeases returns a simulation with one worker and a holder, and the longest leases of the users.
+func newSimulationWithUserLeases(t *testing.T) (*simulation, *holder) {
+	t.Helper()
+	w := newSimulation(t, 1, faults{})
+	w.trace, w.renewals = *followTasks, true
+	w.addWorkers(1)
+	h := w.startHolder()
+	h.machine.settings.MaxLeaseDuration = userMaxLease
+	return w, h
+}
+
+// longRunningStep returns a step with one task that lasts.
+func longRunningStep() endive.Step {
+	step := stepOfTasks(1, time.Second)
+	step.LongRunning = true
+	return step
+}
+
+// A worker crashes for good while an order to start a lasting task is in flight. The task waits for a later incarnation
+// that nothing has shown.
+func TestUnansweredStartOnCrashedWorkerDelaysLastingTask(t *testing.T) {
+	is := is.New(t)
+	w, _ := newSimulationWithUserLeases(t)
+	w.run(30 * time.Second)
+	worker := w.workers["w0"]
+	worker.ordersUnanswered = true
+	w.submit("job", urgentQueue, longRunningStep())
+	w.run(30*time.Second + 8*time.Millisecond)
+	is.Equal(w.starts, 1)
+	worker.terminate()
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.run(30*time.Second + longRunningRestart)
+	is.Equal(w.starts, 2)
+}
+
+// A worker restarts, is listed, and never answers again. The former incarnation had listed the run, so that no
+// incarnation can have it now, but the task waits for the longest lease after the latest call to the worker.
+func TestRunOfEndedIncarnationDelaysLastingTask(t *testing.T) {
+	is := is.New(t)
+	w, _ := newSimulationWithUserLeases(t)
+	w.submit("job", urgentQueue, longRunningStep())
+	w.run(30 * time.Second)
+	is.Equal(w.starts, 1)
+	worker := w.workers["w0"]
+	worker.restart()
+	worker.unreachable = true
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.run(30*time.Second + longRunningRestart)
+	is.Equal(w.starts, 2)
+}
+
+// A worker restarts, is listed, and never answers again, while two of its runs are being stopped. An order to stop has no
+// lease, but the third task waits as long as one of them is in flight: for ever.
+func TestStopsInFlightKeepRunsForEver(t *testing.T) {
+	is := is.New(t)
+	w, _ := newSimulationWithUserLeases(t)
+	first := w.submit("first", urgentQueue, stepOfTasks(1, 200*time.Second))
+	second := w.submit("second", urgentQueue, stepOfTasks(1, 200*time.Second))
+	w.submit("job", urgentQueue, longRunningStep())
+	w.run(30 * time.Second)
+	is.Equal(w.starts, 3)
+	worker := w.workers["w0"]
+	worker.restart()
+	worker.unreachable = true
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.cancel(first)
+	w.run(30250 * time.Millisecond)
+	w.cancel(second)
+	w.run(2 * time.Minute)
+	is.Equal(w.starts, 4)
+}
--- a/flow/run.go
+++ b/flow/run.go
@@ -30,6 +30,9 @@
 	// reported is true once the worker's known incarnation has listed the run, or has answered the order to start it.
 	// Until then the run may be on a later incarnation.
 	reported bool
+	// formerLeaseEnd is until when the run waits for an answer of its worker, if an earlier incarnation is known to have had
+	// it, and no later one can have it; else zero.
+	formerLeaseEnd time.Time
 	// lateStartUntil is until when an order to start the run that got no answer may be carried out.
 	lateStartUntil time.Time
 	// unansweredStep is the machine's step in which the last order to start the run was given up without
@@ -76,6 +79,9 @@
 // epoch with new run numbers. It leaves room for the starts of one scheduling pass.
 const maxStartsPerEpoch = runsPerEpoch - 50_000
 
+// startInFlight reports whether an order to start the run has no answer yet.
+func (r *run) startInFlight() bool { return r.inFlight && r.state == runStarting }
+
 // nextRun returns a run number that is higher than all earlier ones of the tasks.
 func (m *Machine) nextRun(tasks ...*task) endive.RunNumber {
 	m.startCount++
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -50,6 +50,8 @@
 	oldLeasesExpireAt time.Time
 	// lateCallsUntil is until when a call with a lease that got no answer may still be carried out.
 	lateCallsUntil time.Time
+	// lastLeaseAt is when the last call with a lease was sent.
+	lastLeaseAt time.Time
 	// startAnsweredAt is when the last answer to an order to start arrived, of whatever incarnation.
 	startAnsweredAt time.Time
 
