A lease remembers until when holders before the last may act

What callers could see (TWICE): what is accepted just after a hand-over starts on a second worker. Cause: a holder without the store is replaced before its lease ends, and the next one releases the pool before that, too. A vacant row gives no time, so that the third holder took what was accepted after its beginning as new, though the first may start it. Why it works: each lease carries the latest time until which an earlier holder may act, until it has passed. Earlier builds ignore the field and drop it (as before).

--- a/elect/lease.go
+++ b/elect/lease.go
@@ -18,6 +18,8 @@
 	Incarnation endive.Incarnation  `json:"incarnation"`
 	Epoch       endive.Epoch        `json:"epoch"`
 	Until       endive.PlatformTime `json:"until"`
+	// FormerUntil is until when a holder before this one may still act; 0 if none may. Earlier builds don't write it.
+	FormerUntil endive.PlatformTime `json:"formerUntil,omitempty"`
 	// Vacant is true if the holder has released the lease.
 	Vacant bool `json:"vacant,omitempty"`
 }
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -55,7 +55,7 @@
 	releasing bool
 	// pendingWrite is the ID of the write that has no answer yet; empty if there is none.
 	pendingWrite endive.WriteID
-	// previousLeaseEnd is when the previous holder's lease has certainly expired.
+	// previousLeaseEnd is when the leases of all earlier holders have certainly expired.
 	previousLeaseEnd time.Time
 	writtenLease     Lease
 	nextWriteAt      time.Time
@@ -233,12 +233,18 @@
 		m.setWake(m.nextWriteAt)
 		return
 	}
+	formerUntil := m.lease.FormerUntil
+	if !m.lease.Vacant && !ownLease && !earlierProcess {
+		formerUntil = max(formerUntil, m.lease.Until)
+	}
 	m.previousLeaseEnd = time.Time{}
-	if remaining := m.lease.Until - m.clock.AtLeast(m.now); remaining > 0 && !m.lease.Vacant && !ownLease && !earlierProcess {
+	if remaining := formerUntil - m.clock.AtLeast(m.now); remaining > 0 {
 		m.previousLeaseEnd = m.now.Add(time.Duration(remaining) * time.Millisecond)
+	} else {
+		formerUntil = 0
 	}
 	m.writeLease(Lease{
-		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch.NextTenure(),
+		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch.NextTenure(), FormerUntil: formerUntil,
 		Until: m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds()),
 	}, true)
 }
--- a/elect/machine_test.go
+++ b/elect/machine_test.go
@@ -203,3 +203,30 @@
 	_, taken = commitIn(late.step(Offered{Lease: old}))
 	late.is.True(!taken)
 }
+
+// A holder that was replaced before its lease had ended may still act after the next one has released the pool. The
+// third holder has to know until when.
+func TestHolderBeforeLastIsForgotten(t *testing.T) {
+	r := newFixture(t)
+	r.writeAsOtherEntry(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 4, Until: 2500})
+	r.readRow()
+	b, ok := tenureBegan(r.commit(r.step(HolderSuspected{Holder: "entry-2", Incarnation: "run-2"})))
+	r.is.True(ok)
+	r.is.Equal(b.PreviousLeaseEnd, r.now.Add(2500*time.Millisecond))
+	r.now = r.now.Add(time.Second)
+	r.commit(r.step(Release{}))
+	r.is.True(r.row().Vacant)
+	third := newFixture(t)
+	third.now, third.version, third.value = r.now, r.version, r.value
+	b, ok = tenureBegan(third.commit(third.readRow()))
+	third.is.True(ok)
+	third.is.Equal(b.PreviousLeaseEnd, third.now.Add(1500*time.Millisecond))
+	third.now = third.now.Add(2 * time.Second)
+	third.commit(third.step(Release{}))
+	fourth := newFixture(t)
+	fourth.now, fourth.version, fourth.value = third.now, third.version, third.value
+	b, ok = tenureBegan(fourth.commit(fourth.readRow()))
+	fourth.is.True(ok)
+	fourth.is.True(b.PreviousLeaseEnd.IsZero()) // that lease has ended
+	fourth.is.Equal(fourth.row().FormerUntil, endive.PlatformTime(0))
+}
