Answers to orders of an earlier tenure don't count for an adopted run

What operators could see: a holder that has just regained the pool loses it again, since a worker refused an order of its earlier tenure. Cause: results of orders were matched by worker, task and run only; the run of the earlier tenure is adopted under the same number. Change: a result counts only for a run with an order in flight.

--- a/flow/handover_test.go
+++ b/flow/handover_test.go
@@ -157,3 +157,20 @@
 	w.run(5 * time.Second)
 	w.checkViolations()
 }
+
+// A holder loses the pool and holds it again at once. An order of its earlier tenure is refused by a worker that has answered
+// the new one, which has adopted the run. That must not end the new tenure, too.
+func TestRefusedOrderOfEarlierTenureEndsNextTenure(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	id := w.submit("job", urgentQueue, stepOfTasks(1, 20*time.Second))
+	w.run(2 * time.Second)
+	is.Equal(w.runningTasks(id), 1)
+	number := w.workers["w0"].runs["job.0.0.0"].number
+	h.step(TenureEnded{})
+	h.regain()
+	w.run(2200 * time.Millisecond)
+	is.True(h.machine.workers["w0"].findRun("job.0.0.0", number) != nil) // adopted
+	h.step(StopResult{Worker: "w0", Task: "job.0.0.0", Run: number, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalEpoch}})
+	is.True(h.machine.tenure.active)
+}
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -29,11 +29,12 @@
 // maxSendDelay is how long an order to start may take to be sent.
 const maxSendDelay = time.Second
 
-// handleStartResult processes the answer to an order to start.
+// handleStartResult processes the answer to an order to start. A run without an order in flight was adopted, and the
+// order was that of an earlier tenure.
 func (m *Machine) handleStartResult(e StartResult) {
 	m.recordStartCall(e)
 	r := m.findRun(e.Worker, e.Task, e.Run)
-	if r == nil {
+	if r == nil || !r.inFlight {
 		return
 	}
 	r.inFlight = false
--- a/flow/stop.go
+++ b/flow/stop.go
@@ -29,7 +29,7 @@
 // handleStopResult processes the answer to an order to stop.
 func (m *Machine) handleStopResult(e StopResult) {
 	r := m.findRun(e.Worker, e.Task, e.Run)
-	if r == nil {
+	if r == nil || !r.inFlight {
 		return
 	}
 	r.inFlight = false
