A clock that may be a later incarnation's isn't taken for the known one's

Cause: any answer with a clock of at least the last reading was recorded as a reading of the known incarnation. A worker that was read young and has restarted unseen passes by that, and the next answer is compared with its own earlier clock. Change: an answer to an order counts only if no later incarnation can show its clock: that began after the call was sent which the known one answered with the last reading. Orders to start in flight count from when they were sent, and orders to stop aren't taken for them.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -44,7 +44,7 @@
 	until := w.lateCallsUntil
 	for _, r := range w.runs {
 		if r.startInFlight() {
-			until = endive.Latest(until, m.now.Add(maxCallDelay))
+			until = endive.Latest(until, r.sentAt.Add(maxCallDelay))
 		}
 	}
 	for _, poll := range w.poll.open {
--- a/flow/incarnation.go
+++ b/flow/incarnation.go
@@ -55,11 +55,11 @@
 }
 
 // answeredByKnown reports whether the answer to the last order of the run is surely from the worker's known incarnation.
-// A later one began after the reading of the clock that was known when the order was sent, so its clock shows less
-// than the time since then.
+// A later one began after the call to which the known one answered with the reading of its clock that was known when the
+// order was sent, so its clock shows no more than the time since then.
 func (r *run) answeredByKnown(clock endive.WorkerTime, now time.Time) bool {
-	sinceReading := endive.WorkerTime(now.Sub(r.sentClock.receivedAt).Milliseconds())
-	return r.sentTo == r.worker.incarnations && clock >= r.sentClock.workerTime && clock > sinceReading
+	laterUptime := endive.WorkerTime(now.Sub(r.sentClock.requestedAt).Milliseconds())
+	return r.sentTo == r.worker.incarnations && clock >= r.sentClock.workerTime && clock > laterUptime
 }
 
 // logLaterIncarnation logs that the answer to an order to start shows a clock that began later than that of the known
--- a/flow/oldclock_test.go
+++ b/flow/oldclock_test.go
@@ -61,3 +61,29 @@
 		})
 	}
 }
+
+// A worker restarts twice, the second time unseen, and answers two orders to start with a clock that could be that of the
+// known incarnation. The reading of the first answer must not make the second one pass as the known incarnation's: its
+// run would be given up by the granted lease, while the worker has shortened the order's lease only to the longest one.
+func TestClockOfLaterIncarnationPassesForKnown(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.trace, w.renewals = *followTasks, true
+	w.addWorkers(1)
+	h := w.startHolder()
+	w.run(30 * time.Second)
+	worker := w.workers["w0"]
+	worker.restart()
+	w.run(30100 * time.Millisecond)
+	worker.answersLost = true
+	worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+	for i, at := range []time.Duration{30300, 30400} {
+		w.run(at * time.Millisecond)
+		w.submit([]string{"first", "second"}[i], urgentQueue, stepOfTasks(1, 30*time.Second))
+	}
+	w.run(30450 * time.Millisecond)
+	is.Equal(len(worker.runs), 2)
+	for _, r := range h.machine.workers["w0"].sortedRuns() {
+		is.True(!r.reported)
+	}
+}
--- a/flow/pollfailure.go
+++ b/flow/pollfailure.go
@@ -6,6 +6,9 @@
 	"endiveroute.example/endive"
 )
 
+// maxPollPause is the longest pause before the next poll of a worker that doesn't answer, in multiples of pollRetryDelay.
+const maxPollPause = 6
+
 // handlePollFailure schedules the next poll after a failed one, and handles a terminated worker
 // and a higher epoch.
 func (m *Machine) handlePollFailure(w *worker, e PollResult) {
@@ -30,7 +33,11 @@
 	}
 	m.recordPollFailure(w, e.Result)
 	w.failedPolls++
-	w.poll.nextAt = m.now.Add(pollRetryDelay * time.Duration(min(w.failedPolls, 6)))
+	w.poll.nextAt = m.now.Add(pollRetryDelay * time.Duration(min(w.failedPolls, maxPollPause)))
+	if w.awaitsFence() && w.incarnations > 0 {
+		// Until such a poll is answered, late calls to the earlier incarnations count.
+		w.poll.nextAt = m.now.Add(pollRetryDelay)
+	}
 }
 
 // describeFailure returns the reason of a failed poll for the log: how long it took, what failed, and
--- a/flow/run.go
+++ b/flow/run.go
@@ -23,8 +23,11 @@
 	inFlight bool
 	// sentTo is the number of the worker's incarnation to which that order was sent.
 	sentTo int
-	// sentClock is the reading of the worker's clock that was known when the order was sent.
+	// sentAt is when that order was sent, and sentClock the reading of the worker's clock that was known then. sentStart is
+	// true if it was an order to start.
+	sentAt    time.Time
 	sentClock clockReading
+	sentStart bool
 	// startUnconfirmed is true if an order to start got no answer and may be carried out late.
 	startUnconfirmed bool
 	// reported is true once the worker's known incarnation has listed the run, or has answered the order to start it.
@@ -80,7 +83,7 @@
 const maxStartsPerEpoch = runsPerEpoch - 50_000
 
 // startInFlight reports whether an order to start the run has no answer yet.
-func (r *run) startInFlight() bool { return r.inFlight && r.state == runStarting }
+func (r *run) startInFlight() bool { return r.inFlight && r.sentStart }
 
 // nextRun returns a run number that is higher than all earlier ones of the tasks.
 func (m *Machine) nextRun(tasks ...*task) endive.RunNumber {
@@ -222,17 +225,22 @@
 	return r
 }
 
-// readClock records the worker's clock in the answer to an order of the run. If the worker has restarted since the
-// order was sent, the answer may be from the earlier incarnation, whose clock says nothing of this one's.
+// recordSent records that an order is sent now, to start the run or to stop it.
+func (r *run) recordSent(now time.Time, start bool) {
+	r.inFlight, r.sentStart, r.sentTo, r.sentAt, r.sentClock = true, start, r.worker.incarnations, now, r.worker.clock
+}
+
+// readClock records the worker's clock in the answer to an order of the run, if the answer is surely from the known
+// incarnation: the clock of an earlier or a later one says nothing of this one's.
 func (r *run) readClock(clock endive.WorkerTime, now time.Time) {
-	if r.sentTo == r.worker.incarnations {
-		r.worker.updateClock(clock, now)
+	if r.answeredByKnown(clock, now) {
+		r.worker.updateClock(clockReading{workerTime: clock, requestedAt: r.sentAt, receivedAt: now})
 	}
 }
 
 // updateClock records a reading of the worker's clock unless it is older than the last one.
-func (w *worker) updateClock(clock endive.WorkerTime, now time.Time) {
-	if clock > 0 && clock >= w.clock.workerTime {
-		w.clock = clockReading{workerTime: clock, receivedAt: now}
+func (w *worker) updateClock(reading clockReading) {
+	if reading.workerTime > 0 && reading.workerTime >= w.clock.workerTime {
+		w.clock = reading
 	}
 }
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -32,7 +32,7 @@
 func (w *worker) recordAnswer(now, sentAt time.Time, clock endive.WorkerTime, late bool) {
 	w.answeredAt, w.reportedAfter, w.answersLate = now, sentAt, late
 	if !late || w.clock.receivedAt.IsZero() || clock > w.clock.estimate(now) {
-		w.clock = clockReading{workerTime: clock, receivedAt: now}
+		w.clock = clockReading{workerTime: clock, requestedAt: sentAt, receivedAt: now}
 	}
 	w.lastReport = clock
 }
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -9,7 +9,7 @@
 
 func (m *Machine) sendStart(r *run) {
 	t, w := r.task, r.worker
-	r.inFlight, r.sentTo, r.sentClock = true, w.incarnations, w.clock
+	r.recordSent(m.now, true)
 	r.attempts++
 	m.emit(StartRun{Order: endive.StartOrder{
 		Worker: w.ref(), Task: r.id, Run: r.number, Payload: t.step.occ.job.spec.Payload,
--- a/flow/stop.go
+++ b/flow/stop.go
@@ -21,7 +21,7 @@
 
 func (m *Machine) sendStop(r *run) {
 	w := r.worker
-	r.inFlight, r.sentTo = true, w.incarnations
+	r.recordSent(m.now, false)
 	r.retryAt = time.Time{}
 	m.emit(StopRun{Order: endive.StopOrder{Worker: w.ref(), Task: r.id, Run: r.number, Epoch: m.epochFor(w)}})
 }
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -133,10 +133,11 @@
 }
 
 // clockReading relates a worker's clock to the local one: the worker's clock showed
-// workerTime when it answered, and the answer arrived at receivedAt.
+// workerTime when it answered a call that was sent at requestedAt, and the answer arrived at receivedAt.
 type clockReading struct {
-	workerTime endive.WorkerTime
-	receivedAt time.Time
+	workerTime  endive.WorkerTime
+	requestedAt time.Time
+	receivedAt  time.Time
 }
 
 // estimate returns the worker's time at now, on the assumption that its clock isn't slow. If the
