Simulation: late calls reach whichever incarnation is up, also polls

Cause: a late order to start didn't reach the worker's next incarnation, and no poll was carried out late. Change: one function (carryOutLate) for late orders and, new, late polls (latePoll), with lease, epoch and acknowledged end. What is really down (down) carries out nothing; what only refuses connections is up.

--- a/flow/cutfaults_test.go
+++ b/flow/cutfaults_test.go
@@ -48,10 +48,7 @@
 // away, and workers restart or are followed by others. No invariant may be violated, no workflow may fail
 // without cause, and all work must end after the faults.
 func TestInvariantsHoldUnderCuts(t *testing.T) {
-	var seeds []int64
-	for seed := int64(1); seed <= cutFaultSeeds; seed++ {
-		seeds = append(seeds, seed)
-	}
+	seeds := faultPlaySeeds(cutFaultSeeds)
 	for _, seed := range append(seeds, knownRedCutSeeds...) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			if slices.Contains(knownRedCutSeeds, seed) && !*playKnownRed {
@@ -69,7 +66,7 @@
 var playKnownRed = flag.Bool("red", false, "play the seeds that are known to be red")
 
 func playCutFaults(t *testing.T, seed int64) {
-	f := faults{lostOrder: 0.01, lostAnswer: 0.02, lateOrder: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.02}
+	f := faults{lostOrder: 0.01, lostAnswer: 0.02, lateOrder: 0.01, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.02}
 	if seed%3 == 0 {
 		f.failedTask = 0.15
 	}
@@ -131,10 +128,6 @@
 	p.watch(endive.TaskID(id + ".0.1.0"))
 }
 
-func (p *cutPlay) upTo(d time.Duration) time.Duration {
-	return time.Duration(p.random.Int63n(int64(d)))
-}
-
 // watch cuts the worker of a task off soon after each of its next starts.
 func (p *cutPlay) watch(task endive.TaskID) {
 	if p.rounds[task] == 0 {
@@ -221,8 +214,8 @@
 		// Another worker follows on the machine, at the same address or another.
 		p.endIncarnation(worker)
 		capacity, labels := worker.info.Capacity, worker.info.Labels
-		worker.startIncarnation(capacity, labels)
-		worker.terminated, worker.unlisted, worker.addressReused = true, true, p.chance(0.5)
+		worker.goDown()
+		worker.unlisted, worker.addressReused = true, p.chance(0.5)
 		p.addWorker(string(worker.id)+"x", capacity, labels...)
 		return
 	}
--- a/flow/fakecrash_test.go
+++ b/flow/fakecrash_test.go
@@ -27,11 +27,10 @@
 	for _, r := range f.sortedRuns() {
 		f.breakGang(r)
 	}
-	f.startIncarnation(capacity, labels)
-	f.terminated = true
+	f.goDown()
 	f.sim.after(crashTime, func() {
 		if f.sim.random.Intn(2) == 0 {
-			f.terminated = false
+			f.terminated, f.down = false, false
 			f.restart()
 			return
 		}
--- a/flow/fakejob_test.go
+++ b/flow/fakejob_test.go
@@ -8,7 +8,8 @@
 
 // faults are the probabilities of faults of orders, writes, tasks and advice requests.
 type faults struct {
-	lostOrder, lostAnswer, lateOrder      float64
+	lostOrder, lostAnswer                 float64
+	lateOrder, latePoll                   float64
 	lostWrite, lostWriteAnswer, lateWrite float64
 	failedTask, lostAdvice                float64
 	// storePartitions is true if workers may lose the connection to the store and to later
--- a/flow/fakenetwork_test.go
+++ b/flow/fakenetwork_test.go
@@ -4,8 +4,8 @@
 
 // terminate ends the worker's process. Its runs end without a report.
 func (f *fakeWorker) terminate() {
-	f.startIncarnation(f.capacity(), f.info.Labels)
-	f.terminated, f.unlisted = true, true
+	f.goDown()
+	f.unlisted = true
 	f.sim.publishWorkers()
 }
 
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -33,15 +33,16 @@
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		return
 	}
+	if w.chance(w.faults.latePoll) {
+		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
+		w.carryOutLate(worker, func() { worker.takePoll(order) })
+		return
+	}
 	w.after(worker.latency(), func() {
-		if worker.rejectsEpoch(order.Epoch) {
+		if !worker.takePoll(order) {
 			h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalEpoch}})
 			return
 		}
-		worker.deleteRecordedEnds(order.Recorded)
-		if order.LeaseEnd > worker.clock() {
-			worker.extendLeases(order.LeaseEnd)
-		}
 		incarnation, answered := worker.incarnation, false
 		answer := func() {
 			if answered {
@@ -66,3 +67,15 @@
 		w.after(time.Duration(order.Wait), answer)
 	})
 }
+
+// takePoll carries out a poll, and reports whether its epoch allows that.
+func (f *fakeWorker) takePoll(order endive.PollOrder) bool {
+	if f.rejectsEpoch(order.Epoch) {
+		return false
+	}
+	f.deleteRecordedEnds(order.Recorded)
+	if order.LeaseEnd > f.clock() {
+		f.extendLeases(order.LeaseEnd)
+	}
+	return true
+}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -38,6 +38,9 @@
 	orderSentAt       time.Time
 	// terminated is true if the worker's process has ended: its address refuses connections.
 	terminated bool
+	// down is true if no incarnation of the worker is up, so that nothing carries out its late calls. A worker that is
+	// only cut off may refuse connections as well, and is up.
+	down bool
 	// poweredOff is true if the worker's machine is off: connections to it time out.
 	poweredOff bool
 	// addressReused is true if this worker has terminated and another listens at its address.
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -33,11 +33,7 @@
 // changes its holder. No invariant may be violated at any time, and all work must end after
 // the faults have ended.
 func TestInvariantsHoldUnderFaults(t *testing.T) {
-	seeds := make([]int64, 0, faultSeeds+len(regressionSeeds))
-	for seed := int64(1); seed <= faultSeeds; seed++ {
-		seeds = append(seeds, seed)
-	}
-	for _, seed := range append(seeds, regressionSeeds...) {
+	for _, seed := range append(faultPlaySeeds(faultSeeds), regressionSeeds...) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed) })
 	}
 }
@@ -62,7 +58,7 @@
 // The same with workers that list only one to three ends in one answer: no list of ends is whole at once, at a takeover
 // nor while the store is away.
 func TestInvariantsHoldWithShortLists(t *testing.T) {
-	for seed := int64(1); seed <= shortListSeeds; seed++ {
+	for _, seed := range faultPlaySeeds(shortListSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed, faultsOf(seed))
 			w.shortLists = rand.New(rand.NewSource(seed))
@@ -74,7 +70,7 @@
 // The same with holders that are replaced while they live, and go on to start what they learn of. The feed of the next
 // one lags.
 func TestInvariantsHoldUnderEarlyTakeovers(t *testing.T) {
-	for seed := int64(1); seed <= earlyTakeoverSeeds; seed++ {
+	for _, seed := range faultPlaySeeds(earlyTakeoverSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed, faultsOf(seed))
 			w.scansFirst, w.earlyTakeovers = true, rand.New(rand.NewSource(seed))
@@ -94,7 +90,7 @@
 // faultsOf returns the probabilities of faults for a seed.
 func faultsOf(seed int64) faults {
 	f := faults{
-		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
+		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
@@ -186,6 +182,8 @@
 		w.after(2500*time.Millisecond, func() { *current = w.startHolder() })
 	case 4:
 		w.disconnect(worker)
+	case 7:
+		w.restartUnseen(worker)
 	case 6:
 		if !(*current).dead && !(*current).frozen {
 			*current = (*current).handOver()
@@ -241,14 +239,17 @@
 // Deadly tasks beside lost and late orders, lost writes, workers that crash for other reasons or are
 // cut off, and a takeover mustn't be started again and again, nor make harmless workflows fail.
 func TestDeadlyTasksUnderFaults(t *testing.T) {
-	for seed := range int64(60) {
+	for _, seed := range append(faultPlaySeeds(deadlySeeds), 0) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDeadlyFaults(t, seed) })
 	}
 }
 
+// deadlySeeds is the number of seeds of TestDeadlyTasksUnderFaults, besides 0.
+const deadlySeeds = 59
+
 func runDeadlyFaults(t *testing.T, seed int64) {
 	w := newSimulation(t, seed, faults{
-		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03,
+		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03,
 	})
 	w.trace = *followTasks
 	w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 0.8}
@@ -301,5 +302,7 @@
 	case 1, 2:
 		worker.unreachable = true
 		w.after(3*time.Second, func() { worker.unreachable = false })
+	case 3:
+		w.restartUnseen(worker)
 	}
 }
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -104,15 +104,7 @@
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-		// A late order doesn't reach the worker's next incarnation.
-		incarnation, sentAt := worker.incarnation, w.now
-		w.after(2*time.Second+time.Duration(w.random.Int63n(int64(8*time.Second))), func() {
-			if worker.incarnation == incarnation {
-				worker.executesLateOrder, worker.orderSentAt = true, sentAt
-				execute(worker)
-				worker.executesLateOrder = false
-			}
-		})
+		w.carryOutLate(worker, func() { execute(worker) })
 	case worker.ordersUnanswered || w.chance(w.faults.lostAnswer):
 		w.after(latency, func() {
 			if !worker.terminated {
