Simulation: violations tell for which incarnation a call was meant

Cause: whether a start could have been refused by a fencing token wasn't to be seen. Change: a worker knows when its incarnation was seen by a holder, and when it first took a call that was sent after that (fenceable); violations by calls for a former incarnation say both.

--- a/flow/fakelate_test.go
+++ b/flow/fakelate_test.go
@@ -33,12 +33,11 @@
 // carryOutLate lets a worker carry out a call that gets no answer some seconds later, whichever of its incarnations is
 // up then. The header of the call can't tell them apart.
 func (w *simulation) carryOutLate(worker *fakeWorker, call func()) {
-	sentAt := w.now
 	w.after(minLateness+w.upTo(maxLateness-minLateness), func() {
 		if worker.down {
 			return
 		}
-		worker.executesLateOrder, worker.orderSentAt = true, sentAt
+		worker.executesLateOrder = true
 		call()
 		worker.executesLateOrder = false
 	})
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -33,14 +33,15 @@
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		return
 	}
+	take := h.call(worker, func(f *fakeWorker) endive.OrderAnswer { return f.takePoll(order) })
 	if w.chance(w.faults.latePoll) {
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
-		w.carryOutLate(worker, func() { worker.takePoll(order) })
+		w.carryOutLate(worker, func() { take() })
 		return
 	}
 	w.after(worker.latency(), func() {
-		if !worker.takePoll(order) {
-			h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalEpoch}})
+		if taken := take(); taken.Refused != endive.RefusalNone {
+			h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Answer: taken})
 			return
 		}
 		incarnation, answered := worker.incarnation, false
@@ -57,7 +58,10 @@
 			if worker.answerDelay > 0 {
 				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}) })
 			}
-			w.after(worker.latency()+worker.answerDelay, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Report: report}) })
+			w.after(worker.latency()+worker.answerDelay, func() {
+				worker.markSeen(h, report.StartTime)
+				h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Report: report})
+			})
 		}
 		if order.Wait == 0 || len(worker.ends) > 0 {
 			answer()
@@ -68,14 +72,14 @@
 	})
 }
 
-// takePoll carries out a poll, and reports whether its epoch allows that.
-func (f *fakeWorker) takePoll(order endive.PollOrder) bool {
+// takePoll carries out a poll, unless its epoch is too low.
+func (f *fakeWorker) takePoll(order endive.PollOrder) endive.OrderAnswer {
 	if f.rejectsEpoch(order.Epoch) {
-		return false
+		return endive.OrderAnswer{Refused: endive.RefusalEpoch}
 	}
 	f.deleteRecordedEnds(order.Recorded)
 	if order.LeaseEnd > f.clock() {
 		f.extendLeases(order.LeaseEnd)
 	}
-	return true
+	return endive.OrderAnswer{}
 }
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -19,8 +19,11 @@
 	// startTime is when this incarnation began. incarnation is the number of the incarnation.
 	startTime   time.Time
 	incarnation int
-	unreachable bool
-	unlisted    bool
+	// seenAt is when a holder first learned of this incarnation, and fenceableAt when the incarnation first took a call
+	// of the newest epoch that was sent after that. From then on its fencing token can refuse what was sent before.
+	seenAt, fenceableAt time.Time
+	unreachable         bool
+	unlisted            bool
 	// answersLost is true while the worker receives polls but its answers don't arrive in time.
 	answersLost bool
 	// ordersUnanswered is true while the worker carries out orders but its answers to them don't arrive.
@@ -32,10 +35,10 @@
 	unreachableFrom endive.Epoch
 	// unreachableBefore is the first epoch whose holder can reach the worker; 0 if all holders can.
 	unreachableBefore endive.Epoch
-	// executesLateOrder is true while the worker carries out an order that was delivered late, and
-	// orderSentAt is when that order was sent.
+	// executesLateOrder is true while the worker carries out an order that was delivered late. callSentAt is when the
+	// call was sent that the worker has taken last.
 	executesLateOrder bool
-	orderSentAt       time.Time
+	callSentAt        time.Time
 	// terminated is true if the worker's process has ended: its address refuses connections.
 	terminated bool
 	// down is true if no incarnation of the worker is up, so that nothing carries out its late calls. A worker that is
@@ -94,6 +97,7 @@
 	f.discardEnds()
 	f.incarnation++
 	f.startTime = f.sim.now
+	f.seenAt, f.fenceableAt = time.Time{}, time.Time{}
 	f.epoch, f.leaseEnd, f.lastEnd, f.discardedEnd = 0, 0, 0, 0
 	for _, r := range f.runs {
 		r.ended = true
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -93,6 +93,7 @@
 	if worker != nil {
 		worker.orders++
 	}
+	call := h.call(worker, execute)
 	switch {
 	case worker != nil && worker.unsentFrom > 0 && worker.orders >= worker.unsentFrom:
 		w.after(timeout, func() { h.step(answer(OrderNotSent, endive.OrderAnswer{})) })
@@ -104,11 +105,11 @@
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-		w.carryOutLate(worker, func() { execute(worker) })
+		w.carryOutLate(worker, func() { call() })
 	case worker.ordersUnanswered || w.chance(w.faults.lostAnswer):
 		w.after(latency, func() {
 			if !worker.terminated {
-				execute(worker)
+				call()
 			}
 		})
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
@@ -116,7 +117,7 @@
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 		w.after(latency, func() {
 			if !worker.terminated {
-				execute(worker)
+				call()
 			}
 		})
 	default:
@@ -125,7 +126,7 @@
 				h.step(answer(OrderUnknown, endive.OrderAnswer{}))
 				return
 			}
-			orderAnswer := execute(worker)
+			orderAnswer := call()
 			w.after(latency, func() { h.step(answer(OrderAnswered, orderAnswer)) })
 		})
 	}
--- a/flow/invariants_test.go
+++ b/flow/invariants_test.go
@@ -16,18 +16,18 @@
 	}
 	decidedAt := w.now
 	if f.executesLateOrder {
-		decidedAt = f.orderSentAt
+		decidedAt = f.callSentAt
 	}
 	if !f.hasCapacityFor(used, decidedAt.Add(-capacityAllowance)) {
-		w.addViolation("capacity: %s uses %v of %v after the start of %s", f.id, used, f.capacity(), order.Task)
+		w.addViolation("capacity: %s uses %v of %v after the start of %s%s", f.id, used, f.capacity(), order.Task, f.describeCall())
 	}
 	for _, other := range w.workers {
 		if other != f && other.runs[order.Task] != nil && !spec.Speculative {
-			w.addViolation("twice: %s runs on %s and %s", order.Task, f.id, other.id)
+			w.addViolation("twice: %s runs on %s and %s%s", order.Task, f.id, other.id, f.describeCall())
 		}
 	}
 	if w.succeeded[order.Task] {
-		w.addViolation("twice: %s starts again after it succeeded", order.Task)
+		w.addViolation("twice: %s starts again after it succeeded%s", order.Task, f.describeCall())
 	}
 	for _, before := range spec.After {
 		prefix := strings.Join(strings.Split(string(order.Task), ".")[:2], ".")
@@ -39,7 +39,7 @@
 		}
 	}
 	if !spec.LongRunning && w.failures[order.Task] >= job.policy.MaxAttempts {
-		w.addViolation("budget: %s starts after %d failures", order.Task, w.failures[order.Task])
+		w.addViolation("budget: %s starts after %d failures%s", order.Task, w.failures[order.Task], f.describeCall())
 	}
 	if w.crashes[order.Task] >= 3 {
 		w.startsAfter[order.Task]++
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -235,6 +235,7 @@
 	for _, h := range w.holders {
 		if !w.now.Before(h.noListUntil) {
 			h.send(w.workersListed())
+			w.after(time.Millisecond, func() { w.markListed(h, w.listed) })
 		}
 	}
 }
