Simulation: -follow also logs what the workers do

Cause: a trace showed the holders' decisions only. Change: starts, ends, acknowledged ends, expired leases and ended incarnations of the followed tasks are logged, with the incarnation, and what the call was meant for.

--- a/flow/fakecall_test.go
+++ b/flow/fakecall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"endiveroute.example/endive"
@@ -57,3 +58,20 @@
 	}
 	return fmt.Sprintf("%.3f s", at.Sub(w.start).Seconds())
 }
+
+// log logs what happens to a traced task on the worker.
+func (f *fakeWorker) log(task endive.TaskID, what string) {
+	if w := f.sim; w.trace != "" && strings.HasPrefix(string(task), w.trace) {
+		w.t.Logf("%s %s on %s, incarnation %d, %s", w.seconds(w.now), task, f.id, f.incarnation, what)
+	}
+}
+
+// logRuns logs what happens to the traced tasks that run on the worker, or whose ends it lists.
+func (f *fakeWorker) logRuns(what string) {
+	for _, end := range f.ends {
+		f.log(end.Task, what+", its end unacknowledged")
+	}
+	for _, r := range f.sortedRuns() {
+		f.log(r.task, what)
+	}
+}
--- a/flow/fakereport_test.go
+++ b/flow/fakereport_test.go
@@ -10,6 +10,7 @@
 // deleteRecordedEnds deletes the ends up to the last recorded one.
 func (f *fakeWorker) deleteRecordedEnds(recorded endive.EndNumber) {
 	for len(f.ends) > 0 && f.ends[0].Number <= recorded {
+		f.log(f.ends[0].Task, "has its end acknowledged"+f.describeCall())
 		f.ends = f.ends[1:]
 	}
 }
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -94,6 +94,7 @@
 
 // startIncarnation resets the worker to a new incarnation.
 func (f *fakeWorker) startIncarnation(capacity endive.Resources, labels []endive.Label) {
+	f.logRuns("ends with its worker's incarnation")
 	f.discardEnds()
 	f.incarnation++
 	f.startTime = f.sim.now
@@ -198,6 +199,7 @@
 
 // expireLeases ends all runs because their leases have expired.
 func (f *fakeWorker) expireLeases() {
+	f.logRuns("has its lease expire")
 	f.discardEnds()
 	for _, r := range f.sortedRuns() {
 		f.end(r, endive.EndLeaseExpired)
@@ -212,6 +214,7 @@
 	run := &fakeRun{task: order.Task, number: order.Run, need: spec.Reserved(), gang: spec.Gang}
 	f.runs[order.Task] = run
 	f.resumes[order.Task] = order.Resume
+	f.log(order.Task, "starts"+f.describeCall())
 	w.checkStart(f, order, job, spec)
 	if job.deadly == order.Task || job.allDeadly {
 		w.after(max(10*time.Millisecond, job.deadlyAfter), func() { f.crashUnder(run) })
@@ -253,6 +256,7 @@
 // end ends a run and answers the pending polls.
 func (f *fakeWorker) end(run *fakeRun, kind endive.EndKind) {
 	run.ended = true
+	f.log(run.task, "ends "+string(kind))
 	delete(f.runs, run.task)
 	f.stoppedRuns[run.task] = max(f.stoppedRuns[run.task], run.number)
 	f.lastEnd++
