Test: a takeover after a late order to an incarnation that nobody has seen

TestTakeoverAfterLateOrderToUnseenIncarnation fails on, both cases: 42.436 s and 42.427 s: twice: job.0.0.0 runs on w9 and w0.

--- a/flow/fakelate_test.go
+++ b/flow/fakelate_test.go
@@ -33,7 +33,11 @@
 // carryOutLate lets a worker carry out a call that gets no answer some seconds later, whichever of its incarnations is
 // up then. The header of the call can't tell them apart.
 func (w *simulation) carryOutLate(worker *fakeWorker, call func()) {
-	w.after(minLateness+w.upTo(maxLateness-minLateness), func() {
+	lateness := w.lateness
+	if lateness == 0 {
+		lateness = minLateness + w.upTo(maxLateness-minLateness)
+	}
+	w.after(lateness, func() {
 		if worker.down {
 			return
 		}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -85,6 +85,8 @@
 	clockOffset time.Duration
 	// shortLists draws how many ends each worker lists in one answer; nil for no limit.
 	shortLists *rand.Rand
+	// lateness is by how much late calls are late; 0 if it is drawn.
+	lateness time.Duration
 	// scansFirst is true if a new holder gets the rows as they were when it began to load them.
 	scansFirst bool
 	// putAt is when rows were written by other processes than the holders.
