--- a/flow/fakefence_test.go
+++ b/flow/fakefence_test.go
@@ -5,23 +5,18 @@
 	"time"
 )
 
-// fenceDelay is how long after a holder has learned of an incarnation its fencing token must have reached that, unless the
-// worker is cut off: one poll may be lost, and is sent again after its timeout.
+// fenceDelay is how long after a holder has learned of an incarnation its fencing token must have reached that. A poll may be
+// lost, or the worker cut off: the next one must be sent after the timeout, so that it takes no longer after the last lost one.
 const fenceDelay = 800 * time.Millisecond
 
 // isUnfenced reports whether the call that the worker carries out was sent late, was meant for a former incarnation, and
-// couldn't be refused by a fencing token: no holder has learned of this incarnation, or none has reached it since.
+// couldn't be refused by a fencing token: no holder has learned of this incarnation, or its calls since have been lost.
 func (f *fakeWorker) isUnfenced() bool {
 	if !f.executesLateOrder || !f.forFormer() || !f.fenceableAt.IsZero() {
 		return false
 	}
-	return f.seenAt.IsZero() || f.sim.now.Sub(f.seenAt) < fenceDelay || !f.isReached()
-}
-
-// isReached reports whether the pool's holder lives and reaches the worker.
-func (f *fakeWorker) isReached() bool {
 	h := f.sim.holders[len(f.sim.holders)-1]
-	return !h.dead && !h.frozen && !f.unreachable && !f.unreachableBy(h)
+	return f.seenAt.IsZero() || h.dead || h.frozen || f.sim.now.Sub(f.seenAt) < fenceDelay || f.sim.now.Sub(f.lostCallAt) < fenceDelay
 }
 
 // addEndedViolation records a violation by a start of a task that had ended. Starts that no holder could have prevented by a
@@ -33,3 +28,10 @@
 	}
 	w.addViolation(format, args...)
 }
+
+// recordLostCall records that a call to the worker doesn't arrive.
+func (f *fakeWorker) recordLostCall() {
+	if f != nil {
+		f.lostCallAt = f.sim.now
+	}
+}
--- a/flow/fakelate_test.go
+++ b/flow/fakelate_test.go
@@ -37,6 +37,7 @@
 	if lateness == 0 {
 		lateness = minLateness + w.upTo(maxLateness-minLateness)
 	}
+	worker.recordLostCall()
 	w.after(lateness, func() {
 		if worker.down {
 			return
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -30,6 +30,7 @@
 		return
 	}
 	if worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder) {
+		worker.recordLostCall()
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		return
 	}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -22,8 +22,10 @@
 	// seenAt is when a holder first learned of this incarnation, and fenceableAt when the incarnation first took a call
 	// of the newest epoch that was sent after that. From then on its fencing token can refuse what was sent before.
 	seenAt, fenceableAt time.Time
-	unreachable         bool
-	unlisted            bool
+	// lostCallAt is when the last call to the worker was sent that didn't arrive.
+	lostCallAt  time.Time
+	unreachable bool
+	unlisted    bool
 	// answersLost is true while the worker receives polls but its answers don't arrive in time.
 	answersLost bool
 	// ordersUnanswered is true while the worker carries out orders but its answers to them don't arrive.
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -102,6 +102,7 @@
 	case worker != nil && worker.terminated:
 		w.after(latency, func() { h.step(answer(OrderRefused, endive.OrderAnswer{})) })
 	case worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder):
+		worker.recordLostCall()
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
