Test: a late order reaches the incarnation after a fenced one

Cause: the fencing token proves that the second incarnation has no run of the order, and the run is dropped. The third incarnation, which the holder has seen but not reached, carries the order out, and the holder has started the task elsewhere. TestLateOrderReachesIncarnationAfterFencedOne fails on: 40.001 s: twice: job.0.0.0 runs on w0 and w9. Beside it: a fencing poll that is sent in the moment in which a holder learns of the incarnation counts as sent after it (fenceableAt was too late, so that more starts than intended weren't counted).

--- a/flow/fakecall_test.go
+++ b/flow/fakecall_test.go
@@ -20,7 +20,7 @@
 // beginCall records that the worker takes a call.
 func (f *fakeWorker) beginCall(sentAt time.Time, epoch endive.Epoch) {
 	f.callSentAt = sentAt
-	if f.fenceableAt.IsZero() && !f.seenAt.IsZero() && sentAt.After(f.seenAt) && epoch == f.sim.epoch {
+	if f.fenceableAt.IsZero() && !f.seenAt.IsZero() && !sentAt.Before(f.seenAt) && epoch == f.sim.epoch {
 		f.fenceableAt = f.sim.now
 	}
 }
--- a/flow/latetakeover_test.go
+++ b/flow/latetakeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"endiveroute.example/endive"
 )
 
 // An order to start gets no answer. The worker restarts unseen and is cut off, and the pool changes its holder. Then the
@@ -39,3 +41,36 @@
 		})
 	}
 }
+
+// An order to start gets no answer. The worker restarts, and its fencing token proves that the next incarnation doesn't have
+// the run. Then it restarts again, as the platform's list shows, and is cut off, so that no token reaches this incarnation,
+// which carries the order out late. Until it surely can't any more, the task must not start elsewhere.
+func TestLateOrderReachesIncarnationAfterFencedOne(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.trace, w.renewals = *followTasks, true
+	w.addWorkers(1)
+	w.startHolder()
+	w.run(30 * time.Second)
+	worker := w.workers["w0"]
+	w.faults.lateOrder, w.lateness = 1, maxLateness-2*time.Second
+	w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
+	w.run(30050 * time.Millisecond)
+	w.faults.lateOrder = 0
+	worker.unreachable = true
+	w.run(32 * time.Second)
+	worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+	worker.unreachable = false
+	for worker.fenceableAt.IsZero() {
+		w.run(w.now.Add(time.Millisecond).Sub(w.start))
+	}
+	w.run(w.now.Add(10 * time.Millisecond).Sub(w.start))
+	is.Equal(w.starts, 0)
+	worker.unreachable = true
+	worker.restart()
+	w.run(34 * time.Second)
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.run(90 * time.Second)
+	w.checkViolations()
+	is.True(w.starts >= 2) // the late start, and one elsewhere after its lease
+}
