Simulation: a harmless task may be given up after five crashes

Cause: TestDeadlyTasksUnderFaults fails if a harmless workflow has failed. Change: it may have failed if at least five workers (maxAllCrashes) have really ended while one task of it ran there, counted at the workers; below that it counts as before.

--- a/flow/fakecrash_test.go
+++ b/flow/fakecrash_test.go
@@ -52,3 +52,14 @@
 		}
 	}
 }
+
+// mayBeGivenUp reports whether so many workers have crashed under a task of the workflow that it is to be given up, whatever
+// their cause: the task may not start three times more after three crashes.
+func (w *simulation) mayBeGivenUp(id endive.JobID) bool {
+	for task, crashes := range w.endedUnder {
+		if jobOf(task) == id && crashes >= maxAllCrashes {
+			return true
+		}
+	}
+	return false
+}
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -97,6 +97,9 @@
 // startIncarnation resets the worker to a new incarnation.
 func (f *fakeWorker) startIncarnation(capacity endive.Resources, labels []endive.Label) {
 	f.logRuns("ends with its worker's incarnation")
+	for task := range f.runs {
+		f.sim.endedUnder[task]++
+	}
 	f.discardEnds()
 	f.incarnation++
 	f.startTime = f.sim.now
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -277,7 +277,8 @@
 	w.checkDeadlyFailed(deadly)
 	for _, id := range harmless {
 		longRunning := w.jobs[id].workflow.Steps[0].LongRunning
-		if state := w.state(id); state == endive.WorkflowFailed || !state.Ended() && !longRunning {
+		state := w.state(id)
+		if state == endive.WorkflowFailed && !w.mayBeGivenUp(id) || !state.Ended() && !longRunning {
 			t.Errorf("job %s is %s", id, state)
 		}
 	}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -50,6 +50,8 @@
 	// crashes counts the workers that a task has crashed; startsAfter its starts after three.
 	crashes     map[endive.TaskID]int
 	startsAfter map[endive.TaskID]int
+	// endedUnder counts the incarnations of workers that have ended while a task ran there.
+	endedUnder map[endive.TaskID]int
 	// successCount is the number of each task's runs that succeeded.
 	successCount map[endive.TaskID]int
 	violations   []string
@@ -150,7 +152,7 @@
 		t: t, random: rand.New(rand.NewSource(seed)), faults: f, start: start, now: start,
 		rows: make(map[string]endive.Row), refusedRows: make(map[string]int), workers: make(map[endive.WorkerID]*fakeWorker),
 		jobs: make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), everSucceeded: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int), failedRuns: make(map[endive.TaskID]int),
-		putAt: make(map[string]time.Time), successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
+		putAt: make(map[string]time.Time), successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), endedUnder: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
 	}
 }
 
