A task doesn't start while a run of it is being stopped elsewhere

What callers could see (TWICE): two runs at once, by the holder's own knowledge: a worker lists a run that the holder doesn't track, of an order that was carried out late, and the task starts on another worker while that run is being stopped (up to stop_ms, or while the order to stop can't be sent). Cause: such a run isn't the task's current one, and only that one kept the task from starting. Evidence: TestTaskStartsBesideOrphanThatIsBeingStopped failed before (2 != 1); found by reading beside the model of a worker's lives. Why it works: the task counts these runs; they end by a report, or with their lease, which bounds the wait.

--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -130,3 +130,30 @@
 	}
 	is.True(h.machine.tenure.active)
 }
+
+// A worker lists a run that the holder doesn't track, of an order that was carried out late, and the holder stops it. The
+// stop takes a while, and the task must not start elsewhere before the run has ended.
+func TestTaskStartsBesideOrphanThatIsBeingStopped(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.trace = *followTasks
+	w.addWorkers(1)
+	h := w.startHolder()
+	w.run(30 * time.Second)
+	worker := w.workers["w0"]
+	worker.unsentFrom = worker.orders + 1 // no order can be sent
+	w.submit("job", urgentQueue, stepOfTasks(1, 10*time.Second))
+	w.run(30300 * time.Millisecond)
+	worker.start(endive.StartOrder{
+		Worker: endive.WorkerRef{ID: worker.id}, Task: "job.0.0.0", Run: 1, LeaseEnd: worker.clock() + 4500, Epoch: h.machine.epochFor(h.machine.workers[worker.id]),
+	})
+	w.run(34 * time.Second)
+	is.Equal(len(h.machine.workers["w0"].runs), 1)
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.run(34500 * time.Millisecond)
+	is.Equal(w.starts, 1)
+	worker.unsentFrom = 0
+	w.run(60 * time.Second)
+	w.checkViolations()
+	is.Equal(w.state("job"), endive.WorkflowSucceeded)
+}
--- a/flow/job.go
+++ b/flow/job.go
@@ -112,6 +112,8 @@
 	state taskState
 	// run is the run that may be active; nil while the task waits.
 	run *run
+	// orphans counts the runs of the task that are to be stopped and may still be active.
+	orphans int
 	// failedRuns are the numbers of the failed runs. Their count is compared with the
 	// attempts that the step allows.
 	failedRuns []endive.RunNumber
--- a/flow/run.go
+++ b/flow/run.go
@@ -10,11 +10,13 @@
 // worker reports the end of the run or the run has certainly ended.
 type run struct {
 	// task is nil for a run that is to be stopped because it isn't its task's current run.
-	task   *task
-	id     endive.TaskID
-	number endive.RunNumber
-	worker *worker
-	need   endive.Resources
+	task *task
+	// orphanOf is the task of such a run; nil if it isn't known.
+	orphanOf *task
+	id       endive.TaskID
+	number   endive.RunNumber
+	worker   *worker
+	need     endive.Resources
 	// spec and account are those of the run's task; spec is nil if the task isn't known.
 	spec    *endive.Step
 	account endive.AccountName
@@ -154,6 +156,9 @@
 	m.quotas.count(r, -1)
 	m.quotas.due = true
 	m.passDue = true
+	if r.orphanOf != nil {
+		r.orphanOf.orphans--
+	}
 	t := r.task
 	if t == nil {
 		return
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -207,7 +207,7 @@
 
 // startable reports whether a task can start as soon as there is free capacity.
 func (m *Machine) startable(t *task) bool {
-	if t.state != taskWaiting || t.run != nil {
+	if t.state != taskWaiting || t.run != nil || t.orphans > 0 {
 		return false
 	}
 	if t.notBefore.After(m.now) {
--- a/flow/unknownrun.go
+++ b/flow/unknownrun.go
@@ -44,5 +44,9 @@
 func (m *Machine) addOrphan(w *worker, t *task, report endive.RunReport) *run {
 	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: m.now, percentAt: m.now, reported: true}
 	m.allocate(r, t)
+	if t != nil {
+		r.orphanOf = t
+		t.orphans++
+	}
 	return r
 }
