A late order to start counts for the task on that worker, not for the run

An order to start gets no answer, its run is given up, and the task starts again on the same worker under another number; the worker restarts, and the next incarnation carries the first order out. The holder took the second run, which had surely ended with the restart, for all that the worker could have of the task.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -54,9 +55,7 @@
 		w.startAnsweredAt = m.now
 	case OrderUnknown:
 		w.lateCallsUntil = endive.Latest(w.lateCallsUntil, m.now.Add(maxCallDelay))
-		if r := w.findRun(e.Task, e.Run); r != nil {
-			r.lateStartUntil = m.now.Add(maxCallDelay)
-		}
+		w.lateStarts[e.Task] = m.now.Add(maxCallDelay)
 	case OrderNotSent, OrderRefused:
 	}
 }
@@ -85,7 +84,12 @@
 
 // isKnownPlace reports whether the run is on the known incarnation of its worker, and can be on no later one.
 func (r *run) isKnownPlace() bool {
-	return r.reported && !r.lateStartUntil.After(r.worker.seenAliveAt())
+	return r.reported && !r.worker.lateStarts[r.id].After(r.worker.seenAliveAt())
+}
+
+// forgetLateStarts forgets the orders to start that can't be carried out late any more, now that the worker has answered.
+func (w *worker) forgetLateStarts() {
+	maps.DeleteFunc(w.lateStarts, func(_ endive.TaskID, until time.Time) bool { return !until.After(w.seenAliveAt()) })
 }
 
 // expiredRuns returns the runs of a worker whose leases have surely expired, in the order of these times.
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -76,6 +76,7 @@
 	}
 	w.recordAnswer(m.now, sent.sentAt, e.Report.Clock, !current)
 	m.recordFence(w, sent)
+	w.forgetLateStarts()
 	knownEnd := w.lastEnd
 	m.applyEnds(w, e.Report.Ended)
 	m.reconcileRuns(w, e.Poll, e.Report, sent)
--- a/flow/run.go
+++ b/flow/run.go
@@ -38,8 +38,6 @@
 	// formerLeaseEnd is until when the run waits for an answer of its worker, if an earlier incarnation is known to have had
 	// it, and no later one can have it; else zero.
 	formerLeaseEnd time.Time
-	// lateStartUntil is until when an order to start the run that got no answer may be carried out.
-	lateStartUntil time.Time
 	// unansweredStep is the machine's step in which the last order to start the run was given up without
 	// an answer; 0 if none was. A poll sent later shows whether the worker has carried it out.
 	unansweredStep uint64
