A lost acknowledgement of an idle executor is repeated

What callers could see (LOST, Acks): a takeover that never ends, and ends that stay listed. Cause: an idle executor is polled each 3 s or more, and an end is only acknowledged within 2 s of the last answer. If the poll with the acknowledgement is lost, none follows until other work starts there. With a list of ends that is cut short the takeover then waits for ever for the rest. Change: an idle executor that lists ends is polled each second.

--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -90,7 +90,7 @@
 	case w.awaitsFence(), e.Report.More && w.lastEnd > knownEnd:
 	case w.hasOpenEnds() && len(w.runs) > 0:
 		w.poll.nextAt = m.now.Add(unrecordedPollInterval)
-	case w.hasOpenEnds():
+	case w.hasOpenEnds(), len(w.runs) == 0 && w.firstListedEnd > 0:
 		w.poll.nextAt = m.now.Add(time.Duration(pollWait))
 	case len(w.runs) == 0 && w.recordedEnd() == w.lastEnd:
 		w.poll.nextAt = m.now.Add(m.idlePollInterval())
