Soak: workers restart under their ids, and calls for their former life come late

Its checks didn't tell runs of the same number in two incarnations apart. Change: a restarter with its own random source draws episodes: half of the main pool or one worker is away for up to 0.6 s, is cut off 0.5 to 3 s later for 0.5 to 35 s, from the entries, the store or both; calls before get no answer and are carried out 2 to 12 s later; the holder is killed, replaced or stopped beside it; one step in eight runs for 12 s. --no-restarts gives the faults and the run times of before.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -16,12 +16,14 @@
 // runID identifies a run.
 type runID struct {
 	task, worker string
-	number       int64
+	// born is when the worker's incarnation started.
+	born   time.Time
+	number int64
 }
 
 // runIDOf returns the identity of a run.
 func runIDOf(run stand.Run) runID {
-	return runID{task: run.Task, worker: run.Worker, number: run.Number}
+	return runID{task: run.Task, worker: run.Worker, born: run.Born, number: run.Number}
 }
 
 // checks records the runs on all workers and the rules that they violate. It
--- a/soak/cutoff.go
+++ b/soak/cutoff.go
@@ -21,18 +21,25 @@
 	// longTaskDuration is the run time of the tasks of one step in longTaskPeriod, so that some outlast a lease.
 	longTaskDuration = 7 * time.Second
 	longTaskPeriod   = 8
+	// longestTaskDuration is the run time of those of another step in longTaskPeriod, if workers restart.
+	longestTaskDuration = 12 * time.Second
 	// listenRetryDelay is the pause before a proxy tries again to listen at its address.
 	listenRetryDelay = 20 * time.Millisecond
 )
 
 // runTime returns the run time of a task. It is the same for all tasks of a step, since the members of a gang end
 // together.
-func runTime(task string) time.Duration {
+func (r *restarter) runTime(task string) time.Duration {
 	hash := fnv.New32a()
 	// Writing to a hash never fails.
 	_, _ = hash.Write([]byte(stepOf(task)))
-	if hash.Sum32()%longTaskPeriod == 0 {
+	switch hash.Sum32() % longTaskPeriod {
+	case 0:
 		return longTaskDuration
+	case 1:
+		if r.enabled {
+			return longestTaskDuration
+		}
 	}
 	return taskDuration
 }
--- a/soak/cutter.go
+++ b/soak/cutter.go
@@ -91,7 +91,7 @@
 	cut.duration = minSeriesCut + time.Duration(c.rand.Int63n(int64(maxSeriesCut-minSeriesCut)))
 	delay := time.Duration(c.rand.Int63n(int64(maxEarlyCutDelay)))
 	// A short task would be done before a late cut, and its series over.
-	if late := c.rand.Intn(4) == 0; late && runTime(run.Task) > maxLateCutDelay {
+	if late := c.rand.Intn(4) == 0; late && c.soak.restarter.runTime(run.Task) > maxLateCutDelay {
 		delay = time.Duration(c.rand.Int63n(int64(maxLateCutDelay)))
 	}
 	go (&faultEnd{after: delay, revert: func() { c.soak.cutOff(w, cut) }}).run()
--- a/soak/cutter_test.go
+++ b/soak/cutter_test.go
@@ -16,6 +16,7 @@
 	for id, pool := range pools {
 		s.workers = append(s.workers, &worker{id: id, pool: pool, cutOff: true})
 	}
+	s.restarter = newRestarter(s, false, 1)
 	return newCutter(s, 1)
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,9 +30,9 @@
 	s.checks.events.add("fault %d for %v at %s and %s", fault, duration, e.name, w.id)
 	switch fault {
 	case 0:
-		s.restartEntry(e, syscall.SIGKILL, end)
+		s.restartEntry(e, syscall.SIGKILL, s.nextProgram(), end)
 	case 1:
-		s.restartEntry(e, syscall.SIGTERM, end)
+		s.restartEntry(e, syscall.SIGTERM, s.nextProgram(), end)
 	case 2:
 		e.signal(syscall.SIGSTOP)
 		end.revert = func() { e.signal(syscall.SIGCONT) }
@@ -57,7 +57,7 @@
 		s.store.DropHistory()
 	case 13:
 		for _, one := range s.entries {
-			s.restartEntry(one, syscall.SIGKILL, &faultEnd{})
+			s.restartEntry(one, syscall.SIGKILL, s.nextProgram(), &faultEnd{})
 		}
 	case 14, 15:
 		s.cutOff(w, randomCut(s.rand))
@@ -81,28 +81,33 @@
 	return e
 }
 
-// restartEntry terminates an entry's process with a signal and starts it again.
-func (s *soak) restartEntry(e *entry, signal syscall.Signal, end *faultEnd) {
+// restartEntry terminates an entry's process with a signal and starts it again with a program.
+func (s *soak) restartEntry(e *entry, signal syscall.Signal, program string, end *faultEnd) {
+	e.restart.Lock()
+	defer e.restart.Unlock()
 	e.signal(syscall.SIGCONT)
 	e.signal(signal)
 	e.wait()
 	end.revert = func() {}
-	if err := s.startEntry(e, s.nextProgram()); err != nil {
+	if err := s.startEntry(e, program); err != nil {
 		fmt.Fprintln(os.Stderr, "soak: can't start an entry:", err)
 	}
 }
 
 // restartWorker kills a worker and starts a new incarnation with the same id.
 func (s *soak) restartWorker(w *worker) {
+	s.killWorker(w)
+	s.startWorker(w)
+}
+
+// killWorker kills the incarnation of a worker, and closes its connections.
+func (s *soak) killWorker(w *worker) {
 	w.mu.Lock()
 	old := w.incarnation
 	w.mu.Unlock()
 	old.Kill()
 	s.checks.markEndsLost(old.UnacknowledgedEnds())
 	w.proxy.reset()
-	if err := s.startWorker(w); err != nil {
-		fmt.Fprintln(os.Stderr, "soak: can't start a worker:", err)
-	}
 }
 
 // revertFaults waits for the last faults to end, which cuts may outlast, and makes sure that all
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -79,13 +79,6 @@
 	return p.mode
 }
 
-// setTarget makes the proxy forward new connections to another address.
-func (p *proxy) setTarget(target string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.target = target
-}
-
 // reset closes all open connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -124,10 +117,7 @@
 }
 
 func (c *proxyConn) run() {
-	c.proxy.mu.Lock()
-	target := c.proxy.target
-	c.proxy.mu.Unlock()
-	server, err := net.Dial("tcp", target)
+	server, err := net.Dial("tcp", c.proxy.target)
 	if err != nil {
 		_ = c.client.Close()
 		return
--- /dev/null
+++ b/soak/restarter_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"endiveroute.example/endive/platform/stand"
+)
+
+// newTestRestarter returns the restarter of a soak with workers of both pools.
+func newTestRestarter(enabled bool, seed int64) *restarter {
+	s := &soak{checks: newTestChecks(), upgrade: newUpgrade("new", "")}
+	for i := range 4 + bulkWorkers {
+		s.workers = append(s.workers, &worker{id: fmt.Sprintf("i-%d", i)})
+	}
+	s.restarter = newRestarter(s, enabled, seed)
+	return s.restarter
+}
+
+func TestEpisodesAreVaried(t *testing.T) {
+	is := is.New(t)
+	r := newTestRestarter(true, 1)
+	modes, holders, sizes, late := make(map[mode]int), make(map[holderFault]int), make(map[int]int), 0
+	for range 1000 {
+		e := r.draw()
+		is.Equal(len(e.away), len(e.workers))
+		for _, away := range e.away {
+			is.True(away >= 0 && away < maxAway)
+		}
+		is.True(e.cutAfter >= minRecut && e.cutAfter < maxRecut)
+		is.True(e.cut.duration >= minRecutTime && e.cut.duration <= maxRecutTime)
+		is.True(e.cut.mode != modeForward || !e.cut.listed) // each cut has an effect
+		is.Equal(e.program, "new")
+		modes[e.cut.mode]++
+		holders[e.holder]++
+		sizes[len(e.workers)]++
+		if e.lateShare > 0 {
+			late++
+		}
+	}
+	is.Equal(len(modes), 5)            // refused, silent, one-way, late, from the store alone
+	is.Equal(len(holders), 4)          // unharmed, killed, replaced, stopped
+	is.True(sizes[2] > 0)              // a half of the main pool
+	is.Equal(sizes[1]+sizes[2], 1000)  // or one worker
+	is.True(late > 500 && late < 1000) // with late calls or without
+}
+
+func TestLongestTasksOnlyWithRestarts(t *testing.T) {
+	is := is.New(t)
+	r, former := newTestRestarter(true, 1), newTestRestarter(false, 1)
+	longest := 0
+	for i := range 100 {
+		task := fmt.Sprintf("%016x.0.0.0", i)
+		if r.runTime(task) == longestTaskDuration {
+			longest++
+			is.Equal(former.runTime(task), taskDuration)
+			continue
+		}
+		is.Equal(former.runTime(task), r.runTime(task))
+	}
+	is.True(longest > 0)
+}
+
+func TestRunsOfSameNumberInTwoIncarnations(t *testing.T) {
+	is := is.New(t)
+	c := newTestChecks()
+	first, second := testRun("i-0", 1, 0), testRun("i-0", 1, 1)
+	second.Born = first.Born.Add(time.Second)
+	c.RunStarted(first)
+	c.end(first, "done")
+	c.markEndsLost([]stand.Run{first})
+	c.RunStarted(second)
+	c.end(second, "done")
+	is.Equal(len(c.findings()), 0)
+	c.markEndsLost([]stand.Run{first})
+
+	c.RunStarted(testRun("i-1", 2, 2))
+
+	is.Equal(len(c.findings()), 1) // the end of the second incarnation isn't lost
+}
+
+func TestRunOfFormerIncarnationAtTheSameTime(t *testing.T) {
+	is := is.New(t)
+	c := newTestChecks()
+	first, second := testRun("i-0", 1, 0), testRun("i-0", 1, 1)
+	second.Born = first.Born.Add(time.Second)
+	c.RunStarted(first)
+	c.end(first, "died")
+	c.RunStarted(second) // a late order
+	is.Equal(len(c.findings()), 0)
+
+	c.RunStarted(testRun("i-1", 2, 2))
+
+	is.Equal(len(c.findings()), 1)
+	is.True(strings.Contains(c.findings()[0], "TWICE"))
+}
+
+func TestLateStartAfterAcknowledgedEndOfFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	c := newTestChecks()
+	first, second := testRun("i-0", 1, 0), testRun("i-0", 1, 1)
+	second.Born = first.Born.Add(time.Second)
+	c.RunStarted(first)
+	c.end(first, "done")
+	c.markEndsLost(nil) // killed after the acknowledgement
+
+	c.RunStarted(second)
+
+	is.Equal(len(c.findings()), 1)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,7 @@
 	hot       *clients
 	accounts  *accounts
 	cutter    *cutter
+	restarter *restarter
 	// maxPause is the longest pause between two faults.
 	maxPause   time.Duration
 	faultCount int
@@ -58,6 +59,9 @@
 	settings      string
 	storeProxy    *proxy
 
+	// restart is held while the process is replaced.
+	restart sync.Mutex
+
 	mu      sync.Mutex
 	process *entryProcess
 	// program is the build that the entry runs.
@@ -85,7 +89,7 @@
 	close(p.ended)
 }
 
-func newSoak(upgrade *upgrade, accounts bool, dir string, seed int64, entries, workers int) (*soak, error) {
+func newSoak(upgrade *upgrade, accounts, restarts bool, dir string, seed int64, entries, workers int) (*soak, error) {
 	dir = filepath.Join(dir, fmt.Sprintf("soak-%d-%d", os.Getpid(), seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
@@ -105,6 +109,7 @@
 	s.checks.usage = s.accounts.usage
 	s.cutter = newCutter(s, seed+2)
 	s.checks.cutter = s.cutter
+	s.restarter = newRestarter(s, restarts, seed)
 	s.clients = newClients(s, steadyAccount, seed+1)
 	s.hot = newClients(s, hotAccount, -seed)
 	if err := s.accounts.change(hotCaps[0], true); err != nil {
@@ -248,6 +253,7 @@
 	for range maxSeries {
 		s.cutter.beginSeries()
 	}
+	go s.restarter.run(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rand.Int63n(int64(s.maxPause))))
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
--- a/soak/upgrade.go
+++ b/soak/upgrade.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"os"
 	"sync"
 	"syscall"
@@ -48,11 +49,14 @@
 }
 
 // nextProgram returns the program of an entry that is restarted: any of the two builds.
-func (s *soak) nextProgram() string {
-	if s.upgrade.earlier != "" && s.rand.Intn(2) == 0 {
-		return s.upgrade.earlier
+func (s *soak) nextProgram() string { return s.upgrade.anyProgram(s.rand) }
+
+// anyProgram returns any of the two builds.
+func (u *upgrade) anyProgram(r *rand.Rand) string {
+	if u.earlier != "" && r.Intn(2) == 0 {
+		return u.earlier
 	}
-	return s.upgrade.newer
+	return u.newer
 }
 
 // replaceEarlier replaces the entries that run the earlier build, one after the other.
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -15,6 +15,8 @@
 	id    string
 	pool  string
 	proxy *proxy
+	// calls is the address of all incarnations, to which the proxy forwards.
+	calls *stand.LateCalls
 
 	mu          sync.Mutex
 	incarnation *stand.Worker
@@ -26,10 +28,16 @@
 }
 
 func (s *soak) addWorker(id, pool string) error {
-	w := &worker{id: id, pool: pool, registers: true}
-	if err := s.startWorker(w); err != nil {
+	w := &worker{id: id, pool: pool, registers: true, calls: stand.NewLateCalls(s.restarter.lateSeed(id))}
+	w.calls.Observe = s.logLateCall
+	address, err := s.serve(w.calls)
+	if err != nil {
+		return err
+	}
+	if w.proxy, err = newProxy(address); err != nil {
 		return err
 	}
+	s.startWorker(w)
 	s.workers = append(s.workers, w)
 	return nil
 }
@@ -40,24 +48,14 @@
 }
 
 // startWorker starts a new incarnation of a worker behind its proxy.
-func (s *soak) startWorker(w *worker) error {
+func (s *soak) startWorker(w *worker) {
 	fails := func(string) bool { return false }
-	incarnation := stand.NewWorker(w.id, w.pool, s.checks, runTime, fails)
-	address, err := s.serve(incarnation)
-	if err != nil {
-		return err
-	}
-	if w.proxy == nil {
-		if w.proxy, err = newProxy(address); err != nil {
-			return err
-		}
-	}
-	w.proxy.setTarget(address)
+	incarnation := stand.NewWorker(w.id, w.pool, s.checks, s.restarter.runTime, fails)
 	incarnation.Address = w.proxy.address()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.incarnation = incarnation
-	return nil
+	w.calls.SetWorker(incarnation)
 }
 
 // register renews the worker's registration, unless the worker is cut off from the platform.
