Soak: a finding says whether the end before the start was acknowledged

Cause: a start after an end is a violation for good once a poll has acknowledged that end, also a late one that was meant for the former incarnation; the finding didn't say which it was. The check itself is as strict as before.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -41,6 +41,8 @@
 	done map[string][]runID
 	// everDone holds the keys of the tasks of which a run has ended as done, whether that end was lost or not.
 	everDone map[string]bool
+	// acknowledged holds the runs whose ends a poll has acknowledged, whatever incarnation it was meant for.
+	acknowledged map[runID]bool
 	started  map[string]bool
 	// jobs holds what clients have submitted.
 	jobs map[string]stand.Job
@@ -55,7 +57,7 @@
 func newChecks(events *events) *checks {
 	return &checks{
 		events: events, running: make(map[string][]stand.Run), done: make(map[string][]runID),
-		everDone: make(map[string]bool), started: make(map[string]bool), jobs: make(map[string]stand.Job),
+		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), started: make(map[string]bool), jobs: make(map[string]stand.Job),
 		gangs: make(map[string]bool), completed: make(map[string]time.Time),
 	}
 }
@@ -99,7 +101,8 @@
 	for _, done := range c.done[c.key(run.Task)] {
 		// The members of one run of a gang share its number, and may start after another member has ended.
 		if done.task == run.Task || done.number != run.Number {
-			c.addLocked(fmt.Sprintf("TWICE: %s run %d on %s starts after %s run %d on %s was done", run.Task, run.Number, run.Worker, done.task, done.number, done.worker))
+			c.addLocked(fmt.Sprintf("TWICE: %s run %d on %s starts after %s run %d on %s was done (%s)", run.Task, run.Number, run.Worker, done.task, done.number, done.worker,
+				c.acknowledgement(done)))
 		}
 	}
 	if at, ok := c.completed[job]; ok && run.Started.Sub(at) > completedSlack {
@@ -123,6 +126,24 @@
 	}
 }
 
+// acknowledgement says whether the end of a run is acknowledged. An end that isn't is still listed, and the lease goes on.
+// c.mu must be held.
+func (c *checks) acknowledgement(run runID) string {
+	if c.acknowledged[run] {
+		return "acknowledged"
+	}
+	return "not acknowledged yet"
+}
+
+// EndsAcknowledged implements stand.AcknowledgementObserver.
+func (c *checks) EndsAcknowledged(runs []stand.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, run := range runs {
+		c.acknowledged[runIDOf(run)] = true
+	}
+}
+
 // LeaseExpired implements stand.LeaseObserver.
 func (c *checks) LeaseExpired(runs []stand.Run) { c.markEndsLost(runs) }
 
--- a/soak/restarter_test.go
+++ b/soak/restarter_test.go
@@ -106,9 +106,11 @@
 	second.Born = first.Born.Add(time.Second)
 	c.RunStarted(first)
 	c.end(first, "done")
+	c.EndsAcknowledged([]stand.Run{first})
 	c.markEndsLost(nil) // killed after the acknowledgement
 
 	c.RunStarted(second)
 
 	is.Equal(len(c.findings()), 1)
+	is.True(strings.HasSuffix(c.findings()[0], "(acknowledged)"))
 }
