--- a/soak/checks.go
+++ b/soak/checks.go
@@ -43,7 +43,7 @@
 	everDone map[string]bool
 	// acknowledged holds the runs whose ends a poll has acknowledged, whatever incarnation it was meant for.
 	acknowledged map[runID]bool
-	started  map[string]bool
+	started      map[string]bool
 	// jobs holds what clients have submitted.
 	jobs map[string]stand.Job
 	// gangs holds the steps that are gangs, by the keys of their tasks.
