--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -65,3 +65,56 @@
 		})
 	}
 }
+
+// An order to start gets no answer, the worker restarts under its id, and the order is carried out by the next
+// incarnation after the holder has seen the restart. The worker must refuse it: the task has started elsewhere.
+func TestLateOrderReachesNextIncarnation(t *testing.T) {
+	for _, seen := range []string{"in an answer", "in the list"} {
+		t.Run(seen, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1, faults{})
+			w.trace, w.renewals = *followTasks, true
+			w.addWorkers(1)
+			h := w.startHolder()
+			w.run(30 * time.Second)
+			worker := w.workers["w0"]
+			order := endive.StartOrder{
+				Worker: endive.WorkerRef{ID: worker.id}, Task: "job.0.0.0", LeaseEnd: worker.clock() + endive.WorkerTime(testLeaseDuration.Milliseconds()),
+				Epoch: h.machine.epochFor(h.machine.workers[worker.id]),
+			}
+			w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
+			w.run(30*time.Second + 20*time.Millisecond)
+			order.Run = worker.runs["job.0.0.0"].number
+			worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+			w.addWorker("w1", testCapacity, endive.Label("rack0"))
+			if seen == "in an answer" {
+				w.run(33 * time.Second)
+			}
+			w.run(w.now.Add(20 * time.Millisecond).Sub(w.start))
+			answer := worker.start(order)
+			is.Equal(answer.Refused, endive.RefusalEpoch)
+			w.run(70 * time.Second)
+			w.checkViolations()
+			is.Equal(w.state("job"), endive.WorkflowSucceeded)
+		})
+	}
+}
+
+// A poll that gets no answer is carried out late, by the worker's next incarnation. It must not acknowledge an end of
+// that incarnation, which no holder has received: the task would count as lost and run again.
+func TestLatePollForgetsEndOfNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1, faults{})
+	w.addWorkers(1)
+	h := w.startHolder()
+	w.run(time.Second)
+	worker := w.workers["w0"]
+	w.submit("first", urgentQueue, stepOfTasks(3, 300*time.Millisecond))
+	w.run(2 * time.Second)
+	is.Equal(len(worker.ends), 0) // they have been acknowledged
+	w.submit("second", urgentQueue, stepOfTasks(1, 20*time.Second))
+	w.run(3 * time.Second)
+	tracked := h.machine.workers[worker.id]
+	is.Equal(tracked.recordedEnd(), endive.EndNumber(3))
+	is.Equal(tracked.acknowledgedEnd(w.now), endive.EndNumber(0))
+}
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -76,20 +76,20 @@
 	}
 	maxWait := pollWait
 	switch {
-	case !w.endsKnown() || w.failedPolls > 0 || w.hasOpenEnds() || len(w.runs) == 0:
+	case !w.endsKnown() || !w.fenced || w.failedPolls > 0 || w.hasOpenEnds() || len(w.runs) == 0:
 		maxWait = 0
 	case w.hasUnconfirmedRuns():
 		maxWait = unconfirmedPollWait
 	case w.hasSuspects():
 		maxWait = suspectPollWait(m.now, w.suspectsUntil())
 	}
-	order := endive.PollOrder{Worker: w.ref(), Epoch: m.tenure.epoch, Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
+	order := endive.PollOrder{Worker: w.ref(), Epoch: m.epochFor(w), Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
 	if w.renewsLeases(m.now) && m.mayRenew() {
 		order.LeaseEnd = m.newLeaseEnd(w)
 	}
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
-	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, renews: order.LeaseEnd > 0}
+	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, sentTo: w.incarnations, renews: order.LeaseEnd > 0}
 	m.probes.calls[pollCall{w.id, w.poll.id}] = true
 	w.poll.sentAt, w.poll.immediate, w.poll.recorded = m.now, maxWait == 0, order.Recorded
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
@@ -132,8 +132,12 @@
 // acknowledgedEnd returns the number of the newest reported end of a run that the worker may
 // delete; 0 for none. A worker that hasn't answered lately may have restarted and numbered its
 // ends from 1 again. Acknowledging an old number would make the worker delete ends that the
-// holder hasn't received. A late answer may be as old as its poll.
+// holder hasn't received. A late answer may be as old as its poll. A number is sent only while the worker
+// lists an end up to it: the poll may be carried out late, by an incarnation that the holder hasn't seen.
 func (w *worker) acknowledgedEnd(now time.Time) endive.EndNumber {
+	if w.firstListedEnd == 0 || w.firstListedEnd > w.recordedEnd() {
+		return 0
+	}
 	if !w.answered() || w.failedPolls > 0 && !w.answersLate || now.Sub(w.seenAliveAt()) > maxAckAge {
 		return 0
 	}
