Soak: one episode in four hands the pool over just after the restarts

Change: one episode in four, by a random source of its own, has late calls, the holder killed or replaced within 0.6 s of the restarts, and a cut of 12 to 35 s.

--- a/soak/restarter.go
+++ b/soak/restarter.go
@@ -27,6 +27,10 @@
 	// maxHolderDelay is the longest time between the restarts and the fault of the holder, and maxHolderFault the longest
 	// time for which it is stopped.
 	maxHolderDelay, maxHolderFault = 5 * time.Second, 5 * time.Second
+	// handOverPeriod is how many episodes there are for each one that hands the pool over at once, and minUnseenCut the
+	// shortest cut of those: calls to the former incarnations are carried out meanwhile.
+	handOverPeriod = 4
+	minUnseenCut   = 12 * time.Second
 	// maxLoggedBody limits the part of a body that is logged.
 	maxLoggedBody = 160
 )
@@ -47,6 +51,8 @@
 	enabled bool
 	seed    int64
 	rand    *rand.Rand
+	// handOvers draws the episodes that hand the pool over at once.
+	handOvers *rand.Rand
 
 	mu sync.Mutex
 	// restarts counts the restarts, and late and former the late calls and those of them that the next incarnation got.
@@ -54,7 +60,7 @@
 }
 
 func newRestarter(s *soak, enabled bool, seed int64) *restarter {
-	return &restarter{soak: s, enabled: enabled, seed: seed, rand: rand.New(rand.NewSource(seed + 3))}
+	return &restarter{soak: s, enabled: enabled, seed: seed, rand: rand.New(rand.NewSource(seed + 3)), handOvers: rand.New(rand.NewSource(seed + 4))}
 }
 
 // run begins episodes until ctx is done. Episodes may overlap.
@@ -114,9 +120,24 @@
 	e.holder = []holderFault{holderUnharmed, holderKilled, holderReplaced, holderStopped}[r.rand.Intn(4)]
 	e.holderAfter, e.holderStopped = randomDuration(r.rand, maxHolderDelay), randomDuration(r.rand, maxHolderFault)
 	e.program = r.soak.upgrade.anyProgram(r.rand)
+	if r.handOvers.Intn(handOverPeriod) == 0 {
+		e.handOver(r.handOvers)
+	}
 	return e
 }
 
+// handOver makes the holder end just after the restarts, so that the next one knows nothing of them and of the calls that
+// are still to be carried out, and the cut too long for it to learn of them.
+func (e *episode) handOver(r *rand.Rand) {
+	e.lateShare, e.lateAfter = 0.3+0.5*r.Float64(), false
+	e.lateTime = maxLateTime/2 + randomDuration(r, maxLateTime/2)
+	e.cutAfter = minRecut
+	e.cut.mode = []mode{modeRefuse, modeDropAll}[r.Intn(2)]
+	e.cut.duration = minUnseenCut + randomDuration(r, maxRecutTime-minUnseenCut)
+	e.holder = []holderFault{holderKilled, holderReplaced}[r.Intn(2)]
+	e.holderAfter = randomDuration(r, maxAway)
+}
+
 // drawWorkers returns the first half of the workers, as of a zone, or any one.
 func (r *restarter) drawWorkers() []*worker {
 	workers := r.soak.workers
