Soak: starts that nobody could have prevented are shown as stray, not as findings

Change: the stand-in marks calls for a former incarnation that reach the next one before any other call. The soak shows as STRAY, and logs: a second start by the same order after the task's end, and a start after an end that only such a poll acknowledged. All else stays a finding: two runs at once always, and a late order after the task has started or ended by another one.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -21,6 +21,15 @@
 	number int64
 }
 
+// order identifies an order to start, which several incarnations of a worker may carry out.
+type order struct {
+	task, worker string
+	number       int64
+}
+
+// order returns the order of a run.
+func (r runID) order() order { return order{task: r.task, worker: r.worker, number: r.number} }
+
 // runIDOf returns the identity of a run.
 func runIDOf(run stand.Run) runID {
 	return runID{task: run.Task, worker: run.Worker, born: run.Born, number: run.Number}
@@ -43,7 +52,13 @@
 	everDone map[string]bool
 	// acknowledged holds the runs whose ends a poll has acknowledged, whatever incarnation it was meant for.
 	acknowledged map[runID]bool
-	started      map[string]bool
+	// strayEnds holds those of them that only a stray poll has acknowledged: nobody has seen the end.
+	strayEnds map[runID]bool
+	// orders holds the orders to start that were carried out, by any incarnation.
+	orders map[order]bool
+	// stray describes what would be violations, if anybody could have prevented it.
+	stray   []string
+	started map[string]bool
 	// jobs holds what clients have submitted.
 	jobs map[string]stand.Job
 	// gangs holds the steps that are gangs, by the keys of their tasks.
@@ -57,7 +72,7 @@
 func newChecks(events *events) *checks {
 	return &checks{
 		events: events, running: make(map[string][]stand.Run), done: make(map[string][]runID),
-		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), started: make(map[string]bool), jobs: make(map[string]stand.Job),
+		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), strayEnds: make(map[runID]bool), orders: make(map[order]bool), started: make(map[string]bool), jobs: make(map[string]stand.Job),
 		gangs: make(map[string]bool), completed: make(map[string]time.Time),
 	}
 }
@@ -98,15 +113,19 @@
 	for _, other := range c.running[run.Task] {
 		c.addLocked(fmt.Sprintf("TWICE: %s run %d on %s and run %d on %s at the same time", run.Task, other.Number, other.Worker, run.Number, run.Worker))
 	}
+	one := runIDOf(run).order()
+	// A duplicate is an order that a former incarnation has carried out, also.
+	duplicate := run.Stray && c.orders[one]
+	c.orders[one] = true
 	for _, done := range c.done[c.key(run.Task)] {
 		// The members of one run of a gang share its number, and may start after another member has ended.
 		if done.task == run.Task || done.number != run.Number {
-			c.addLocked(fmt.Sprintf("TWICE: %s run %d on %s starts after %s run %d on %s was done (%s)", run.Task, run.Number, run.Worker, done.task, done.number, done.worker,
+			c.addStart(c.strayEnds[done] || duplicate && done.order() == one, fmt.Sprintf("TWICE: %s run %d on %s starts after %s run %d on %s was done (%s)", run.Task, run.Number, run.Worker, done.task, done.number, done.worker,
 				c.acknowledgement(done)))
 		}
 	}
 	if at, ok := c.completed[job]; ok && run.Started.Sub(at) > completedSlack {
-		c.addLocked(fmt.Sprintf("TWICE: %s run %d on %s starts %v after its job was shown as completed", run.Task, run.Number, run.Worker, run.Started.Sub(at)))
+		c.addStart(duplicate, fmt.Sprintf("TWICE: %s run %d on %s starts %v after its job was shown as completed", run.Task, run.Number, run.Worker, run.Started.Sub(at)))
 	}
 	c.running[run.Task] = append(c.running[run.Task], run)
 }
@@ -136,11 +155,14 @@
 }
 
 // EndsAcknowledged implements stand.AcknowledgementObserver.
-func (c *checks) EndsAcknowledged(runs []stand.Run) {
+func (c *checks) EndsAcknowledged(runs []stand.Run, stray bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, run := range runs {
 		c.acknowledged[runIDOf(run)] = true
+		if stray {
+			c.strayEnds[runIDOf(run)] = true
+		}
 	}
 }
 
@@ -195,6 +217,23 @@
 	c.events.add("FINDING %s", violation)
 }
 
+// addStart adds a start after the end of a task. It is no violation if nobody could have prevented it. c.mu must be held.
+func (c *checks) addStart(stray bool, start string) {
+	if !stray {
+		c.addLocked(start)
+		return
+	}
+	c.stray = append(c.stray, start)
+	c.events.add("STRAY %s", start)
+}
+
+// strayStarts returns the starts after the end of a task that nobody could have prevented.
+func (c *checks) strayStarts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.stray...)
+}
+
 // findings returns the violations, including runs of refused jobs: those whose
 // submissions were all refused.
 func (c *checks) findings(refused ...map[string]bool) []string {
--- a/soak/cutoff.go
+++ b/soak/cutoff.go
@@ -27,23 +27,31 @@
 	listenRetryDelay = 20 * time.Millisecond
 )
 
-// runTime returns the run time of a task. It is the same for all tasks of a step, since the members of a gang end
-// together.
+// runTime returns the run time of a task of the main pool. It is the same for all tasks of a step, since the members of a
+// gang end together.
 func (r *restarter) runTime(task string) time.Duration {
-	hash := fnv.New32a()
-	// Writing to a hash never fails.
-	_, _ = hash.Write([]byte(stepOf(task)))
-	switch hash.Sum32() % longTaskPeriod {
-	case 0:
+	if r.enabled && stepHash(task)%longTaskPeriod == 1 {
+		return longestTaskDuration
+	}
+	return formerRunTime(task)
+}
+
+// formerRunTime returns the run time of a task of the bulk pool, and of all tasks if no workers restart.
+func formerRunTime(task string) time.Duration {
+	if stepHash(task)%longTaskPeriod == 0 {
 		return longTaskDuration
-	case 1:
-		if r.enabled {
-			return longestTaskDuration
-		}
 	}
 	return taskDuration
 }
 
+// stepHash returns a hash of the name of a task's step.
+func stepHash(task string) uint32 {
+	hash := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = hash.Write([]byte(stepOf(task)))
+	return hash.Sum32()
+}
+
 // cut is a time during which a worker is cut off: it runs on, and its connections are as in mode.
 type cut struct {
 	mode     mode
--- a/soak/main.go
+++ b/soak/main.go
@@ -28,7 +28,8 @@
 ended. events.log in its directory lists the runs and the faults. Meanwhile it withdraws keys of a client account
 and changes its cap, and checks that the account's runs stay within the cap, and that
 withdrawn keys and other accounts' jobs can't be used. An entry that ends by itself is
-a finding, also if it is started again.
+a finding, also if it is started again. STRAY marks starts after the end of a task that are no findings: a call that
+was meant for a former incarnation of a worker caused them before any other call had reached the next one.
 
   soak --entry bin/entry --seed 7 --seconds 20
 
@@ -59,6 +60,9 @@
 	for _, one := range findings {
 		fmt.Println("FINDING", one)
 	}
+	for _, one := range s.checks.strayStarts() {
+		fmt.Println("STRAY", one)
+	}
 	fmt.Println(s.accounts.summary())
 	fmt.Println(s.restarter.summary())
 	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults%s, %d findings\n",
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -51,6 +51,10 @@
 func (s *soak) startWorker(w *worker) {
 	fails := func(string) bool { return false }
 	incarnation := stand.NewWorker(w.id, w.pool, s.checks, s.restarter.runTime, fails)
+	if w.pool == bulkPool {
+		// With the longest tasks the few workers of this pool couldn't complete their jobs in time.
+		incarnation.RunTime = formerRunTime
+	}
 	incarnation.Address = w.proxy.address()
 	w.mu.Lock()
 	defer w.mu.Unlock()
