--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -86,7 +86,7 @@
 	m.learn(w, e.Report, w.lastEnd > knownEnd, recorded)
 	w.poll.nextAt = m.now
 	switch {
-	case !w.fenced, e.Report.More && w.lastEnd > knownEnd:
+	case w.awaitsFence(), e.Report.More && w.lastEnd > knownEnd:
 	case w.hasOpenEnds() && len(w.runs) > 0:
 		w.poll.nextAt = m.now.Add(unrecordedPollInterval)
 	case w.hasOpenEnds():
@@ -290,7 +290,7 @@
 	if r.unread != nil {
 		r.unread.report = report
 	}
-	r.loss, r.reported = nil, true
+	r.loss, r.reported, r.formerLeaseEnd = nil, true, time.Time{}
 	if report.Percent != r.percent {
 		r.percent, r.percentAt = report.Percent, m.now
 	}
