--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -19,6 +19,11 @@
 	// startTime is when this incarnation began. incarnation is the number of the incarnation.
 	startTime   time.Time
 	incarnation int
+	// seenAt is when a holder first learned of this incarnation, and fenceableAt when the incarnation first took a call
+	// of the newest epoch that was sent after that. From then on its fencing token can refuse what was sent before.
+	seenAt, fenceableAt time.Time
+	// lostCallAt is when the last call to the worker was sent that didn't arrive.
+	lostCallAt  time.Time
 	unreachable bool
 	unlisted    bool
 	// answersLost is true while the worker receives polls but its answers don't arrive in time.
@@ -32,12 +37,15 @@
 	unreachableFrom endive.Epoch
 	// unreachableBefore is the first epoch whose holder can reach the worker; 0 if all holders can.
 	unreachableBefore endive.Epoch
-	// executesLateOrder is true while the worker carries out an order that was delivered late, and
-	// orderSentAt is when that order was sent.
+	// executesLateOrder is true while the worker carries out an order that was delivered late. callSentAt is when the
+	// call was sent that the worker has taken last.
 	executesLateOrder bool
-	orderSentAt       time.Time
+	callSentAt        time.Time
 	// terminated is true if the worker's process has ended: its address refuses connections.
 	terminated bool
+	// down is true if no incarnation of the worker is up, so that nothing carries out its late calls. A worker that is
+	// only cut off may refuse connections as well, and is up.
+	down bool
 	// poweredOff is true if the worker's machine is off: connections to it time out.
 	poweredOff bool
 	// addressReused is true if this worker has terminated and another listens at its address.
@@ -88,9 +96,14 @@
 
 // startIncarnation resets the worker to a new incarnation.
 func (f *fakeWorker) startIncarnation(capacity endive.Resources, labels []endive.Label) {
+	f.logRuns("ends with its worker's incarnation")
+	for task := range f.runs {
+		f.sim.endedUnder[task]++
+	}
 	f.discardEnds()
 	f.incarnation++
 	f.startTime = f.sim.now
+	f.seenAt, f.fenceableAt = time.Time{}, time.Time{}
 	f.epoch, f.leaseEnd, f.lastEnd, f.discardedEnd = 0, 0, 0, 0
 	for _, r := range f.runs {
 		r.ended = true
@@ -157,46 +170,6 @@
 	return answer
 }
 
-// extendLeases extends the leases of all runs up to end, at most by testMaxLeaseDuration.
-func (f *fakeWorker) extendLeases(end endive.WorkerTime) {
-	end = min(end, f.clock()+endive.WorkerTime(testMaxLeaseDuration.Milliseconds()))
-	if end <= f.leaseEnd {
-		return
-	}
-	f.leaseEnd = end
-	incarnation := f.incarnation
-	f.sim.after(time.Duration(float64(end-f.clock())/f.clockRate())*time.Millisecond, func() {
-		if f.incarnation == incarnation && f.leaseEnd == end {
-			f.expireLeases()
-		}
-	})
-}
-
-// discardEnds marks the ends that are still listed as discarded. After the leases have expired,
-// or in a new incarnation, a holder needn't count them, and the tasks may run again.
-func (f *fakeWorker) discardEnds() {
-	for _, end := range f.ends {
-		if f.discardedEnd >= end.Number {
-			continue
-		}
-		switch end.Kind {
-		case endive.EndSucceeded:
-			delete(f.sim.succeeded, end.Task)
-		case endive.EndFailed:
-			f.sim.failures[end.Task]--
-		}
-	}
-	f.discardedEnd = f.lastEnd
-}
-
-// expireLeases ends all runs because their leases have expired.
-func (f *fakeWorker) expireLeases() {
-	f.discardEnds()
-	for _, r := range f.sortedRuns() {
-		f.end(r, endive.EndLeaseExpired)
-	}
-}
-
 // startTask starts a run and checks the invariants for it.
 func (f *fakeWorker) startTask(order endive.StartOrder) {
 	w := f.sim
@@ -205,6 +178,7 @@
 	run := &fakeRun{task: order.Task, number: order.Run, need: spec.Reserved(), gang: spec.Gang}
 	f.runs[order.Task] = run
 	f.resumes[order.Task] = order.Resume
+	f.log(order.Task, "starts"+f.describeCall())
 	w.checkStart(f, order, job, spec)
 	if job.deadly == order.Task || job.allDeadly {
 		w.after(max(10*time.Millisecond, job.deadlyAfter), func() { f.crashUnder(run) })
@@ -246,6 +220,7 @@
 // end ends a run and answers the pending polls.
 func (f *fakeWorker) end(run *fakeRun, kind endive.EndKind) {
 	run.ended = true
+	f.log(run.task, "ends "+string(kind))
 	delete(f.runs, run.task)
 	f.stoppedRuns[run.task] = max(f.stoppedRuns[run.task], run.number)
 	f.lastEnd++
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -93,6 +93,7 @@
 	if worker != nil {
 		worker.orders++
 	}
+	call := h.call(worker, execute)
 	switch {
 	case worker != nil && worker.unsentFrom > 0 && worker.orders >= worker.unsentFrom:
 		w.after(timeout, func() { h.step(answer(OrderNotSent, endive.OrderAnswer{})) })
@@ -101,22 +102,15 @@
 	case worker != nil && worker.terminated:
 		w.after(latency, func() { h.step(answer(OrderRefused, endive.OrderAnswer{})) })
 	case worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder):
+		worker.recordLostCall()
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-		// A late order doesn't reach the worker's next incarnation.
-		incarnation, sentAt := worker.incarnation, w.now
-		w.after(2*time.Second+time.Duration(w.random.Int63n(int64(8*time.Second))), func() {
-			if worker.incarnation == incarnation {
-				worker.executesLateOrder, worker.orderSentAt = true, sentAt
-				execute(worker)
-				worker.executesLateOrder = false
-			}
-		})
+		w.carryOutLate(worker, func() { call() })
 	case worker.ordersUnanswered || w.chance(w.faults.lostAnswer):
 		w.after(latency, func() {
 			if !worker.terminated {
-				execute(worker)
+				call()
 			}
 		})
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
@@ -124,7 +118,7 @@
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 		w.after(latency, func() {
 			if !worker.terminated {
-				execute(worker)
+				call()
 			}
 		})
 	default:
@@ -133,7 +127,7 @@
 				h.step(answer(OrderUnknown, endive.OrderAnswer{}))
 				return
 			}
-			orderAnswer := execute(worker)
+			orderAnswer := call()
 			w.after(latency, func() { h.step(answer(OrderAnswered, orderAnswer)) })
 		})
 	}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -50,9 +50,13 @@
 	// crashes counts the workers that a task has crashed; startsAfter its starts after three.
 	crashes     map[endive.TaskID]int
 	startsAfter map[endive.TaskID]int
+	// endedUnder counts the incarnations of workers that have ended while a task ran there.
+	endedUnder map[endive.TaskID]int
 	// successCount is the number of each task's runs that succeeded.
 	successCount map[endive.TaskID]int
 	violations   []string
+	// unfencedStarts describes the starts of ended tasks that no holder could have prevented by a fencing token.
+	unfencedStarts []string
 	// trace is the id prefix of the tasks whose decisions are logged.
 	trace string
 	// simultaneousEvents counts the events at the current time.
@@ -85,6 +89,8 @@
 	clockOffset time.Duration
 	// shortLists draws how many ends each worker lists in one answer; nil for no limit.
 	shortLists *rand.Rand
+	// lateness is by how much late calls are late; 0 if it is drawn.
+	lateness time.Duration
 	// scansFirst is true if a new holder gets the rows as they were when it began to load them.
 	scansFirst bool
 	// putAt is when rows were written by other processes than the holders.
@@ -146,7 +152,7 @@
 		t: t, random: rand.New(rand.NewSource(seed)), faults: f, start: start, now: start,
 		rows: make(map[string]endive.Row), refusedRows: make(map[string]int), workers: make(map[endive.WorkerID]*fakeWorker),
 		jobs: make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), everSucceeded: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int), failedRuns: make(map[endive.TaskID]int),
-		putAt: make(map[string]time.Time), successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
+		putAt: make(map[string]time.Time), successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), endedUnder: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
 	}
 }
 
@@ -235,6 +241,7 @@
 	for _, h := range w.holders {
 		if !w.now.Before(h.noListUntil) {
 			h.send(w.workersListed())
+			w.after(time.Millisecond, func() { w.markListed(h, w.listed) })
 		}
 	}
 }
