Soak: a job may fail once two workers have crashed under one of its tasks

Before, workers were seldom killed, and few tasks ran for long, so that 'failed' was never right. Change: with restarts, a job that is shown as failed is no finding if two workers or more were killed under one task of it, and counts as given up in the summary. Without that it is a finding as before, and always with --no-restarts; a job shown as cancelled always is one. Measured: go test ./soak passes.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -56,6 +56,10 @@
 	strayEnds map[runID]bool
 	// orders holds the orders to start that were carried out, by any incarnation.
 	orders map[order]bool
+	// crashes counts, by task, the workers that were killed under it. givenUp counts the jobs that are shown as failed and
+	// have a task under which minCrashes were.
+	crashes map[string]int
+	givenUp int
 	// stray describes what would be violations, if anybody could have prevented it.
 	stray   []string
 	started map[string]bool
@@ -72,7 +76,7 @@
 func newChecks(events *events) *checks {
 	return &checks{
 		events: events, running: make(map[string][]stand.Run), done: make(map[string][]runID),
-		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), strayEnds: make(map[runID]bool), orders: make(map[order]bool), started: make(map[string]bool), jobs: make(map[string]stand.Job),
+		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), strayEnds: make(map[runID]bool), orders: make(map[order]bool), crashes: make(map[string]int), started: make(map[string]bool), jobs: make(map[string]stand.Job),
 		gangs: make(map[string]bool), completed: make(map[string]time.Time),
 	}
 }
@@ -138,6 +142,9 @@
 	defer c.mu.Unlock()
 	c.events.add("%s run %d on %s ends: %s", run.Task, run.Number, run.Worker, run.EndReason)
 	c.running[run.Task] = slices.DeleteFunc(c.running[run.Task], func(r stand.Run) bool { return runIDOf(r) == runIDOf(run) })
+	if run.EndReason == "died" {
+		c.crashes[run.Task]++
+	}
 	if run.EndReason == "done" {
 		key := c.key(run.Task)
 		c.done[key] = append(c.done[key], runIDOf(run))
--- a/soak/main.go
+++ b/soak/main.go
@@ -64,7 +64,7 @@
 		fmt.Println("STRAY", one)
 	}
 	fmt.Println(s.accounts.summary())
-	fmt.Println(s.restarter.summary())
+	fmt.Println(s.restarter.summary()+",", s.checks.crashSummary())
 	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults%s, %d findings\n",
 		*seed, s.clients.submitted, s.clients.accepted, s.clients.refused, s.clients.unknown, s.checks.startCount(), s.faultCount, s.upgrade.report(), len(findings))
 	if len(findings) > 0 {
--- a/soak/watcher.go
+++ b/soak/watcher.go
@@ -55,7 +55,7 @@
 
 // look asks an entry for the state of an outstanding job, and describes the state; empty if the job is completed. A
 // job that is shown as failed or cancelled is a violation at once: no worker's run fails, and clients cancel no
-// outstanding job.
+// outstanding job. Only workers that crash under a task may make its job fail.
 func (c *clients) look(e *entry, id string) string {
 	var state stand.JobState
 	// Any queue's path prefix will do: jobs are looked up by id.
@@ -71,12 +71,21 @@
 		return ""
 	case state.Failed() || state.Cancelled():
 		if c.settle(id) {
-			c.soak.checks.addViolation(fmt.Sprintf("LOST: job %s of %s is shown as %s by %s", id, c.account, state.State, e.name))
+			c.notCompleted(id, state, fmt.Sprintf("LOST: job %s of %s is shown as %s by %s", id, c.account, state.State, e.name))
 		}
 	}
 	return state.State
 }
 
+// notCompleted records that a job is shown as failed or cancelled.
+func (c *clients) notCompleted(id string, state stand.JobState, violation string) {
+	if state.Failed() {
+		c.soak.jobFailed(id, violation)
+		return
+	}
+	c.soak.checks.addViolation(violation)
+}
+
 // checkOwner records a violation if a completed job is shown to another account.
 func (c *clients) checkOwner(e *entry, id string) {
 	other := c.soak.accounts.key(otherAccount(c.account))
