Soak: with restarts, jobs have 75 s to complete after the faults

Nothing was stuck. Change: 30 s more (two such tasks and 6 s) for the new schedule, whose tasks run for up to 12 s. --no-restarts keeps the 45 s. Measured: go test ./soak passes.

--- a/soak/restarter.go
+++ b/soak/restarter.go
@@ -31,6 +31,9 @@
 	// shortest cut of those: calls to the former incarnations are carried out meanwhile.
 	handOverPeriod = 4
 	minUnseenCut   = 12 * time.Second
+	// isolatedTime is added to completionTimeout: tasks under which workers were killed start alone, one after the other, and
+	// may run for longestTaskDuration each.
+	isolatedTime = 2*longestTaskDuration + 6*time.Second
 	// maxLoggedBody limits the part of a body that is logged.
 	maxLoggedBody = 160
 )
@@ -218,6 +221,14 @@
 	a.soak.restarter.count(&a.soak.restarter.restarts)
 }
 
+// completionTimeout returns how long after the faults all accepted jobs must be completed.
+func (r *restarter) completionTimeout() time.Duration {
+	if r.enabled {
+		return completionTimeout + isolatedTime
+	}
+	return completionTimeout
+}
+
 func (r *restarter) count(counter *int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -261,7 +261,7 @@
 	s.revertFaults()
 	s.replaceEarlier()
 	var unfinished []string
-	for deadline := time.Now().Add(completionTimeout); time.Now().Before(deadline); time.Sleep(time.Second) {
+	for deadline := time.Now().Add(s.restarter.completionTimeout()); time.Now().Before(deadline); time.Sleep(time.Second) {
 		unfinished = append(s.clients.unfinished(), s.hot.unfinished()...)
 		unfinished = append(unfinished, s.accounts.unsettled()...)
 		if len(unfinished) == 0 {
