--- a/soak/main.go
+++ b/soak/main.go
@@ -18,7 +18,9 @@
 delays, resets and black-holes connections; kills, pauses, stops and restarts
 entries; restarts workers; cuts workers off for 1 to 35 seconds, also several in a
 row just after they have started the same task; cuts entries off from the others,
-which take their pools over while they live; and makes the store reject requests,
+which take their pools over while they live; restarts workers under their ids, cuts
+them off soon after, and has calls to them carried out late, beside holders that are
+killed, stopped or replaced; and makes the store reject requests,
 lose responses or drop its change history. Seeds that are even have fewer faults, so
 that holders last. It checks that no task runs twice at the same time or
 again after it was done, that refused jobs never run, that no job is shown as failed
@@ -26,7 +28,8 @@
 ended. events.log in its directory lists the runs and the faults. Meanwhile it withdraws keys of a client account
 and changes its cap, and checks that the account's runs stay within the cap, and that
 withdrawn keys and other accounts' jobs can't be used. An entry that ends by itself is
-a finding, also if it is started again.
+a finding, also if it is started again. STRAY marks starts after the end of a task that are no findings: a call that
+was meant for a former incarnation of a worker caused them before any other call had reached the next one.
 
   soak --entry bin/entry --seed 7 --seconds 20
 
@@ -42,10 +45,12 @@
 	entries := app.Flag("entries", "Number of entries.").Default("3").Int()
 	workers := app.Flag("workers", "Number of workers of the main pool.").Default("12").Int()
 	accounts := app.Flag("accounts", "Whether there are client accounts; --no-accounts for an earlier build that doesn't know them.").Default("true").Bool()
+	restarts := app.Flag("restarts", "Whether workers restart under their ids and are cut off soon after; --no-restarts for the faults of earlier soaks.").
+		Default("true").Bool()
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(os.TempDir()).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	s, err := newSoak(newUpgrade(*entry, *earlier), *accounts, *dir, *seed, *entries, *workers)
+	s, err := newSoak(newUpgrade(*entry, *earlier), *accounts, *restarts, *dir, *seed, *entries, *workers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -55,7 +60,11 @@
 	for _, one := range findings {
 		fmt.Println("FINDING", one)
 	}
+	for _, one := range s.checks.strayStarts() {
+		fmt.Println("STRAY", one)
+	}
 	fmt.Println(s.accounts.summary())
+	fmt.Println(s.restarter.summary()+",", s.checks.crashSummary())
 	fmt.Printf("seed %d: %d submitted, %d accepted, %d refused, %d unknown, %d runs, %d faults%s, %d findings\n",
 		*seed, s.clients.submitted, s.clients.accepted, s.clients.refused, s.clients.unknown, s.checks.startCount(), s.faultCount, s.upgrade.report(), len(findings))
 	if len(findings) > 0 {
