A run that only the earlier incarnation was told to stop is stopped in the next one

Cause: a refusal of the order to stop, for its epoch, or a confirmation by the earlier incarnation, ended the matter for the holder. Change: a run that is to be stopped and is listed by the next incarnation is ordered to stop there. Adopted runs count as of the incarnation that has shown them (they were taken for those of a former one on a worker that was listed again). Evidence: TestStopOfFormerIncarnationIsRefused failed before (1 != 0); found on reading the diff. go test ./flow: passes.

--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -157,3 +157,28 @@
 	w.checkViolations()
 	is.Equal(w.state("job"), endive.WorkflowSucceeded)
 }
+
+// A worker restarts while an order to stop a run is in flight, and refuses its epoch. The next incarnation has the run, by
+// a late order to start. It must be stopped there, too.
+func TestStopOfFormerIncarnationIsRefused(t *testing.T) {
+	is := is.New(t)
+	w, h := newSimulationWithHolder(t, faults{}, 1)
+	worker := w.workers["w0"]
+	id := w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
+	w.run(2 * time.Second)
+	number := worker.runs["job.0.0.0"].number
+	worker.unsentFrom = worker.orders + 1
+	w.cancel(id)
+	w.run(2010 * time.Millisecond)
+	worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
+	w.publishWorkers()
+	w.run(2012 * time.Millisecond)
+	worker.start(endive.StartOrder{
+		Worker: endive.WorkerRef{ID: worker.id}, Task: "job.0.0.0", Run: number, LeaseEnd: worker.clock() + 4500, Epoch: h.machine.epochFor(h.machine.workers["w0"]),
+	})
+	h.step(StopResult{Worker: "w0", Task: "job.0.0.0", Run: number, Result: OrderAnswered, Answer: endive.OrderAnswer{Refused: endive.RefusalEpoch}})
+	worker.unsentFrom = 0
+	w.run(4 * time.Second)
+	is.True(h.machine.tenure.active)
+	is.Equal(len(worker.runs), 0)
+}
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -305,6 +305,10 @@
 	if r.state == runStarting {
 		m.confirmRun(r)
 	}
+	if r.state == runStopping && r.isOnFormer() && !r.inFlight {
+		// Only the earlier incarnation was told to stop it.
+		m.sendStop(r)
+	}
 }
 
 // sortedRuns returns the runs of a worker in the order of their tasks.
--- a/flow/run.go
+++ b/flow/run.go
@@ -23,7 +23,7 @@
 	state   runState
 	// inFlight is true from sending an order to start or stop the run until the order's answer.
 	inFlight bool
-	// sentTo is the number of the worker's incarnation to which that order was sent.
+	// sentTo is the number of the worker's incarnation to which that order was sent, or which has shown the run first.
 	sentTo int
 	// sentAt is when that order was sent, and sentClock the reading of the worker's clock that was known then. sentStart is
 	// true if it was an order to start.
@@ -97,7 +97,7 @@
 
 // addRun adds a task's current run to a worker and allocates its resources.
 func (m *Machine) addRun(w *worker, t *task, n endive.RunNumber, state runState) *run {
-	r := &run{task: t, id: t.id, number: n, worker: w, state: state, startedAt: m.now, percentAt: m.now}
+	r := &run{task: t, id: t.id, number: n, worker: w, sentTo: w.incarnations, state: state, startedAt: m.now, percentAt: m.now}
 	if t.state == taskWaiting {
 		t.state = taskPlaced
 		t.step.waiting--
--- a/flow/unknownrun.go
+++ b/flow/unknownrun.go
@@ -42,7 +42,9 @@
 // addOrphan adds a run that is to be stopped and allocates its resources. The run doesn't become
 // its task's current run.
 func (m *Machine) addOrphan(w *worker, t *task, report endive.RunReport) *run {
-	r := &run{id: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: m.now, percentAt: m.now, reported: true}
+	r := &run{
+		id: report.Task, number: report.Run, worker: w, sentTo: w.incarnations, state: runRunning, startedAt: m.now, percentAt: m.now, reported: true,
+	}
 	m.allocate(r, t)
 	if t != nil {
 		r.orphanOf = t
