A task waits for a late order on a worker that has restarted, fenced or not

Cause: the fence of one incarnation was taken for that of all later ones. Change: a run with such an order waits until the order can't be carried out any more. Long-running tasks and gangs don't: the former must be back within seconds, the members of the latter would wait with it. The worker isn't polled more often for it.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -87,6 +87,15 @@
 	return r.reported && !r.worker.lateStarts[r.id].After(r.worker.seenAliveAt())
 }
 
+// mayStartLate reports whether the task of a run waits until an order to start it on the run's worker can't be carried out
+// late any more. Long-running tasks don't wait for that, nor do gangs, whose other members would wait with them.
+func (m *Machine) mayStartLate(r *run) bool {
+	if r.spec == nil || r.spec.LongRunning || r.spec.Gang {
+		return false
+	}
+	return r.worker.lateStarts[r.id].After(m.now)
+}
+
 // forgetLateStarts forgets the orders to start that can't be carried out late any more, now that the worker has answered.
 func (w *worker) forgetLateStarts() {
 	maps.DeleteFunc(w.lateStarts, func(_ endive.TaskID, until time.Time) bool { return !until.After(w.seenAliveAt()) })
--- a/flow/latetakeover_test.go
+++ b/flow/latetakeover_test.go
@@ -47,7 +47,6 @@
 // the run. Then it restarts again, as the platform's list shows, and is cut off, so that no token reaches this incarnation,
 // which carries the order out late. Until it surely can't any more, the task must not start elsewhere.
 func TestLateOrderReachesIncarnationAfterFencedOne(t *testing.T) {
-	skipKnownRed(t)
 	is := is.New(t)
 	w := newSimulation(t, 1, faults{})
 	w.trace, w.renewals = *followTasks, true
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -102,7 +102,7 @@
 // unconfirmed start, which the next poll can resolve.
 func (w *worker) hasUnconfirmedRuns() bool {
 	for _, r := range w.runs {
-		if r.state == runStopping || r.startUnconfirmed {
+		if (r.state == runStopping || r.startUnconfirmed) && !r.isOnFormer() {
 			return true
 		}
 	}
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -265,6 +265,8 @@
 	for _, r := range w.sortedRuns() {
 		switch {
 		case reported[r.id]:
+		case r.isOnFormer() && m.mayStartLate(r):
+			// The worker refuses the late order now, but not after its next restart.
 		case r.isOnFormer():
 			m.removeAbsent(r, "the worker has restarted, and reports neither the run nor its end")
 		case r.state == runStarting && r.unansweredStep > 0 && r.unansweredStep < uint64(poll):
