model/lives.pml: calls for a former incarnation of a worker

Cause: worker.pml lets a late command be lost with the worker's restart, and allows one restart. Change: lives.pml, in three files: one task, two workers, of which one restarts under its id, late orders to start and to stop, late polls with leases and acknowledgements, one holder and two restarts, or two holders and one restart (TAKEOVER). Time is in ticks: granted lease 1, longest lease 2, a call late by up to 2; two runs of the task. check.sh uses larger hash tables (w24). Not specified: an order to start carried out before the holder's first call to an incarnation that it didn't know, and a success that such an incarnation forgets; nothing can prevent either. Late calls to the worker that doesn't restart are in worker.pml. Result: the specification gives a run up, where an order to start it got no answer, only by a poll that was sent when that order can't be carried out any more; a takeover waits for late calls and the longest lease; an adopted run counts as one with a late order. Absence by the first poll that carried the raised epoch (AT_ONCE without FIRST_POLL) is accepted only if no worker restarts while an order that its holder doesn't wait for is late (CALM).

--- a/model/check.sh
+++ b/model/check.sh
@@ -19,6 +19,10 @@
 accepted force REMOVALS
 accepted ticket
 accepted quota
+accepted lives TAKEOVER
+accepted lives TAKEOVER CALM AT_ONCE
+accepted lives
+accepted lives CALM AT_ONCE
 rejected lease NO_CLOCK
 rejected lease NO_WAIT
 rejected lease HAND_EARLY
@@ -54,7 +58,16 @@
 rejected quota KEEP_OLD_WRITES
 rejected quota LOST_IS_REFUSED
 rejected quota LOWERED_IN_ONE_POOL
-rejected quota NO_CEILING'
+rejected quota NO_CEILING
+rejected lives TAKEOVER TAKEOVER_GRANTED
+rejected lives TAKEOVER TAKEOVER_LONGEST
+rejected lives TAKEOVER ADOPT_REPORTED
+rejected lives CALM AT_ONCE FIRST_POLL
+rejected lives AT_ONCE
+rejected lives GRANTED_LEASE
+rejected lives LATE_POLLS_IGNORED
+rejected lives NO_RAISE
+rejected lives ACK_ANY_LIFE'
 
 # check runs one case and prints its row of the table.
 check() {
@@ -72,7 +85,7 @@
     touch "$work/failed"
     return
   fi
-  ./pan -m$depth -w22 >pan.log 2>&1
+  ./pan -m$depth -w24 >pan.log 2>&1
   states=$(awk '/states, stored/ {print $1; exit}' pan.log)
   verdict=$expected
   note=
