--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -13,11 +13,7 @@
 // an order to start a long task that was meant for the earlier incarnation: its lease is by the earlier clock.
 func simulationWithUnseenRestart(t *testing.T) (*simulation, *holder, *fakeWorker) {
 	t.Helper()
-	w := newSimulation(t, 1, faults{})
-	w.trace, w.renewals = *followTasks, true
-	w.addWorkers(1)
-	h := w.startHolder()
-	w.run(30 * time.Second)
+	w, h := newLoneWorkerSimulation(t)
 	worker := w.workers["w0"]
 	worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
 	w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
@@ -72,11 +68,7 @@
 	for _, seen := range []string{"in an answer", "in the list"} {
 		t.Run(seen, func(t *testing.T) {
 			is := is.New(t)
-			w := newSimulation(t, 1, faults{})
-			w.trace, w.renewals = *followTasks, true
-			w.addWorkers(1)
-			h := w.startHolder()
-			w.run(30 * time.Second)
+			w, h := newLoneWorkerSimulation(t)
 			worker := w.workers["w0"]
 			order := endive.StartOrder{
 				Worker: endive.WorkerRef{ID: worker.id}, Task: "job.0.0.0", LeaseEnd: worker.clock() + endive.WorkerTime(testLeaseDuration.Milliseconds()),
--- a/flow/incarnation.go
+++ b/flow/incarnation.go
@@ -63,17 +63,6 @@
 	return r.sentTo == r.worker.incarnations && clock > laterUptime && last.mayShow(clock, r.sentAt, now)
 }
 
-// clockRounding is by how much two readings of a clock may differ from the time between them, in milliseconds.
-const clockRounding endive.WorkerTime = 2
-
-// mayShow reports whether a clock with this reading may show a time when it answers a call that was sent at sentAt and
-// answered by now.
-func (c clockReading) mayShow(clock endive.WorkerTime, sentAt, now time.Time) bool {
-	least := endive.WorkerTime(minClockRate * float64(max(0, sentAt.Sub(c.receivedAt)).Milliseconds()))
-	most := endive.WorkerTime(now.Sub(c.requestedAt).Milliseconds())
-	return clock >= c.workerTime+least-clockRounding && clock <= c.workerTime+most+clockRounding
-}
-
 // logLaterIncarnation logs that the answer to an order to start shows a clock that isn't that of the known incarnation:
 // the worker has restarted. The order has a lease by the clock of the earlier incarnation.
 func (m *Machine) logLaterIncarnation(r *run, clock endive.WorkerTime) {
--- a/flow/lateorder_test.go
+++ b/flow/lateorder_test.go
@@ -14,11 +14,7 @@
 // It extends all leases of the worker then, which is cut off. Its tasks must not start elsewhere before their end.
 func TestLateOrderExtendsLeasesOfNextIncarnation(t *testing.T) {
 	is := is.New(t)
-	w := newSimulation(t, 1, faults{})
-	w.trace, w.renewals = *followTasks, true
-	w.addWorkers(1)
-	w.startHolder()
-	w.run(30 * time.Second)
+	w, _ := newLoneWorkerSimulation(t)
 	worker := w.workers["w0"]
 	worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
 	w.faults.lateOrder = 1
--- a/flow/latetakeover_test.go
+++ b/flow/latetakeover_test.go
@@ -17,11 +17,7 @@
 	for _, how := range []string{"killed", "hands over"} {
 		t.Run(how, func(t *testing.T) {
 			is := is.New(t)
-			w := newSimulation(t, 1, faults{})
-			w.trace, w.renewals = *followTasks, true
-			w.addWorkers(1)
-			h := w.startHolder()
-			w.run(30 * time.Second)
+			w, h := newLoneWorkerSimulation(t)
 			worker := w.workers["w0"]
 			w.faults.lateOrder, w.lateness = 1, maxLateness-time.Second
 			w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
@@ -48,11 +44,7 @@
 // which carries the order out late. Until it surely can't any more, the task must not start elsewhere.
 func TestLateOrderReachesIncarnationAfterFencedOne(t *testing.T) {
 	is := is.New(t)
-	w := newSimulation(t, 1, faults{})
-	w.trace, w.renewals = *followTasks, true
-	w.addWorkers(1)
-	w.startHolder()
-	w.run(30 * time.Second)
+	w, _ := newLoneWorkerSimulation(t)
 	worker := w.workers["w0"]
 	w.faults.lateOrder, w.lateness = 1, maxLateness-2*time.Second
 	w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
--- a/flow/oldclock_test.go
+++ b/flow/oldclock_test.go
@@ -68,11 +68,7 @@
 // run would be given up by the granted lease, while the worker has shortened the order's lease only to the longest one.
 func TestClockOfLaterIncarnationPassesForKnown(t *testing.T) {
 	is := is.New(t)
-	w := newSimulation(t, 1, faults{})
-	w.trace, w.renewals = *followTasks, true
-	w.addWorkers(1)
-	h := w.startHolder()
-	w.run(30 * time.Second)
+	w, h := newLoneWorkerSimulation(t)
 	worker := w.workers["w0"]
 	worker.restart()
 	w.run(30100 * time.Millisecond)
@@ -95,11 +91,7 @@
 	for _, base := range []endive.WorkerTime{0, 20_000, 29_000, 31_000, 40_000, 3_600_000} {
 		t.Run(fmt.Sprint(base), func(t *testing.T) {
 			is := is.New(t)
-			w := newSimulation(t, 1, faults{})
-			w.trace, w.renewals = *followTasks, true
-			w.addWorkers(1)
-			h := w.startHolder()
-			w.run(30 * time.Second)
+			w, h := newLoneWorkerSimulation(t)
 			worker, tracked := w.workers["w0"], h.machine.workers["w0"]
 			reading := tracked.clock
 			worker.answersLost = true
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -98,67 +98,6 @@
 	crashLogged bool
 }
 
-// pollState is the state of the polls of a worker.
-type pollState struct {
-	inFlight bool
-	// id identifies the last poll, sentAt is when it was sent, and immediate is true if it
-	// requested an answer without a wait.
-	id        PollID
-	sentAt    time.Time
-	immediate bool
-	// recorded is the end up to which the last poll acknowledged the ends.
-	recorded endive.EndNumber
-	// open has the polls whose calls haven't ended.
-	open map[PollID]openPoll
-	// nextAt is when the next poll is due.
-	nextAt time.Time
-	// queued is true while the worker waits to be probed.
-	queued bool
-}
-
-// openPoll is a poll whose call hasn't ended.
-type openPoll struct {
-	sentAt time.Time
-	// sentTo is the number of the worker's incarnation to which the poll was sent.
-	sentTo int
-	// renews is true if the poll renews the worker's leases.
-	renews bool
-}
-
-// lateUntil returns until when the worker may carry out the poll if there is no answer, as far as that matters to its
-// leases.
-func (p openPoll) lateUntil() time.Time {
-	if !p.renews {
-		return time.Time{}
-	}
-	return p.sentAt.Add(maxCallDelay)
-}
-
-// clockReading relates a worker's clock to the local one: the worker's clock showed
-// workerTime when it answered a call that was sent at requestedAt, and the answer arrived at receivedAt.
-type clockReading struct {
-	workerTime  endive.WorkerTime
-	requestedAt time.Time
-	receivedAt  time.Time
-}
-
-// estimate returns the worker's time at now, on the assumption that its clock isn't slow. If the
-// reading is old, it returns the earliest time that the clock can show, so that the error stays
-// within clockErrorMargin.
-func (c clockReading) estimate(now time.Time) endive.WorkerTime {
-	age := now.Sub(c.receivedAt)
-	if age > minIdlePollInterval {
-		age = minIdlePollInterval + time.Duration(minClockRate*float64(age-minIdlePollInterval))
-	}
-	return c.workerTime + endive.WorkerTime(age.Milliseconds())
-}
-
-// reachedBy returns the local time at which the worker's clock has surely reached the given
-// time.
-func (c clockReading) reachedBy(t endive.WorkerTime) time.Time {
-	return c.receivedAt.Add(longestDuration(time.Duration(t-c.workerTime) * time.Millisecond))
-}
-
 // ref returns the worker's id and address, for orders to it.
 func (w *worker) ref() endive.WorkerRef {
 	return endive.WorkerRef{ID: w.id, Address: w.info.Address}
