--- a/flow/reconcile.go
+++ b/flow/reconcile.go
@@ -76,7 +76,7 @@
 		m.confirmRun(r)
 	}
 	if r.state == runStopping && r.isOnFormer() && !r.inFlight {
-		// Only the earlier incarnation was told to stop it.
+		// The order to stop it was sent to the earlier incarnation.
 		m.sendStop(r)
 	}
 }
--- a/flow/restartwait_test.go
+++ b/flow/restartwait_test.go
@@ -12,7 +12,7 @@
 // userMaxLease is the limit to which the users' workers shorten longer leases.
 const userMaxLease = endive.Interval(6 * time.Second)
 
-// longRunningRestart is by when a lasting task must run again after its worker is gone: 6 s after its last run, while the
+// longRunningRestart is by when a long-running task must run again after its worker is gone: 6 s after its last run, while the
 // 3 s and the 4 s before are calm.
 const longRunningRestart = 9 * time.Second
 
@@ -27,16 +27,16 @@
 	return w, h
 }
 
-// longRunningStep returns a step with one task that lasts.
+// longRunningStep returns a step with one long-running task.
 func longRunningStep() endive.Step {
 	step := stepOfTasks(1, time.Second)
 	step.LongRunning = true
 	return step
 }
 
-// A worker crashes for good while an order to start a lasting task is in flight. The task waits for a later incarnation
+// A worker crashes for good while an order to start a long-running task is in flight. The task waits for a later incarnation
 // that nothing has shown.
-func TestUnansweredStartOnCrashedWorkerDelaysLastingTask(t *testing.T) {
+func TestUnansweredStartOnCrashedWorkerDelaysLongRunningTask(t *testing.T) {
 	is := is.New(t)
 	w, _ := newSimulationWithUserLeases(t)
 	w.run(30 * time.Second)
@@ -53,7 +53,7 @@
 
 // A worker restarts, is listed, and never answers again. The former incarnation had listed the run, so that no
 // incarnation can have it now, but the task waits for the longest lease after the latest call to the worker.
-func TestRunOfEndedIncarnationDelaysLastingTask(t *testing.T) {
+func TestRunOfEndedIncarnationDelaysLongRunningTask(t *testing.T) {
 	is := is.New(t)
 	w, _ := newSimulationWithUserLeases(t)
 	w.submit("job", urgentQueue, longRunningStep())
--- a/soak/restarter_test.go
+++ b/soak/restarter_test.go
@@ -65,11 +65,17 @@
 	is.True(longest > 0)
 }
 
+// runsOfTwoIncarnations returns the runs of one order on two incarnations of a worker.
+func runsOfTwoIncarnations() (first, second stand.Run) {
+	first, second = testRun("i-0", 1, 0), testRun("i-0", 1, 1)
+	second.Born = first.Born.Add(time.Second)
+	return first, second
+}
+
 func TestRunsOfSameNumberInTwoIncarnations(t *testing.T) {
 	is := is.New(t)
 	c := newTestChecks()
-	first, second := testRun("i-0", 1, 0), testRun("i-0", 1, 1)
-	second.Born = first.Born.Add(time.Second)
+	first, second := runsOfTwoIncarnations()
 	c.RunStarted(first)
 	c.end(first, "done")
 	c.markEndsLost([]stand.Run{first})
@@ -86,8 +92,7 @@
 func TestRunOfFormerIncarnationAtTheSameTime(t *testing.T) {
 	is := is.New(t)
 	c := newTestChecks()
-	first, second := testRun("i-0", 1, 0), testRun("i-0", 1, 1)
-	second.Born = first.Born.Add(time.Second)
+	first, second := runsOfTwoIncarnations()
 	c.RunStarted(first)
 	c.end(first, "died")
 	c.RunStarted(second) // a late order
@@ -102,8 +107,7 @@
 func TestLateStartAfterAcknowledgedEndOfFormerIncarnation(t *testing.T) {
 	is := is.New(t)
 	c := newTestChecks()
-	first, second := testRun("i-0", 1, 0), testRun("i-0", 1, 1)
-	second.Born = first.Born.Add(time.Second)
+	first, second := runsOfTwoIncarnations()
 	c.RunStarted(first)
 	c.end(first, "done")
 	c.EndsAcknowledged([]stand.Run{first}, false)
