Wait until notices of stored workflows are surely of new work

Change: the test waits until the holder's clock says that a workflow would surely be accepted later. It checks as much as before.

--- a/entry/cell/storednotice_test.go
+++ b/entry/cell/storednotice_test.go
@@ -18,13 +18,18 @@
 			is := is.New(t)
 			r := newTestCluster(t, 2, 2)
 			r.awaitReady()
-			entry := r.holder()
+			entry, holder := r.holder(), r.holder()
 			r.waitFor("the holder has read all rows", func() bool { return len(r.log.lines(`"loaded"`)) == 1 })
+			loadedBy := time.Now()
 			if accepting != "holder" {
 				entry = r.entryExcept(entry)
 				r.waitFor("the entries are linked", func() bool { return len(entry.peers.linkedEntries()) == 1 })
 				r.waitFor("the other entry knows the holder", func() bool { return entry.poolNamed("svc").currentHolder() != "" })
 			}
+			// Notices of workflows that may have been accepted before the rows were read are left to the feed.
+			r.waitFor("a workflow would surely be accepted after the rows were read", func() bool {
+				return holder.Platform.Earliest(entry.Platform.AtLeast(entry.Clock.Now())).After(loadedBy)
+			})
 			r.store.BlockFeed("work.svc")
 			entry.Store.mu.Lock()
 			entry.Store.meanLatency = entry.Store.minLatency + 100*endive.Interval(time.Second)
