Calculate the lease ends of a worker once for all of its runs

Cause: leaseExpiresAt looked at all runs of a worker for each of its runs, since a later incarnation may have any of them.

Change: leaseEndsOf calculates the three times once; each run picks its own. No decision changes.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -60,25 +60,36 @@
 	}
 }
 
-// leasesExpireAnywhere returns when the leases of the worker have surely expired in any of its incarnations.
-func (m *Machine) leasesExpireAnywhere(w *worker) time.Time {
-	lastCall := endive.Latest(w.startAnsweredAt, m.lateCallsUntil(w))
-	return endive.Latest(w.leasesExpireAt(), lastCall.Add(m.longestLease()))
+// leaseEnds are the times at which the leases of a worker's runs have surely expired, by where the runs may be.
+type leaseEnds struct {
+	// known holds on the known incarnation of the worker, anywhere on any of them.
+	known, anywhere time.Time
+	// longRunning holds for long-running tasks on any incarnation. They must not stay away for as long as a late call may
+	// take: their calls count as carried out when they were sent.
+	longRunning time.Time
 }
 
-// leaseExpiresAt returns when the lease of a run has surely expired. A long-running task must not stay away for as long as a
-// late call may take: its calls count as carried out when they were sent.
-func (m *Machine) leaseExpiresAt(r *run) time.Time {
-	w := r.worker
+// leaseEndsOf returns when the leases of the worker's runs have surely expired.
+func (m *Machine) leaseEndsOf(w *worker) leaseEnds {
+	known, lastCall := w.leasesExpireAt(), endive.Latest(w.startAnsweredAt, m.lateCallsUntil(w))
+	return leaseEnds{
+		known:       known,
+		anywhere:    endive.Latest(known, lastCall.Add(m.longestLease())),
+		longRunning: endive.Latest(known, w.lastLeaseAt.Add(maxSendDelay+m.longestLease())),
+	}
+}
+
+// of returns when the lease of a run has surely expired.
+func (l leaseEnds) of(r *run) time.Time {
 	switch {
 	case !r.formerLeaseEnd.IsZero():
 		return r.formerLeaseEnd
 	case r.isKnownPlace():
-		return w.leasesExpireAt()
+		return l.known
 	case r.spec != nil && r.spec.LongRunning:
-		return endive.Latest(w.leasesExpireAt(), w.lastLeaseAt.Add(maxSendDelay+m.longestLease()))
+		return l.longRunning
 	default:
-		return m.leasesExpireAnywhere(w)
+		return l.anywhere
 	}
 }
 
@@ -103,11 +114,12 @@
 
 // expiredRuns returns the runs of a worker whose leases have surely expired, in the order of these times.
 func (m *Machine) expiredRuns(w *worker) []*run {
+	leases := m.leaseEndsOf(w)
 	expired := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
-		expiresAt := m.leaseExpiresAt(r)
+		expiresAt := leases.of(r)
 		return expiresAt.IsZero() || m.now.Before(expiresAt)
 	})
-	slices.SortStableFunc(expired, func(a, b *run) int { return m.leaseExpiresAt(a).Compare(m.leaseExpiresAt(b)) })
+	slices.SortStableFunc(expired, func(a, b *run) int { return leases.of(a).Compare(leases.of(b)) })
 	return expired
 }
 
@@ -128,8 +140,9 @@
 // nextExpiry returns when the next lease of a run on the worker will surely have expired; zero if all have.
 func (m *Machine) nextExpiry(w *worker) time.Time {
 	var next time.Time
+	leases := m.leaseEndsOf(w)
 	for _, r := range w.runs {
-		if expiresAt := m.leaseExpiresAt(r); expiresAt.After(m.now) {
+		if expiresAt := leases.of(r); expiresAt.After(m.now) {
 			next = endive.Earliest(next, expiresAt)
 		}
 	}
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -99,7 +99,7 @@
 // end the worker may still report.
 func (m *Machine) dropExpiredRuns(w *worker) {
 	expired := m.expiredRuns(w)
-	if len(expired) == 0 || !m.surelySilent(w, m.leaseExpiresAt(expired[0])) {
+	if len(expired) == 0 || !m.surelySilent(w, m.leaseEndsOf(w).of(expired[0])) {
 		return
 	}
 	expired = m.removeEndedWithFormer(expired)
--- a/flow/terminatedworkers.go
+++ b/flow/terminatedworkers.go
@@ -24,9 +24,10 @@
 // leasesSurelyOver returns when all leases have surely expired that this holder or an earlier one has
 // granted to a worker.
 func (m *Machine) leasesSurelyOver(w *worker) time.Time {
-	expired := w.leasesExpireAt()
+	leases := m.leaseEndsOf(w)
+	expired := leases.known
 	for _, r := range w.runs {
-		expired = endive.Latest(expired, m.leaseExpiresAt(r))
+		expired = endive.Latest(expired, leases.of(r))
 	}
 	if !w.answered() {
 		return endive.Latest(expired, m.tenure.takeoverDeadline)
