A long-running task waits for proof only of workers that may come back

Cause: after five crashes without proof a task waits 30 s.

Change: a long-running task waits only while so many of the workers may still come back that five crashes could be proven: 10 s after the end of their leases (flow/proof.go, proofUntil). Other tasks wait as before, and two proven crashes of five give a task up as before.

Tried first: the same for all tasks; TestMachineProvesCrashesAfterTakeover fails then (a sixth start, BUDGET).

--- a/flow/proof.go
+++ b/flow/proof.go
@@ -17,6 +17,9 @@
 // is back after some seconds, unless it is lost for good; then the task may start once more.
 const proofTimeout = 30 * time.Second
 
+// returnTimeout is how long after the end of its leases a worker may come back that has crashed under a task.
+const returnTimeout = 10 * time.Second
+
 // unprovenCrashes are the lost runs that count against their tasks as crashes without proof, by worker. They
 // are also in the rows of their workflows.
 type unprovenCrashes map[endive.WorkerID][]lostRun
@@ -228,6 +231,31 @@
 		formatInt(int64(t.crashes.total())) + " crashes remain", Evidence: EvidenceAnswered, Crashes: t.crashes.count()})
 }
 
+// proofUntil returns until when a task with too many crashes waits for proof of them. A long-running task must not stay away
+// for so long: it waits only while the workers may still come back without whose crashes there would not be too many.
+func (t *task) proofUntil() time.Time {
+	c := &t.crashes
+	excess := c.all() - maxAllCrashes
+	if !t.step.spec.LongRunning || len(c.proven) >= minProvenCrashes || excess >= len(c.unproven) {
+		return c.proofDeadline
+	}
+	returns := make([]time.Time, 0, len(c.unproven))
+	for _, run := range c.unproven {
+		returns = append(returns, endive.Earliest(c.proofDeadline, run.returnsBy()))
+	}
+	slices.SortFunc(returns, time.Time.Compare)
+	return endive.Earliest(c.proofDeadline, returns[excess])
+}
+
+// returnsBy returns by when the worker of the run is back if it has crashed under it, and isn't cut off or lost for good; zero
+// if that isn't known.
+func (p pendingRun) returnsBy() time.Time {
+	if p.leaseEnd.IsZero() {
+		return time.Time{}
+	}
+	return p.leaseEnd.Add(returnTimeout)
+}
+
 // awaitsProof reports whether a task with too many crashes waits until it is known whether its workers have
 // crashed. At the deadline it is given up if enough crashes are proven; otherwise it may start once more.
 func (m *Machine) awaitsProof(t *task) bool {
@@ -235,8 +263,8 @@
 	if c.all() < maxAllCrashes {
 		return false
 	}
-	if m.now.Before(c.proofDeadline) {
-		m.schedulePass(c.proofDeadline)
+	if until := t.proofUntil(); m.now.Before(until) {
+		m.schedulePass(until)
 		return true
 	}
 	j := t.step.occ.job
--- a/flow/restartwait_test.go
+++ b/flow/restartwait_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,6 +68,35 @@
 	is.Equal(w.starts, 2)
 }
 
+// Workers are lost for good, one after the other, under a long-running task. Nothing ever proves that they have crashed, also
+// to the next holder: the task must not wait for that.
+func TestWorkersLostForGoodDelayLongRunningTask(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover=%v", takeover), func(t *testing.T) {
+			is := is.New(t)
+			w, h := newSimulationWithUserLeases(t)
+			for i := range maxAllCrashes + 3 {
+				w.addWorker(fmt.Sprint("spare", i), testCapacity, endive.Label("rack0"))
+			}
+			id := w.submit("job", urgentQueue, longRunningStep())
+			for lost := range maxAllCrashes + 2 {
+				worker := w.runToStart("job.0.0.0", longRunningRestart)
+				is.True(worker != nil) // the task runs again
+				w.run(w.now.Add(2 * time.Second).Sub(w.start))
+				if takeover && lost == maxAllCrashes-1 {
+					h.kill()
+					w.startHolder()
+					w.run(w.now.Add(30 * time.Second).Sub(w.start))
+				}
+				worker.terminate()
+			}
+			is.True(w.runToStart("job.0.0.0", longRunningRestart) != nil)
+			is.Equal(w.state(id), endive.WorkflowRunning)
+			w.checkViolations()
+		})
+	}
+}
+
 // A worker restarts, is listed, and never answers again, while two of its runs are being stopped. An order to stop has no
 // lease, but the third task waits as long as one of them is in flight: for ever.
 func TestStopsInFlightKeepRunsForEver(t *testing.T) {
