The row of a wide job is compressed where it would be too large for the store

Cause: each task whose worker has crashed adds 70 to 150 bytes to the row of its job until it has succeeded.

Change: a row that is too large without the workers of unproven crashes, too, is compressed; what is still too large loses its checkpoints, then late crashes and pending runs.

--- a/flow/progress.go
+++ b/flow/progress.go
@@ -84,8 +84,7 @@
 
 // encodeProgress returns the value of the job's row. A row that would be larger than maxRowBytes names the
 // finished occurrences as a set of bits, which earlier builds can't read. If that isn't enough it leaves out the
-// workers of unproven crashes, so that these stay unproven after a takeover, and then the checkpoints, so that
-// tasks begin anew after it.
+// workers of unproven crashes, so that these stay unproven after a takeover. If that isn't enough either it is compressed.
 func (j *job) encodeProgress() []byte {
 	progress := j.progress()
 	value := encodeRow(progress)
@@ -96,12 +95,42 @@
 	if value = encodeRow(progress); len(value) <= maxRowBytes {
 		return value
 	}
-	progress.dropFromTasks(func(t *TaskProgress) { t.CrashedUnproven, t.PendingAddress, t.PendingMachine = nil, "", "" })
+	packed := progress.encodePacked()
+	progress.dropFromTasks(dropUnprovenWorkers)
 	if value = encodeRow(progress); len(value) <= maxRowBytes {
 		return value
 	}
-	progress.dropFromTasks(func(t *TaskProgress) { t.Checkpoint = "" })
-	return encodeRow(progress)
+	if len(packed) <= maxRowBytes {
+		return packed
+	}
+	return progress.encodeCut()
+}
+
+// encodeCut returns the value of a row that is too large even if it is compressed. It leaves out what matters least: first
+// the checkpoints, so that tasks begin anew after a takeover, then the crashes that hardly count against their tasks.
+func (p Progress) encodeCut() []byte {
+	var value []byte
+	for _, drop := range []func(t *TaskProgress){func(*TaskProgress) {}, dropCheckpoint, dropWeakCrashes} {
+		p.dropFromTasks(drop)
+		if value = p.encodePacked(); len(value) <= maxRowBytes {
+			break
+		}
+	}
+	return value
+}
+
+// dropUnprovenWorkers removes what identifies the workers of unproven crashes.
+func dropUnprovenWorkers(t *TaskProgress) {
+	t.CrashedUnproven, t.PendingAddress, t.PendingMachine = nil, "", ""
+}
+
+// dropCheckpoint removes the checkpoint of a task.
+func dropCheckpoint(t *TaskProgress) { t.Checkpoint = "" }
+
+// dropWeakCrashes removes the late crashes, and the run that may turn out to have crashed its worker.
+func dropWeakCrashes(t *TaskProgress) {
+	t.CrashedLate, t.CrashedEarlier, t.ProofDeadline = nil, nil, 0
+	t.PendingRun, t.PendingShared, t.PendingWorker, t.PendingWorkerStart, t.PendingLeaseEnd = 0, false, "", 0, 0
 }
 
 // packFinished moves the occurrences whose tasks have all succeeded to FinishedBits.
