--- a/guard/attempt.go
+++ b/guard/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +19,8 @@
 	sentOn *Conn
 	stale  bool
 	ended  bool
+	// reused is true if the last connection has served another request before.
+	reused bool
 	// untracked is true if the transport used a connection that isn't a Conn, so that the
 	// attempt can't tell whether bytes were sent.
 	untracked bool
@@ -70,6 +74,14 @@
 	}
 }
 
+// ResetWhenOpened reports whether the server has reset a connection that was opened for the attempt, which failed with
+// err. Servers do that with connections above their limit: it says nothing about those that they serve.
+func (a *Attempt) ResetWhenOpened(err error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns) > 0 && !a.reused && errors.Is(err, syscall.ECONNRESET)
+}
+
 func (a *Attempt) gotConn(info httptrace.GotConnInfo) {
 	c, ok := info.Conn.(*Conn)
 	if !ok {
@@ -88,6 +100,7 @@
 	}
 	a.mu.Lock()
 	a.conns = append(a.conns, c)
+	a.reused = info.Reused
 	a.mu.Unlock()
 	c.setOwner(a)
 }
