An entry opens at most 4 connections to one worker

Cause: an entry opened up to 48, and a worker goes on counting those of an entry that has lost power.

Change: calls to workers have a client of their own, with 4 connections to one worker, one more than the polls that may wait there.

--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -24,10 +24,12 @@
 )
 
 const (
-	// cellMaxConnections limits the connections to one address of the platform and to
-	// one worker.
+	// cellMaxConnections limits the connections to one address of the platform.
 	cellMaxConnections = 48
-	cellDialTimeout    = endive.Interval(700 * time.Millisecond)
+	// workerMaxConnections limits the connections to one worker: one more than the polls that may wait there. A worker
+	// doesn't learn that an entry has lost power, and its connections go on counting towards the worker's limit.
+	workerMaxConnections = 4
+	cellDialTimeout      = endive.Interval(700 * time.Millisecond)
 	// cellIdleTimeout is how long an unused connection to a worker is kept open.
 	cellIdleTimeout = endive.Interval(time.Minute)
 	// idleShare is the divisor that gives the limit of idle connections from that of open files.
@@ -42,15 +44,15 @@
 
 // cellProgram is the entry process that runs workflows on the users' platform.
 type cellProgram struct {
-	settings     setup.CellSettings
-	settingsPath string
-	clock        endive.BootClock
-	logWriter    *lines.Writer
-	log          hclog.Logger
-	metricsPage  *gauge.Page
-	cell         *cell.Cell
-	client       *plat.Client
-	servers      []*httpServer
+	settings        setup.CellSettings
+	settingsPath    string
+	clock           endive.BootClock
+	logWriter       *lines.Writer
+	log             hclog.Logger
+	metricsPage     *gauge.Page
+	cell            *cell.Cell
+	client, workers *plat.Client
+	servers         []*httpServer
 }
 
 func newCellProgram(settings setup.CellSettings, path string) *cellProgram {
@@ -94,18 +96,24 @@
 	return nil
 }
 
-func (p *cellProgram) newCell(scope tally.Scope) *cell.Cell {
+// clientSettings returns the settings of connections, with a limit for each address.
+func (p *cellProgram) clientSettings(maxConnections int) guard.Settings {
 	settings := guard.Settings{
-		MaxConnections: cellMaxConnections, MaxIdle: p.settings.Limits.Descriptors / idleShare, DialTimeout: cellDialTimeout, IdleTimeout: cellIdleTimeout,
+		MaxConnections: maxConnections, MaxIdle: p.settings.Limits.Descriptors / idleShare, DialTimeout: cellDialTimeout, IdleTimeout: cellIdleTimeout,
 	}
 	settings.Defaults()
+	return settings
+}
+
+func (p *cellProgram) newCell(scope tally.Scope) *cell.Cell {
 	counts := cell.NewCounters(p.metricsPage, scope)
-	p.client = plat.NewClient(settings, p.clock, counts)
+	p.client = plat.NewClient(p.clientSettings(cellMaxConnections), p.clock, counts)
+	p.workers = plat.NewClient(p.clientSettings(workerMaxConnections), p.clock, counts)
 	clock := plat.NewStoreClock(p.clock)
 	rows := cell.NewStore(plat.NewStore(p.client, p.settings.Platform.Store, clock), p.clock, p.log)
 	return cell.New(cell.Deps{
 		Settings: p.settings, Incarnation: newIncarnation(), Clock: p.clock, Platform: clock, Log: p.log, LogOutput: p.logWriter, FlushLog: p.logWriter.Close, Counters: counts,
-		Store: rows, Directory: plat.NewDirectory(rows), Fleet: plat.NewFleet(p.client),
+		Store: rows, Directory: plat.NewDirectory(rows), Fleet: plat.NewFleet(p.workers),
 		Advisor: plat.NewAdvisor(p.client, p.settings.Platform.Advice),
 	})
 }
@@ -176,5 +184,6 @@
 	}
 	p.cell.Close()
 	p.client.Close()
+	p.workers.Close()
 	p.log.Info("stopped", "milliseconds", p.clock.Now().Sub(begin).Milliseconds())
 }
