TestReaderDelaysConfiguration waits until the entries agree on the readers

Cause: each entry chooses the readers from those that it knows, so that for a moment two entries name other readers. The test waited until each knew two, and then took two of those that named themselves; on a busy machine there was one.

Change: the cluster of these tests is ready once as many entries name themselves as there are readers. The checks are the same.

--- a/entry/cell/configfollower_test.go
+++ b/entry/cell/configfollower_test.go
@@ -62,6 +62,10 @@
 	for _, e := range entries {
 		r.waitFor("the entries know the readers", func() bool { return e.peers.knownReaders() == minReaders && e.peers.count() == count })
 	}
+	r.waitFor("the entries agree on the readers", func() bool {
+		readers, _ := readersOf(entries)
+		return len(readers) == minReaders
+	})
 	return r, entries
 }
 
