--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -166,7 +166,8 @@
 // former holder doesn't reach the store, but the workers, and goes on renewing leases. The new one must not start their
 // tasks before it has heard from the workers.
 func TestTakeoverThatReadsRowsLate(t *testing.T) {
-	for _, load := range []time.Duration{time.Second, 5 * time.Second, 8 * time.Second} {
+	// Only the last load takes longer than the longest lease from the acquisition.
+	for _, load := range []time.Duration{time.Second, 5 * time.Second, 8 * time.Second, testMaxLeaseDuration + 2*time.Second} {
 		t.Run(load.String(), func(t *testing.T) {
 			is := is.New(t)
 			w, first := newSimulationWithHolder(t, faults{}, 3)
