elect: an answer to a write that arrives after the tenure was lost begins none

Cause: the machine took every applied write for an acquisition if it didn't hold the pool. A renewal is applied, another entry acquires the pool (after a suspicion or an offer) and says so, or a worker refuses the epoch, before the slow answer to the renewal arrives: the answer has one version in place of two, and the machine panics, which ends the process with all its pools. An answer to an acquisition that arrives after the row was read with another holder began a tenure, and the known version of the row went back.

Change: the machine knows whether the pending write is an acquisition, and an answer with a lower version than the known row changes nothing.

Why no test saw it: the fixture answers each write at once, before anything else happens.

--- a/elect/fixture_test.go
+++ b/elect/fixture_test.go
@@ -72,6 +72,11 @@
 func (r *fixture) commit(actions []endive.Action) []endive.Action {
 	txn, ok := commitIn(actions)
 	r.is.True(ok) // the machine must write the lease
+	return r.step(r.apply(txn))
+}
+
+// apply applies a transaction to the row and returns the result.
+func (r *fixture) apply(txn endive.Transaction) endive.Committed {
 	r.is.Equal(txn.Conditions[0].Version, r.version)
 	r.version++
 	r.value = txn.Writes[0].Value
@@ -79,7 +84,7 @@
 	for range txn.Writes {
 		event.Result.Versions = append(event.Result.Versions, r.version)
 	}
-	return r.step(event)
+	return event
 }
 
 func (r *fixture) row() Lease {
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -53,8 +53,10 @@
 	holding   bool
 	leaseEnd  time.Time
 	releasing bool
-	// pendingWrite is the ID of the write that has no answer yet; empty if there is none.
+	// pendingWrite is the ID of the write that has no answer yet; empty if there is none. acquiring is true if it is that
+	// of a new lease.
 	pendingWrite endive.WriteID
+	acquiring    bool
 	// previousLeaseEnd is when the leases of all earlier holders have certainly expired.
 	previousLeaseEnd time.Time
 	writtenLease     Lease
@@ -146,6 +148,11 @@
 	}
 }
 
+// endReleased ends the tenure whose lease this entry has released.
+func (m *Machine) endReleased() {
+	m.endTenure(TenureEnded{Reason: "lease released", Released: true, Lease: LeaseRow{Version: m.version, Value: m.lease.encode()}})
+}
+
 func (m *Machine) loseTenure(reason string) { m.endTenure(TenureEnded{Reason: reason}) }
 
 // endTenure makes the machine a non-holder and emits the action that ends the tenure.
@@ -159,8 +166,7 @@
 func (m *Machine) handleFenced(e Fenced) {
 	if m.holding && e.Epoch == m.writtenLease.Epoch {
 		m.loseTenure("a higher epoch is known to a worker or the store")
-		m.rowCurrent = false
-		m.emit(ReadLease{})
+		m.readAgain()
 	}
 }
 
@@ -169,8 +175,7 @@
 func (m *Machine) handleSuperseded(e Superseded) {
 	if m.holding && e.Epoch > m.writtenLease.Epoch {
 		m.loseTenure(fmt.Sprintf("epoch %d is held by another entry", e.Epoch))
-		m.rowCurrent = false
-		m.emit(ReadLease{})
+		m.readAgain()
 	}
 }
 
@@ -198,68 +203,17 @@
 	m.writeLease(next, false)
 }
 
-// acquire writes a new lease if the current one has expired or its holder has ended, after
-// a pause in which preferred entries may acquire it.
-func (m *Machine) acquire() {
-	if m.releasing {
-		return
-	}
-	// A lease of this process that it doesn't hold was either lost to a fence or written by
-	// a request whose answer was lost. No other entry may acquire it before it expires.
-	ownLease := m.lease.Incarnation == m.incarnation
-	// A wrong suspicion is safe: the new epoch fences off the old holder.
-	suspected := m.suspectedIncarnation != "" && m.suspectedIncarnation == m.lease.Incarnation
-	// A lease of an earlier process of this entry is free too, because that process has
-	// ended. After a restart of all entries, no other entry can detect this before the
-	// lease expires.
-	earlierProcess := m.lease.Holder == m.entry && !ownLease
-	if m.version > 0 && !m.lease.Vacant && !ownLease && !earlierProcess && !suspected {
-		expired := m.clock.AtLeast(m.now) >= m.lease.Until
-		if !expired {
-			m.freeSince = time.Time{}
-			m.setWake(m.clock.Earliest(m.lease.Until).Add(safetyMargin))
-			return
-		}
-	}
-	if m.freeSince.IsZero() {
-		m.freeSince = m.now
-	}
-	acquireAt := m.acquireAfter(m.freeSince)
-	if m.now.Before(acquireAt) && !m.offered && !earlierProcess {
-		m.setWake(acquireAt)
-		return
-	}
-	if m.now.Before(m.nextWriteAt) {
-		m.setWake(m.nextWriteAt)
-		return
-	}
-	formerUntil := m.lease.FormerUntil
-	if !m.lease.Vacant && !ownLease && !earlierProcess {
-		formerUntil = max(formerUntil, m.lease.Until)
-	}
-	m.previousLeaseEnd = time.Time{}
-	if remaining := formerUntil - m.clock.AtLeast(m.now); remaining > 0 {
-		m.previousLeaseEnd = m.now.Add(time.Duration(remaining) * time.Millisecond)
-	} else {
-		formerUntil = 0
-	}
-	m.writeLease(Lease{
-		Holder: m.entry, Incarnation: m.incarnation, Epoch: m.lease.Epoch.NextTenure(), FormerUntil: formerUntil,
-		Until: m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds()),
-	}, true)
-}
-
-// writeLease writes the lease's row, together with the fence row if the epoch is new.
-func (m *Machine) writeLease(lease Lease, fence bool) {
+// writeLease writes the lease's row, together with the fence row if the lease is new.
+func (m *Machine) writeLease(lease Lease, acquiring bool) {
 	txn := endive.Transaction{
 		WriteID:    m.writeIDs.Next(),
 		Conditions: []endive.Condition{{Key: LeaseKey(m.pool), Version: m.version}},
 		Writes:     []endive.Write{{Key: LeaseKey(m.pool), Value: lease.encode()}},
 	}
-	if fence {
+	if acquiring {
 		txn.Writes = append(txn.Writes, m.fence(lease.Epoch))
 	}
-	m.pendingWrite = txn.WriteID
+	m.pendingWrite, m.acquiring = txn.WriteID, acquiring
 	m.writtenLease = lease
 	m.nextWriteAt = m.settings.Renewal.After(m.now)
 	m.emit(Commit{Transaction: txn})
@@ -274,23 +228,38 @@
 	if e.Status != endive.CommitApplied {
 		// The row may or may not have changed, so it has to be read again.
 		m.nextWriteAt = m.settings.Retry.After(m.now)
-		m.rowCurrent = false
-		m.emit(ReadLease{})
+		m.readAgain()
 		return
 	}
-	m.version = e.Result.Versions[0]
-	m.lease = m.writtenLease
-	if m.writtenLease.Vacant {
-		m.endTenure(TenureEnded{Reason: "lease released", Released: true, Lease: LeaseRow{Version: m.version, Value: m.lease.encode()}})
+	if e.Result.Versions[0] < m.version {
+		// Another entry has replaced the row, which was read before this answer arrived.
 		return
 	}
-	m.leaseEnd = m.clock.Earliest(m.writtenLease.Until).Add(-safetyMargin)
-	if m.holding {
+	m.version = e.Result.Versions[0]
+	m.lease = m.writtenLease
+	m.handleWritten(e.Result)
+}
+
+// handleWritten begins, extends or ends the tenure after its lease was written. A tenure that was lost in the meantime
+// stays lost.
+func (m *Machine) handleWritten(result endive.CommitResult) {
+	leaseEnd := m.clock.Earliest(m.lease.Until).Add(-safetyMargin)
+	switch {
+	case m.acquiring:
+		m.holding, m.leaseEnd = true, leaseEnd
+		m.emit(TenureBegan{Epoch: m.lease.Epoch, FenceVersion: result.Versions[1], LeaseEnd: m.leaseEnd, PreviousLeaseEnd: m.previousLeaseEnd})
+	case m.holding && m.lease.Vacant:
+		m.endReleased()
+	case m.holding:
+		m.leaseEnd = leaseEnd
 		m.emit(TenureRenewed{LeaseEnd: m.leaseEnd})
-		return
 	}
-	m.holding = true
-	m.emit(TenureBegan{Epoch: m.writtenLease.Epoch, FenceVersion: e.Result.Versions[1], LeaseEnd: m.leaseEnd, PreviousLeaseEnd: m.previousLeaseEnd})
+}
+
+// readAgain reads the row before anything else is written.
+func (m *Machine) readAgain() {
+	m.rowCurrent = false
+	m.emit(ReadLease{})
 }
 
 func (m *Machine) setWake(at time.Time) { m.emit(endive.SetWake{At: at}) }
