elect: an acquisition whose answer arrives after the lease has ended begins no tenure

Cause: the answer to an acquisition began a tenure whatever the time. A process that is frozen while the answer arrives wakes up as the holder of a lease that has ended: it announces itself, polls the workers under its old epoch, and may renew leases of runs at workers that the next holder doesn't reach, since a holder without a lease renews as long as it has no failed polls (flow/supersession.go).

Change: if the lease has ended, the row is read again first; then the lease is acquired anew, or another entry has it.

Failing first: TestAcquisitionAnsweredAfterLeaseEnded.

--- a/elect/lateanswer_test.go
+++ b/elect/lateanswer_test.go
@@ -46,3 +46,20 @@
 	r.is.True(!began)
 	r.is.Equal(r.machine.Holder(), endive.EntryID("entry-2"))
 }
+
+// A process is frozen while the answer to its acquisition arrives, until its lease has ended. It must read the row
+// before it acts as the holder.
+func TestAcquisitionAnsweredAfterLeaseEnded(t *testing.T) {
+	r := newFixture(t)
+	txn, _ := commitIn(r.readRow())
+	answer := r.apply(txn)
+	r.now = r.now.Add(lease)
+	actions := r.step(answer)
+	_, began := tenureBegan(actions)
+	r.is.True(!began)
+	r.is.True(!r.machine.Holding())
+	r.is.Equal(actions, []endive.Action{ReadLease{}})
+	r.writeAsOtherEntry(Lease{Holder: "entry-2", Incarnation: "run-2", Epoch: 2 * endive.EpochsPerTenure, Until: 9000})
+	_, writes := commitIn(r.readRow())
+	r.is.True(!writes)
+}
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -245,9 +245,12 @@
 func (m *Machine) handleWritten(result endive.CommitResult) {
 	leaseEnd := m.clock.Earliest(m.lease.Until).Add(-safetyMargin)
 	switch {
-	case m.acquiring:
+	case m.acquiring && m.now.Before(leaseEnd):
 		m.holding, m.leaseEnd = true, leaseEnd
 		m.emit(TenureBegan{Epoch: m.lease.Epoch, FenceVersion: result.Versions[1], LeaseEnd: m.leaseEnd, PreviousLeaseEnd: m.previousLeaseEnd})
+	case m.acquiring:
+		// The process was frozen, and another entry may hold the pool by now.
+		m.readAgain()
 	case m.holding && m.lease.Vacant:
 		m.endReleased()
 	case m.holding:
