--- a/elect/acquire.go
+++ b/elect/acquire.go
@@ -42,7 +42,9 @@
 		return
 	}
 	formerUntil := m.lease.FormerUntil
-	if !m.lease.Vacant && !ownLease && !earlierProcess {
+	// The holder may act until its lease ends if the answer to its release was lost. One that offers the pool has
+	// the answer.
+	if !ownLease && !earlierProcess && !m.offered {
 		formerUntil = max(formerUntil, m.lease.Until)
 	}
 	m.previousLeaseEnd = time.Time{}
--- a/elect/fixture_test.go
+++ b/elect/fixture_test.go
@@ -28,19 +28,22 @@
 	is           *is.I
 	machine      *Machine
 	acquireDelay endive.Interval
-	now          time.Time
+	start, now   time.Time
 	version      endive.Version
 	value        []byte
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newFixtureOf(t, "entry-1", "run-1") }
+
+// newFixtureOf returns the fixture of a process of an entry.
+func newFixtureOf(t *testing.T, entry endive.EntryID, incarnation endive.Incarnation) *fixture {
 	start := time.Unix(1_800_000_000, 0)
 	fence := func(epoch endive.Epoch) endive.Write { return endive.Write{Key: "fence", Value: []byte{byte(epoch)}} }
 	settings := Settings{Lease: endive.Interval(lease), Renewal: endive.Interval(lease / 3), Retry: endive.Interval(100 * time.Millisecond)}
-	r := &fixture{is: is.New(t), now: start}
+	r := &fixture{is: is.New(t), start: start, now: start}
 	acquireAfter := func(freeSince time.Time) time.Time { return r.acquireDelay.After(freeSince) }
-	ids := endive.NewWriteIDs("entry-1", "run-1", "elect")
-	r.machine = New("entry-1", "run-1", "quoting", fence, acquireAfter, settings, steadyClock{start}, ids)
+	ids := endive.NewWriteIDs(entry, incarnation, "elect")
+	r.machine = New(entry, incarnation, "quoting", fence, acquireAfter, settings, steadyClock{start}, ids)
 	return r
 }
 
--- a/elect/lateanswer_test.go
+++ b/elect/lateanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"endiveroute.example/endive"
 )
@@ -63,3 +64,45 @@
 	_, writes := commitIn(r.readRow())
 	r.is.True(!writes)
 }
+
+// The answer to a release is lost. The entry may act until its lease ends, so the next holder has to know until when, unless
+// the entry offers the pool, after which it doesn't act.
+func TestNextHolderAfterReleaseWithoutAnswer(t *testing.T) {
+	tests := []struct {
+		name  string
+		event func(row LeaseRow) endive.Event
+		want  func(start time.Time) time.Time
+	}{
+		{"finds the released lease", func(row LeaseRow) endive.Event { return row }, func(start time.Time) time.Time { return start.Add(lease) }},
+		{"is offered the pool", func(row LeaseRow) endive.Event { return Offered{Lease: row} }, func(time.Time) time.Time { return time.Time{} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newFixture(t)
+			r.commit(r.readRow())
+			r.now = r.now.Add(time.Second / 2)
+			txn, _ := commitIn(r.step(Release{}))
+			r.apply(txn)
+			r.is.True(r.row().Vacant)
+			next := newFixtureOf(t, "entry-2", "run-2")
+			next.now, next.version, next.value = r.start.Add(time.Second), r.version, r.value
+			row := LeaseRow{Version: r.version, Value: r.value}
+			began, ok := tenureBegan(next.commit(next.step(tt.event(row))))
+			r.is.True(ok)
+			r.is.Equal(began.PreviousLeaseEnd, tt.want(r.start))
+		})
+	}
+}
+
+// The answer to a release is lost, and the entry reads the released lease. It must end its tenure, as one that can be handed
+// over.
+func TestReadsOwnReleaseWithoutAnswer(t *testing.T) {
+	r := newFixture(t)
+	r.commit(r.readRow())
+	txn, _ := commitIn(r.step(Release{}))
+	answer := r.apply(txn)
+	ended := r.readRow()
+	r.is.Equal(ended, []endive.Action{TenureEnded{Reason: "lease released", Released: true, Lease: LeaseRow{Version: r.version, Value: r.value}}})
+	r.is.True(!r.machine.Holding())
+	r.is.Equal(len(r.step(answer)), 0)
+}
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -14,10 +14,12 @@
 
 // Lease is the content of the row with a pool's lease.
 type Lease struct {
-	Holder      endive.EntryID      `json:"holder"`
-	Incarnation endive.Incarnation  `json:"incarnation"`
-	Epoch       endive.Epoch        `json:"epoch"`
-	Until       endive.PlatformTime `json:"until"`
+	Holder      endive.EntryID     `json:"holder"`
+	Incarnation endive.Incarnation `json:"incarnation"`
+	Epoch       endive.Epoch       `json:"epoch"`
+	// Until is when the lease ends. If it was released, the holder may still act until then, unless it has the answer to the
+	// release.
+	Until endive.PlatformTime `json:"until"`
 	// FormerUntil is until when a holder before this one may still act; 0 if none may. Earlier builds don't write it.
 	FormerUntil endive.PlatformTime `json:"formerUntil,omitempty"`
 	// Vacant is true if the holder has released the lease.
--- a/elect/machine.go
+++ b/elect/machine.go
@@ -143,8 +143,13 @@
 			m.lease = Lease{Epoch: endive.Epoch(e.Version) * endive.EpochsPerTenure}
 		}
 	}
-	if m.holding && (m.lease.Epoch != m.writtenLease.Epoch || m.lease.Incarnation != m.incarnation) {
+	switch {
+	case !m.holding:
+	case m.lease.Epoch != m.writtenLease.Epoch || m.lease.Incarnation != m.incarnation:
 		m.loseTenure(fmt.Sprintf("%s holds epoch %d", m.lease.Holder, m.lease.Epoch))
+	case m.lease.Vacant:
+		// The answer to the release was lost.
+		m.endReleased()
 	}
 }
 
@@ -198,8 +203,9 @@
 		return
 	}
 	next := m.writtenLease
-	next.Until = m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds())
-	next.Vacant = m.releasing
+	if next.Vacant = m.releasing; !next.Vacant {
+		next.Until = m.clock.AtLeast(m.now) + endive.PlatformTime(time.Duration(m.settings.Lease).Milliseconds())
+	}
 	m.writeLease(next, false)
 }
 
