quota: a holder hands over no more of a cap than the other pools leave

Cause: after a takeover a holder counts what earlier holders may have started as running, and its part in the row may then be larger than what the other pools leave of the cap. Its own starts were limited by the others' parts, but it handed the whole part over, and the next holder used it before it had read the others' rows: an account with 500 of 1000 in one pool could start up to 1000 in the other.

Change: what is handed over is limited like the starts. The other pools can't grow while the row has the larger part.

The simulation (quota/faults_test.go) knew no hand-over, no former holder that goes on, and no late or repeated rows.

Failing first: TestHandedOverPartLeavesPartsOfOtherPools.

--- a/quota/stored.go
+++ b/quota/stored.go
@@ -76,18 +76,31 @@
 }
 
 // HandOver implements endive.QuotaDivision. A transaction that may still be applied can leave
-// less in the row than is known.
+// less in the row than is known. After a takeover the row may have more than the other pools leave, because of
+// what earlier holders may have started.
 func (s *Stored) HandOver() map[endive.AccountName]endive.Resources {
 	if !s.begun {
 		return nil
 	}
 	handedOver := make(map[endive.AccountName]endive.Resources)
 	for name := range s.rows[s.pool].Parts {
-		handedOver[name] = s.part(name).resources()
+		if account, ok := s.accounts.Named(name); ok {
+			handedOver[name] = s.leftByOthers(account, s.part(name)).resources()
+		}
 	}
 	return handedOver
 }
 
+// leftByOthers returns a part, or what the other pools leave of the account's cap if that is less.
+func (s *Stored) leftByOthers(account endive.Account, part amounts) amounts {
+	others, _, _ := s.others(account.Name)
+	for i, most := range amountsOf(account.Cap) {
+		// The other pools may not know of this pool's part yet, so they count in full.
+		part[i] = min(part[i], max(0, most-others[i]))
+	}
+	return part
+}
+
 // TakeOver implements endive.QuotaDivision. The previous holder writes nothing more, so its parts
 // hold until this holder's epoch is in the row.
 func (s *Stored) TakeOver(handedOver map[endive.AccountName]endive.Resources) {
@@ -121,21 +134,18 @@
 		return endive.QuotaAllowance{}, false
 	}
 	allowance := endive.QuotaAllowance{Cap: account.Cap, Tolerated: account.Tolerated(s.overage)}
-	caps, tolerated := amountsOf(account.Cap), amountsOf(allowance.Tolerated)
 	others, _, _ := s.others(name)
 	limit := s.part(name)
 	if ceiling, ok := s.ceilings[name]; ok {
 		limit = limit.atMost(ceiling)
 	}
 	large := limit
-	for i := range caps {
-		// The other pools may not know of this pool's part yet, so they count in full.
-		limit[i] = min(limit[i], max(0, caps[i]-others[i]))
+	for i, most := range amountsOf(allowance.Tolerated) {
 		if others[i] > 0 {
-			large[i] = min(large[i], max(0, tolerated[i]-others[i]))
+			large[i] = min(large[i], max(0, most-others[i]))
 		}
 	}
-	allowance.Limit, allowance.Large = limit.resources(), large.resources()
+	allowance.Limit, allowance.Large = s.leftByOthers(account, limit).resources(), large.resources()
 	return allowance, true
 }
 
