quota: a holder that was replaced has no part any more, not even one that was handed over to it

Cause: a holder that learns of a later holder's row falls back from its own part to the one that was handed over to it at the beginning of its tenure. It may have given most of that back since, and another pool may have it. A conflict, by which it learns, shows this pool's row and not the other pool's. Until it loses the pool's lease it started up to the old part: 500 beside 806 of 1000 in the test.

Change: a replaced holder has no part.

Failing first: TestReplacedHolderHasNoPart (500 and 806 of 1000).

--- a/quota/handover_test.go
+++ b/quota/handover_test.go
@@ -31,3 +31,25 @@
 	next.TakeOver(p.HandOver())
 	is.True(limitOf(next) <= capOfA-otherPart)
 }
+
+// A holder has given back a part that was handed over to it, and another pool has it now. The next holder replaces it, and it
+// learns of that by a conflict, which doesn't show the other pool's row.
+func TestReplacedHolderHasNoPart(t *testing.T) {
+	is := is.New(t)
+	store := newTestStore()
+	first, other := newStored("p", 1, store), newStored("q", 1, store)
+	run(store, map[*Stored]endive.QuotaUse{first: {Running: processors(800)}}, 3)
+	replaced := successor("p", 2)
+	replaced.TakeOver(first.HandOver())
+	for _, s := range []*Stored{other, replaced, other} {
+		run(store, map[*Stored]endive.QuotaUse{s: {Waiting: map[*Stored]endive.Resources{other: processors(800)}[s]}}, 3)
+	}
+	is.True(limitOf(other) >= 800)
+	next := successor("p", 3)
+	run(store, map[*Stored]endive.QuotaUse{next: {}}, 1)
+	store.now = store.now.Add(growInterval)
+	change, ok := replaced.Update(store.now, map[endive.AccountName]endive.QuotaUse{"a": {Running: processors(800)}})
+	is.True(ok)
+	replaced.HandleCommitted(store.now, store.commit(change.Transaction))
+	is.True(limitOf(replaced)+limitOf(other) <= capOfA)
+}
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -112,6 +112,9 @@
 
 // part returns the part that this pool surely has.
 func (s *Stored) part(name endive.AccountName) amounts {
+	if s.superseded() {
+		return amounts{}
+	}
 	part := s.handedOver[name]
 	if s.begun {
 		part = s.rows[s.pool].Parts[name]
@@ -162,16 +165,17 @@
 		}
 	}
 	s.known = s.known || complete
-	own := s.rows[s.pool]
-	if s.begun && own.Epoch > s.epoch {
-		// Another holder has the pool now.
+	if s.superseded() {
 		s.begun = false
 	}
 }
 
+// superseded reports whether a later holder has written the pool's row.
+func (s *Stored) superseded() bool { return s.rows[s.pool].Epoch > s.epoch }
+
 // Update implements endive.QuotaDivision.
 func (s *Stored) Update(now time.Time, uses map[endive.AccountName]endive.QuotaUse) (endive.QuotaChange, bool) {
-	if !s.known || s.rows[s.pool].Epoch > s.epoch {
+	if !s.known || s.superseded() {
 		return endive.QuotaChange{}, false
 	}
 	next := s.nextParts(uses)
