peer: the end of a restarted peer is reported with its newest incarnation

Cause: a link keeps the peer as it was when the link was opened. An entry that restarts at its address keeps its link at the others, with the incarnation of its first process. When a later process ends, the watcher is told of the first one, and the lease of the pool, which has the later one, isn't suspected: the pool is taken over only when the lease has expired (up to 2.2 s), for each end but the first.

Change: a peer that is known with another incarnation replaces the one in its link. The incarnation is taken before the dial, so that a refusal counts for the process that was known then.

Failing first: TestWatcherIsToldOfRestartedPeer ("1 != 2"); after the change 30 of 30 with the race detector. The time of a second takeover on real processes wasn't measured.

--- a/peer/link.go
+++ b/peer/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,8 +19,9 @@
 
 // link sends frames to one peer. When the session breaks, the link opens a new one.
 type link struct {
-	self     endive.Peer
-	peer     endive.Peer
+	self endive.Peer
+	// peer is the peer as known last: after a restart it has another incarnation.
+	peer     atomic.Pointer[endive.Peer]
 	address  endive.Address
 	meter    Meter
 	watcher  Watcher
@@ -38,9 +40,8 @@
 }
 
 func newLink(self, peer endive.Peer, meter Meter, watcher Watcher, log hclog.Logger) *link {
-	return &link{
+	l := &link{
 		self:    self,
-		peer:    peer,
 		address: peer.Address,
 		meter:   meter,
 		watcher: watcher,
@@ -48,6 +49,8 @@
 		frames:  make(chan queuedFrame, queueLength),
 		stopped: make(chan struct{}),
 	}
+	l.peer.Store(&peer)
+	return l
 }
 
 func (l *link) send(frame *wire.Frame) bool {
@@ -67,12 +70,13 @@
 // once: if the connection is refused, the peer's process has ended.
 func (l *link) run() {
 	for {
+		dialed := *l.peer.Load()
 		open, err := l.runSession()
 		if err != nil {
 			l.log.Debug("session ended", "error", err.Error())
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) && l.watcher != nil {
-			l.watcher.ConnectionRefused(l.peer)
+			l.watcher.ConnectionRefused(dialed)
 		}
 		pause := redialPause
 		if open {
@@ -143,7 +147,7 @@
 	if err != nil {
 		return endive.ErrUnavailable.Wrap(err)
 	}
-	l.meter.Sent(l.peer, frameKind(frame), endive.Bytes(size))
+	l.meter.Sent(*l.peer.Load(), frameKind(frame), endive.Bytes(size))
 	return nil
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -47,7 +47,7 @@
 func (m *Mesh) SetWatcher(watcher Watcher) { m.watcher = watcher }
 
 // SetPeers opens links to new peers and stops those to peers that were removed or have
-// another address. It ignores this entry itself.
+// another address. A peer that has restarted at its address keeps its link. SetPeers ignores this entry itself.
 func (m *Mesh) SetPeers(peers endive.Peers) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -73,6 +73,7 @@
 func (m *Mesh) setPeer(p endive.Peer) {
 	old, ok := m.links[p.ID]
 	if ok && old.address == p.Address {
+		old.peer.Store(&p)
 		return
 	}
 	if ok {
