entry/cell: the tests of configuration readers wait until the entries agree on the readers

Seen: TestReaderDelaysConfiguration/none_can_read failed once with the race detector beside load (slice bounds out of range [:2] with capacity 1, at load 15; then passed 6 of 6 and 14 of 14). Cause, in the test: it waited until each entry knew two readers, not until they were the same two. Entries that haven't read yet who holds the pool choose others, and readersOf counts those that call themselves readers. Shown by a trial that printed what each entry knew: in 1 of 36 clusters two entries said entry-2 and entry-0, two said entry-2 and entry-1, and only entry-2 counted as a reader. Change: the cluster waits until all entries know the same two. Nothing else of the tests changes.

--- a/entry/cell/configfollower_test.go
+++ b/entry/cell/configfollower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,17 +60,20 @@
 		entries = append(entries, followedEntry{c, counted})
 	}
 	r.awaitReady()
-	for _, e := range entries {
-		r.waitFor("the entries know the readers", func() bool { return e.peers.knownReaders() == minReaders && e.peers.count() == count })
-	}
+	r.waitFor("the entries agree on the readers", func() bool {
+		readers := entries[0].peers.knownReaders()
+		return len(readers) == minReaders && !slices.ContainsFunc(entries, func(e followedEntry) bool {
+			return e.peers.count() != count || !slices.Equal(e.peers.knownReaders(), readers)
+		})
+	})
 	return r, entries
 }
 
-// knownReaders returns the number of readers, this entry included.
-func (p *peers) knownReaders() int {
+// knownReaders returns the readers, this entry included.
+func (p *peers) knownReaders() []endive.EntryID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.readers)
+	return p.readers
 }
 
 // readersOf returns the readers among the entries, and the others.
