Soak: calls to workers are late at any time, not only around restarts

The soak had calls without an answer only around the restarts of an episode. The delayer leaves a share of the calls (orders, stops and polls) to a half of the main pool or to one worker without an answer for up to 4 s, and has them carried out 2 to 12 s later, from the seed. Faults that overlap add to the share of late calls, each taking its own part back.

--- a/soak/main.go
+++ b/soak/main.go
@@ -18,9 +18,9 @@
 delays, resets and black-holes connections; kills, pauses, stops and restarts
 entries; restarts workers; cuts workers off for 1 to 35 seconds, also several in a
 row just after they have started the same task; cuts entries off from the others,
-which take their pools over while they live; restarts workers under their ids, cuts
-them off soon after, and has calls to them carried out late, beside holders that are
-killed, stopped or replaced; and makes the store reject requests,
+which take their pools over while they live; leaves calls to workers without an answer
+and has them carried out 2 to 12 seconds later; restarts workers under their ids and
+cuts them off soon after, beside holders that are killed, stopped or replaced; and makes the store reject requests,
 lose responses or drop its change history. Seeds that are even have fewer faults, so
 that holders last. It checks that no task runs twice at the same time or
 again after it was done, that refused jobs never run, that no job is shown as failed
@@ -45,7 +45,7 @@
 	entries := app.Flag("entries", "Number of entries.").Default("3").Int()
 	workers := app.Flag("workers", "Number of workers of the main pool.").Default("12").Int()
 	accounts := app.Flag("accounts", "Whether there are client accounts; --no-accounts for an earlier build that doesn't know them.").Default("true").Bool()
-	restarts := app.Flag("restarts", "Whether workers restart under their ids and are cut off soon after; --no-restarts for the faults of earlier soaks.").
+	restarts := app.Flag("restarts", "Whether workers restart under their ids, are cut off soon after and get late calls; --no-restarts for the faults of earlier soaks.").
 		Default("true").Bool()
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(os.TempDir()).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
--- a/soak/restarter.go
+++ b/soak/restarter.go
@@ -102,7 +102,7 @@
 
 // draw returns a random episode, of a half of the main pool or of one worker.
 func (r *restarter) draw() *episode {
-	e := &episode{soak: r.soak, workers: r.drawWorkers()}
+	e := &episode{soak: r.soak, workers: r.soak.drawWorkers(r.rand)}
 	if r.rand.Intn(3) > 0 {
 		e.lateShare, e.lateAfter = r.rand.Float64(), r.rand.Intn(2) == 0
 		e.lateTime = randomDuration(r.rand, maxLateTime)
@@ -141,41 +141,34 @@
 	e.holderAfter = randomDuration(r, maxAway)
 }
 
-// drawWorkers returns the first half of the workers, as of a zone, or any one.
-func (r *restarter) drawWorkers() []*worker {
-	workers := r.soak.workers
-	if r.rand.Intn(2) == 0 {
-		return workers[:(len(workers)-bulkWorkers)/2]
+// drawWorkers returns the first half of the main pool's workers, as of a zone, or any one.
+func (s *soak) drawWorkers(r *rand.Rand) []*worker {
+	if r.Intn(2) == 0 {
+		return s.workers[:(len(s.workers)-bulkWorkers)/2]
 	}
-	i := r.rand.Intn(len(workers))
-	return workers[i : i+1]
+	i := r.Intn(len(s.workers))
+	return s.workers[i : i+1]
 }
 
 func (e *episode) run() {
 	e.soak.checks.events.add("restart of %s in %v, share %.2f of the calls late, then cut off after %v; the holder is %s after %v",
 		names(e.workers), e.lateTime, e.lateShare, e.cutAfter, e.holder, e.holderAfter)
-	e.setLateShare(e.lateShare)
-	time.Sleep(e.lateTime)
-	if !e.lateAfter {
-		e.setLateShare(0)
+	late := &lateness{workers: e.workers, share: e.lateShare, duration: e.lateTime}
+	if e.lateAfter {
+		late.duration += maxAway + e.cutAfter
 	}
+	go late.run()
+	time.Sleep(e.lateTime)
 	for i, w := range e.workers {
 		go (&awayWorker{soak: e.soak, worker: w, mode: e.awayMode, duration: e.away[i]}).run()
 	}
 	go (&faultEnd{after: e.holderAfter, revert: e.harmHolder}).run()
 	time.Sleep(maxAway + e.cutAfter)
-	e.setLateShare(0)
 	for _, w := range e.workers {
 		e.soak.cutOff(w, e.cut)
 	}
 }
 
-func (e *episode) setLateShare(share float64) {
-	for _, w := range e.workers {
-		w.calls.SetShare(share)
-	}
-}
-
 // harmHolder does what the episode has for the holder of the main pool.
 func (e *episode) harmHolder() {
 	holder := e.soak.holder(mainPool)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,7 @@
 	accounts  *accounts
 	cutter    *cutter
 	restarter *restarter
+	delayer   *delayer
 	// maxPause is the longest pause between two faults.
 	maxPause   time.Duration
 	faultCount int
@@ -110,6 +111,7 @@
 	s.cutter = newCutter(s, seed+2)
 	s.checks.cutter = s.cutter
 	s.restarter = newRestarter(s, restarts, seed)
+	s.delayer = newDelayer(s, restarts, seed)
 	s.clients = newClients(s, steadyAccount, seed+1)
 	s.hot = newClients(s, hotAccount, -seed)
 	if err := s.accounts.change(hotCaps[0], true); err != nil {
@@ -254,6 +256,7 @@
 		s.cutter.beginSeries()
 	}
 	go s.restarter.run(ctx)
+	go s.delayer.run(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rand.Int63n(int64(s.maxPause))))
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
