Soak: cuts right after a worker's own restart, and several holders that end or stop in the same seconds

An episode waited for the longest time away of its workers, and half a second more, before it cut them off, and harmed one holder at most. Now each worker is cut off between 0 and 3 s after its own restart, and up to three faults (killed, replaced, stopped for up to 8 s, before 5 s) strike whoever holds the pool then. The test of the drawn episodes held the time before the cut to 0.5 to 3 s; it is 0 to 3 s now, and the test demands cuts within 0.1 s, all three kinds of faults and all four numbers of them.

--- a/soak/main.go
+++ b/soak/main.go
@@ -20,8 +20,8 @@
 row just after they have started the same task; cuts entries off from the others,
 which take their pools over while they live; leaves calls to workers without an answer
 and has them carried out 2 to 12 seconds later; restarts workers under their ids and
-cuts them off soon after, beside holders that are killed, stopped or replaced; and makes the store reject requests,
-lose responses or drop its change history. Seeds that are even have fewer faults, so
+cuts them off soon after, while up to three holders in a row are killed, stopped or
+replaced; and makes the store reject requests, lose responses or drop its change history. Seeds that are even have fewer faults, so
 that holders last. It checks that no task runs twice at the same time or
 again after it was done, that refused jobs never run, that no job is shown as failed
 or cancelled without cause, and that all accepted jobs complete after the faults have
--- a/soak/restarter_test.go
+++ b/soak/restarter_test.go
@@ -24,26 +24,37 @@
 func TestEpisodesAreVaried(t *testing.T) {
 	is := is.New(t)
 	r := newTestRestarter(true, 1)
-	modes, holders, sizes, late := make(map[mode]int), make(map[holderFault]int), make(map[int]int), 0
+	modes, holders, sizes, late, atOnce := make(map[mode]int), make(map[holderFaultKind]int), make(map[int]int), 0, 0
+	faults := make(map[int]int)
 	for range 1000 {
 		e := r.draw()
 		is.Equal(len(e.away), len(e.workers))
 		for _, away := range e.away {
 			is.True(away >= 0 && away < maxAway)
 		}
-		is.True(e.cutAfter >= minRecut && e.cutAfter < maxRecut)
+		is.True(e.cutAfter >= 0 && e.cutAfter < maxRecut)
+		if e.cutAfter < 100*time.Millisecond {
+			atOnce++
+		}
 		is.True(e.cut.duration >= minRecutTime && e.cut.duration <= maxRecutTime)
 		is.True(e.cut.mode != modeForward || !e.cut.listed) // each cut has an effect
-		is.Equal(e.program, "new")
 		modes[e.cut.mode]++
-		holders[e.holder]++
+		faults[len(e.holders)]++
+		for _, fault := range e.holders {
+			is.Equal(fault.program, "new")
+			is.True(fault.after >= 0 && fault.after < maxHolderDelay)
+			is.True(fault.stopped >= 0 && fault.stopped < maxHolderStop)
+			holders[fault.kind]++
+		}
 		sizes[len(e.workers)]++
 		if e.lateShare > 0 {
 			late++
 		}
 	}
 	is.Equal(len(modes), 5)            // refused, silent, one-way, late, from the store alone
-	is.Equal(len(holders), 4)          // unharmed, killed, replaced, stopped
+	is.Equal(len(holders), 3)          // killed, replaced, stopped
+	is.Equal(len(faults), 4)           // none, or up to three in the same seconds
+	is.True(atOnce > 10)               // some cuts follow the restart at once
 	is.True(sizes[2] > 0)              // a half of the main pool
 	is.Equal(sizes[1]+sizes[2], 1000)  // or one worker
 	is.True(late > 500 && late < 1000) // with late calls or without
