--- a/soak/main.go
+++ b/soak/main.go
@@ -47,6 +47,8 @@
 	accounts := app.Flag("accounts", "Whether there are client accounts; --no-accounts for an earlier build that doesn't know them.").Default("true").Bool()
 	restarts := app.Flag("restarts", "Whether workers restart under their ids, are cut off soon after and get late calls; --no-restarts for the faults of earlier soaks.").
 		Default("true").Bool()
+	schedule := app.Flag("schedule", "Which restarts there are: at random, or those of a day in deploy/days. By default, the seed determines it.").
+		Enum(drawnSchedule, recutSchedule, recutKillSchedule)
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(os.TempDir()).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -55,6 +57,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
+	if *schedule != "" {
+		s.restarter.schedule = *schedule
+	}
 	findings := s.run(time.Duration(*seconds) * time.Second)
 	s.stop()
 	for _, one := range findings {
--- a/soak/restarter.go
+++ b/soak/restarter.go
@@ -44,8 +44,10 @@
 type restarter struct {
 	soak    *soak
 	enabled bool
-	seed    int64
-	rand    *rand.Rand
+	// schedule is the name of the schedule of the episodes.
+	schedule string
+	seed     int64
+	rand     *rand.Rand
 	// handOvers draws the episodes that hand the pool over at once.
 	handOvers *rand.Rand
 
@@ -55,12 +57,24 @@
 }
 
 func newRestarter(s *soak, enabled bool, seed int64) *restarter {
-	return &restarter{soak: s, enabled: enabled, seed: seed, rand: rand.New(rand.NewSource(seed + 3)), handOvers: rand.New(rand.NewSource(seed + 4))}
+	return &restarter{soak: s, enabled: enabled, schedule: scheduleOf(seed), seed: seed, rand: rand.New(rand.NewSource(seed + 3)), handOvers: rand.New(rand.NewSource(seed + 4))}
 }
 
-// run begins episodes until ctx is done. Episodes may overlap.
+// run begins the episodes of the schedule until ctx is done.
 func (r *restarter) run(ctx context.Context) {
-	for r.enabled {
+	if !r.enabled {
+		return
+	}
+	if d, ok := days[r.schedule]; ok {
+		r.runDay(ctx, d)
+		return
+	}
+	r.runDrawn(ctx)
+}
+
+// runDrawn begins random episodes until ctx is done. They may overlap.
+func (r *restarter) runDrawn(ctx context.Context) {
+	for {
 		pause := minRestartPause + randomDuration(r.rand, maxRestartPause-minRestartPause)
 		select {
 		case <-ctx.Done():
@@ -73,7 +87,16 @@
 
 // draw returns a random episode, of a half of the main pool or of one worker.
 func (r *restarter) draw() *episode {
-	e := &episode{soak: r.soak, workers: r.soak.drawWorkers(r.rand)}
+	e := r.drawEpisode(r.soak.drawWorkers(r.rand))
+	if r.handOvers.Intn(handOverPeriod) == 0 {
+		e.handOver(r.handOvers)
+	}
+	return e
+}
+
+// drawEpisode returns a random episode of some workers.
+func (r *restarter) drawEpisode(workers []*worker) *episode {
+	e := &episode{soak: r.soak, workers: workers}
 	if r.rand.Intn(3) > 0 {
 		e.lateShare, e.lateAfter = r.rand.Float64(), r.rand.Intn(2) == 0
 		e.lateTime = randomDuration(r.rand, maxLateTime)
@@ -94,9 +117,6 @@
 	for range r.rand.Intn(maxHolderFaults + 1) {
 		e.holders = append(e.holders, r.drawHolderFault())
 	}
-	if r.handOvers.Intn(handOverPeriod) == 0 {
-		e.handOver(r.handOvers)
-	}
 	return e
 }
 
@@ -111,10 +131,13 @@
 	}
 }
 
-// drawWorkers returns the first half of the main pool's workers, as of a zone, or any one.
+// firstHalf returns the first half of the main pool's workers, as of a zone.
+func (s *soak) firstHalf() []*worker { return s.workers[:s.mainWorkers/2] }
+
+// drawWorkers returns the first half of the main pool's workers, or any one.
 func (s *soak) drawWorkers(r *rand.Rand) []*worker {
 	if r.Intn(2) == 0 {
-		return s.workers[:(len(s.workers)-bulkWorkers)/2]
+		return s.firstHalf()
 	}
 	i := r.Intn(len(s.workers))
 	return s.workers[i : i+1]
@@ -158,7 +181,7 @@
 func (r *restarter) summary() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return fmt.Sprintf("restarts: %d workers, %d late calls, %d of them by the next incarnation", r.restarts, r.late, r.former)
+	return fmt.Sprintf("restarts (%s): %d workers, %d late calls, %d of them by the next incarnation", r.schedule, r.restarts, r.late, r.former)
 }
 
 func names(workers []*worker) string {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,14 +39,16 @@
 	store     *stand.Store
 	peerLinks *peerLinks
 	entries   []*entry
-	workers   []*worker
-	checks    *checks
-	clients   *clients
-	hot       *clients
-	accounts  *accounts
-	cutter    *cutter
-	restarter *restarter
-	delayer   *delayer
+	// workers are those of the main pool, mainWorkers in number, and those of the bulk pool.
+	workers     []*worker
+	mainWorkers int
+	checks      *checks
+	clients     *clients
+	hot         *clients
+	accounts    *accounts
+	cutter      *cutter
+	restarter   *restarter
+	delayer     *delayer
 	// maxPause is the longest pause between two faults.
 	maxPause   time.Duration
 	faultCount int
@@ -101,7 +103,7 @@
 	}
 	s := &soak{
 		dir: dir, upgrade: upgrade, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(&events{log: log}),
-		maxPause: maxFaultPause, stopped: make(chan struct{}),
+		mainWorkers: workers, maxPause: maxFaultPause, stopped: make(chan struct{}),
 	}
 	if seed%calmSeeds == 0 {
 		s.maxPause = maxCalmPause
