--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -28,8 +28,8 @@
 	mainPool = "svc"
 	// bulkPool is the second pool, so that caps are divided between two holders.
 	bulkPool = "bulk"
-	// bulkWorkers is the number of workers of bulkPool.
-	bulkWorkers = 3
+	// workersPerBulk is how many workers of mainPool there are for each one of bulkPool.
+	workersPerBulk = 4
 	// overage is the share by which an account may exceed its cap.
 	overage = 0.1
 	// applyTime bounds the time until a new version of the configuration is in force everywhere.
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -19,6 +19,9 @@
 	requestTimeout = 3 * time.Second
 	// submitInterval is the time between two submissions or attempts.
 	submitInterval = 120 * time.Millisecond
+	// fewTasks is the largest number of tasks in the first step of a job with few workers. With many workers there is a task
+	// more for each workersPerTask, but not for the account with a cap.
+	fewTasks, workersPerTask = 5, 4
 	// clientHost is the host of all calls.
 	clientHost = "a.example"
 )
@@ -29,6 +32,8 @@
 	account string
 	http    *http.Client
 	rand    *rand.Rand
+	// maxTasks is the largest number of tasks in the first step of a job.
+	maxTasks int
 
 	mu        sync.Mutex
 	submitted int
@@ -43,7 +48,7 @@
 
 func newClients(s *soak, account string, seed int64) *clients {
 	return &clients{
-		soak: s, account: account, http: &http.Client{Timeout: requestTimeout}, rand: rand.New(rand.NewSource(seed)),
+		soak: s, account: account, http: &http.Client{Timeout: requestTimeout}, rand: rand.New(rand.NewSource(seed)), maxTasks: fewTasks,
 		outstanding: make(map[string]bool), onlyRefused: make(map[string]bool),
 	}
 }
@@ -59,7 +64,7 @@
 // submit submits one job, with up to four attempts at random entries, and records
 // whether it was accepted.
 func (c *clients) submit(id string) {
-	job := newJob(c.rand, 5)
+	job := newJob(c.rand, c.maxTasks)
 	body, err := job.RequestBody()
 	if err != nil {
 		panic("soak: can't encode a job: " + err.Error())
--- a/soak/restarter_test.go
+++ b/soak/restarter_test.go
@@ -14,7 +14,7 @@
 // newTestRestarter returns the restarter of a soak with workers of both pools.
 func newTestRestarter(enabled bool, seed int64) *restarter {
 	s := &soak{checks: newTestChecks(), upgrade: newUpgrade("new", ""), mainWorkers: 4}
-	for i := range 4 + bulkWorkers {
+	for i := range 4 + 4/workersPerBulk {
 		s.workers = append(s.workers, &worker{id: fmt.Sprintf("i-%d", i)})
 	}
 	s.restarter = newRestarter(s, enabled, seed)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -115,6 +115,7 @@
 	s.restarter = newRestarter(s, restarts, seed)
 	s.delayer = newDelayer(s, restarts, seed)
 	s.clients = newClients(s, steadyAccount, seed+1)
+	s.clients.maxTasks = max(fewTasks, workers/workersPerTask)
 	s.hot = newClients(s, hotAccount, -seed)
 	if err := s.accounts.change(hotCaps[0], true); err != nil {
 		return nil, err
@@ -133,7 +134,7 @@
 			return nil, err
 		}
 	}
-	for i := range bulkWorkers {
+	for i := range workers / workersPerBulk {
 		if err := s.addWorker(fmt.Sprintf("b-%d", i), bulkPool); err != nil {
 			return nil, err
 		}
