Stand-in: the members of a gang work only together

Cause: workers of the stand-in ran each member of a gang on its own, and one end stands for all: a gang of 55 counted as done 0.3 s after a single member had started, and its job as completed, while orders to start the others were under way.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -65,8 +65,8 @@
 	started map[string]bool
 	// jobs holds what clients have submitted.
 	jobs map[string]stand.Job
-	// gangs holds the steps that are gangs, by the keys of their tasks.
-	gangs map[string]bool
+	// gangs holds the numbers of members of the steps that are gangs, by the keys of their tasks.
+	gangs map[string]int
 	// completed has when each job was first shown as completed.
 	completed  map[string]time.Time
 	runs       int
@@ -77,7 +77,7 @@
 	return &checks{
 		events: events, running: make(map[string][]stand.Run), done: make(map[string][]runID),
 		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), strayEnds: make(map[runID]bool), orders: make(map[order]bool), crashes: make(map[string]int), started: make(map[string]bool), jobs: make(map[string]stand.Job),
-		gangs: make(map[string]bool), completed: make(map[string]time.Time),
+		gangs: make(map[string]int), completed: make(map[string]time.Time),
 	}
 }
 
@@ -88,15 +88,22 @@
 	c.jobs[id] = job
 	for i, step := range job.Steps {
 		if step.Gang {
-			c.gangs[fmt.Sprintf("%s.0.%d", id, i)] = true
+			c.gangs[fmt.Sprintf("%s.0.%d", id, i)] = step.Tasks
 		}
 	}
 }
 
+// gangSize returns the number of members of a task's gang; 0 if the task is in none.
+func (c *checks) gangSize(task string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gangs[stepOf(task)]
+}
+
 // key returns the key of a task in done: its step if that is a gang, whose members succeed together;
 // otherwise the task itself. c.mu must be held.
 func (c *checks) key(task string) string {
-	if step := stepOf(task); c.gangs[step] {
+	if step := stepOf(task); c.gangs[step] > 0 {
 		return step
 	}
 	return task
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,7 @@
 	// workers are those of the main pool, mainWorkers in number, and those of the bulk pool.
 	workers     []*worker
 	mainWorkers int
+	gangs       *stand.Gangs
 	checks      *checks
 	clients     *clients
 	hot         *clients
@@ -108,6 +109,7 @@
 	if seed%calmSeeds == 0 {
 		s.maxPause = maxCalmPause
 	}
+	s.gangs = stand.NewGangs(s.checks.gangSize)
 	s.accounts = newAccounts(s, accounts, seed)
 	s.checks.usage = s.accounts.usage
 	s.cutter = newCutter(s, seed+2)
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -55,6 +55,7 @@
 		// With the longest tasks the few workers of this pool couldn't complete their jobs in time.
 		incarnation.RunTime = formerRunTime
 	}
+	incarnation.Gangs = s.gangs
 	incarnation.Address = w.proxy.address()
 	w.mu.Lock()
 	defer w.mu.Unlock()
