--- a/soak/checks.go
+++ b/soak/checks.go
@@ -54,6 +54,8 @@
 	acknowledged map[runID]bool
 	// strayEnds holds those of them that only a stray poll has acknowledged: nobody has seen the end.
 	strayEnds map[runID]bool
+	// strayRuns holds the runs that a stray order has started (stand.Run.Stray).
+	strayRuns map[runID]bool
 	// orders holds the orders to start that were carried out, by any incarnation.
 	orders map[order]bool
 	// crashes counts, by task, the workers that were killed under it. givenUp counts the jobs that are shown as failed and
@@ -76,7 +78,7 @@
 func newChecks(events *events) *checks {
 	return &checks{
 		events: events, running: make(map[string][]stand.Run), done: make(map[string][]runID),
-		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), strayEnds: make(map[runID]bool), orders: make(map[order]bool), crashes: make(map[string]int), started: make(map[string]bool), jobs: make(map[string]stand.Job),
+		everDone: make(map[string]bool), acknowledged: make(map[runID]bool), strayEnds: make(map[runID]bool), strayRuns: make(map[runID]bool), orders: make(map[order]bool), crashes: make(map[string]int), started: make(map[string]bool), jobs: make(map[string]stand.Job),
 		gangs: make(map[string]int), completed: make(map[string]time.Time),
 	}
 }
@@ -117,12 +119,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if run.Stray {
+		c.strayRuns[runIDOf(run)] = true
+	}
+	start := c.describe(runIDOf(run))
 	c.events.add("%s run %d starts on %s", run.Task, run.Number, run.Worker)
 	c.runs++
 	job := jobOf(run.Task)
 	c.started[job] = true
 	for _, other := range c.running[run.Task] {
-		c.addLocked(fmt.Sprintf("TWICE: %s run %d on %s and run %d on %s at the same time", run.Task, other.Number, other.Worker, run.Number, run.Worker))
+		c.addLocked(fmt.Sprintf("TWICE: %s and %s at the same time", c.describe(runIDOf(other)), start))
 	}
 	one := runIDOf(run).order()
 	// A duplicate is an order that a former incarnation has carried out, also.
@@ -131,16 +137,25 @@
 	for _, done := range c.done[c.key(run.Task)] {
 		// The members of one run of a gang share its number, and may start after another member has ended.
 		if done.task == run.Task || done.number != run.Number {
-			c.addStart(c.strayEnds[done] || duplicate && done.order() == one, fmt.Sprintf("TWICE: %s run %d on %s starts after %s run %d on %s was done (%s)", run.Task, run.Number, run.Worker, done.task, done.number, done.worker,
-				c.acknowledgement(done)))
+			c.addStart(c.strayEnds[done] || duplicate && done.order() == one, fmt.Sprintf("TWICE: %s starts after %s was done (%s)", start,
+				c.describe(done), c.acknowledgement(done)))
 		}
 	}
 	if at, ok := c.completed[job]; ok && run.Started.Sub(at) > completedSlack {
-		c.addStart(duplicate, fmt.Sprintf("TWICE: %s run %d on %s starts %v after its job was shown as completed", run.Task, run.Number, run.Worker, run.Started.Sub(at)))
+		c.addStart(duplicate, fmt.Sprintf("TWICE: %s starts %v after its job was shown as completed", start, run.Started.Sub(at)))
 	}
 	c.running[run.Task] = append(c.running[run.Task], run)
 }
 
+// describe names a run in a finding, and says whether a stray order has started it. c.mu must be held.
+func (c *checks) describe(run runID) string {
+	description := fmt.Sprintf("%s run %d on %s", run.task, run.number, run.worker)
+	if c.strayRuns[run] {
+		description += " (by a stray order)"
+	}
+	return description
+}
+
 // RunEnded implements stand.RunObserver. It counts a finished task as done before the
 // worker has reported the end; markEndsLost reverts that if the worker is killed first.
 func (c *checks) RunEnded(run stand.Run) {
--- a/soak/restarter_test.go
+++ b/soak/restarter_test.go
@@ -177,6 +177,7 @@
 		before(c, former)
 		c.RunStarted(strayRun(former))
 		is.Equal(len(c.findings()), 1) // name
+		is.True(strings.Contains(c.findings()[0], testTask+" run 1 on i-0 (by a stray order)"))
 		is.True(name != "")
 	}
 }
