The first answer after a restart already refuses what was sent to a worker before

The workers restart; the holder sees it by the first answer, whose poll has the same epoch as those orders. The poll with the raised epoch is lost, and counts as overdue only 0.75 s later; a second holder is replaced. Meanwhile the new incarnations carry the orders out that were sent before. Cause: the epoch was raised only once a restart was known, so the call that shows it could not fence. Change: the epoch of calls to a worker is raised when it falls silent as well (half of a tenure's epochs at most), so the first call that a restarted worker answers is already above all that were sent before the silence. An order that a worker refuses for an epoch raised since, without a restart, is sent again.

--- a/flow/fencing.go
+++ b/flow/fencing.go
@@ -4,11 +4,27 @@
 
 // A worker that has restarted knows no epoch, so it would carry out calls to its former incarnations, which have arrived
 // late. The holder raises the epoch of its calls to the worker with each restart that it sees. Once the worker has
-// answered a poll with the raised epoch, none of these calls can take effect any more.
+// answered a poll with the raised epoch, none of these calls can take effect any more. A worker that falls silent may be
+// restarting: its epoch is raised then, so that the first answer after a restart already refuses what was sent before.
+
+// maxSilenceEpochs limits the epochs of a tenure that a worker uses up by silence, so that enough are left for restarts.
+const maxSilenceEpochs = int(endive.EpochsPerTenure) / 2
 
 // epochFor returns the epoch of calls to the worker.
 func (m *Machine) epochFor(w *worker) endive.Epoch {
-	return m.tenure.epoch.AfterRestarts(w.incarnations)
+	return m.tenure.epoch.AfterRestarts(w.epochsUsed())
+}
+
+// epochsUsed returns how many lower epochs of the tenure the worker has used up.
+func (w *worker) epochsUsed() int { return w.incarnations + w.silences }
+
+// countSilence raises the epoch of calls to a worker that has fallen silent.
+func (m *Machine) countSilence(w *worker) {
+	if !w.answered() || w.silences >= maxSilenceEpochs || w.epochsUsed()+1 >= int(endive.EpochsPerTenure) {
+		return
+	}
+	w.silences++
+	m.silences[w.id] = w.silences
 }
 
 // countIncarnation counts an incarnation of a worker, and returns the number of earlier ones in this tenure.
@@ -33,16 +49,21 @@
 
 // awaitsFence reports whether the next poll tells the worker a higher epoch than any that was sent to its earlier
 // incarnations.
-func (w *worker) awaitsFence() bool { return !w.fenced && w.incarnations < int(endive.EpochsPerTenure) }
+func (w *worker) awaitsFence() bool { return !w.fenced && w.epochsUsed() < int(endive.EpochsPerTenure) }
 
-// handleRefusedEpoch handles that a worker refused the epoch of an order of a run. If the order was sent to an earlier
-// incarnation, it was refused as it should be, and the next poll shows what the worker has of the run.
-func (m *Machine) handleRefusedEpoch(r *run) {
-	if r.sentTo == r.worker.incarnations {
+// handleRefusedEpoch handles that a worker refused the epoch of an order of a run, and reports whether that is all. If the
+// order was sent to an earlier incarnation, it was refused as it should be, and the next poll shows what the worker has of
+// the run. If the worker has only been silent since, the order is to be sent again.
+func (m *Machine) handleRefusedEpoch(r *run) bool {
+	switch {
+	case r.sentEpochs == r.worker.epochsUsed():
 		m.handleFenced("worker " + string(r.worker.id))
-		return
+		return true
+	case r.isOnFormer():
+		m.pollNow(r.worker)
+		return true
 	}
-	m.pollNow(r.worker)
+	return false
 }
 
 // isOnFormer reports whether the last order of the run was sent to an earlier incarnation of its worker.
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -93,6 +93,8 @@
 	startCount int64
 	// incarnations counts the incarnations of each worker that this tenure has known.
 	incarnations map[endive.WorkerID]int
+	// silences counts the times at which the epoch of calls to a worker was raised since it had fallen silent.
+	silences map[endive.WorkerID]int
 }
 
 // New returns the machine of a pool that this entry doesn't hold yet.
@@ -127,6 +129,7 @@
 	m.unreadReports = make(map[endive.WorkerID]*worker)
 	m.startCount = 0
 	m.incarnations = make(map[endive.WorkerID]int)
+	m.silences = make(map[endive.WorkerID]int)
 }
 
 // Step implements endive.Machine.
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -88,7 +88,7 @@
 	}
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
-	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, sentTo: w.incarnations, renews: order.LeaseEnd > 0}
+	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, sentTo: w.incarnations, sentEpochs: w.epochsUsed(), renews: order.LeaseEnd > 0}
 	m.probes.calls[pollCall{w.id, w.poll.id}] = true
 	w.poll.sentAt, w.poll.immediate, w.poll.recorded = m.now, maxWait == 0, order.Recorded
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
--- a/flow/pollfailure.go
+++ b/flow/pollfailure.go
@@ -29,6 +29,7 @@
 		return
 	}
 	if w.failedPolls == 0 {
+		m.countSilence(w)
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: m.describeFailure(w, e, reason)})
 	}
 	m.recordPollFailure(w, e.Result)
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -23,8 +23,8 @@
 	m.recordLatePoll(w, sent, e.Result)
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
 	switch {
-	case e.Answer.Refused == endive.RefusalEpoch && sent.sentTo < w.incarnations:
-		// The poll was sent to an earlier incarnation, and the worker has received a higher epoch since.
+	case e.Answer.Refused == endive.RefusalEpoch && sent.sentEpochs < w.epochsUsed():
+		// The worker has received a call with a higher epoch of this tenure since.
 	case current && !answered:
 		m.handlePollFailure(w, e)
 	case current || answered && w.acceptsLateReport(e.Report):
--- a/flow/pollstate.go
+++ b/flow/pollstate.go
@@ -29,6 +29,8 @@
 	sentAt time.Time
 	// sentTo is the number of the worker's incarnation to which the poll was sent.
 	sentTo int
+	// sentEpochs is what epochsUsed was then.
+	sentEpochs int
 	// renews is true if the poll renews the worker's leases.
 	renews bool
 }
--- a/flow/run.go
+++ b/flow/run.go
@@ -25,6 +25,8 @@
 	inFlight bool
 	// sentTo is the number of the worker's incarnation to which that order was sent, or which has shown the run first.
 	sentTo int
+	// sentEpochs is what the worker's epochsUsed was when that order was sent.
+	sentEpochs int
 	// sentAt is when that order was sent, and sentClock the reading of the worker's clock that was known then. sentStart is
 	// true if it was an order to start.
 	sentAt    time.Time
@@ -231,6 +233,7 @@
 // recordSent records that an order is sent now, to start the run or to stop it.
 func (r *run) recordSent(now time.Time, start bool) {
 	r.inFlight, r.sentStart, r.sentTo, r.sentAt, r.sentClock = true, start, r.worker.incarnations, now, r.worker.clock
+	r.sentEpochs = r.worker.epochsUsed()
 }
 
 // readClock records the worker's clock in the answer to an order of the run, if the answer is surely from the known
--- a/flow/startresult.go
+++ b/flow/startresult.go
@@ -53,8 +53,7 @@
 		}
 		return
 	}
-	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
-		m.handleRefusedEpoch(r)
+	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch && m.handleRefusedEpoch(r) {
 		return
 	}
 	if r.state == runRunning {
@@ -120,7 +119,7 @@
 	case e.Result == OrderNotSent, e.Result == OrderRefused:
 		w.health.avoidUntil = m.now.Add(refusalPause)
 		w.poll.nextAt = m.now
-	case e.Answer.Refused == endive.RefusalLeaseExpired && retry:
+	case (e.Answer.Refused == endive.RefusalLeaseExpired || e.Answer.Refused == endive.RefusalEpoch) && retry:
 		m.sendStart(r)
 		return
 	case e.Answer.Refused == endive.RefusalOldRun:
--- a/flow/stop.go
+++ b/flow/stop.go
@@ -35,11 +35,11 @@
 	r.inFlight = false
 	m.markChanged(r.worker)
 	r.readClock(e.Answer.Clock, m.now)
-	if e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch {
-		m.handleRefusedEpoch(r)
+	refusedEpoch := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalEpoch
+	if refusedEpoch && m.handleRefusedEpoch(r) {
 		return
 	}
-	confirmed := e.Result == OrderAnswered && e.Answer.Refused != endive.RefusalUnhealthy && e.Answer.Refused != endive.RefusalInvalid
+	confirmed := e.Result == OrderAnswered && !refusedEpoch && e.Answer.Refused != endive.RefusalUnhealthy && e.Answer.Refused != endive.RefusalInvalid
 	if confirmed {
 		// From now on the worker refuses to start this run.
 		r.confirmedStep = m.stepCount
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -45,7 +45,9 @@
 	// incarnations counts the earlier incarnations of the worker that this tenure has known. fenced is true once the newest
 	// incarnation has answered a poll that was sent to it: from then on it refuses calls to earlier ones.
 	incarnations int
-	fenced       bool
+	// silences counts how often the epoch of calls to the worker was raised since it had fallen silent.
+	silences int
+	fenced   bool
 	// oldLeasesExpireAt is when leases of an earlier incarnation have surely expired.
 	oldLeasesExpireAt time.Time
 	// lateCallsUntil is until when a call with a lease that got no answer may still be carried out.
@@ -173,7 +175,7 @@
 // trackWorker adds a worker that this tenure hasn't known, or has removed. Then it may have restarted since.
 func (m *Machine) trackWorker(id endive.WorkerID) *worker {
 	w := newWorker(id)
-	w.incarnations = m.countIncarnation(id)
+	w.incarnations, w.silences = m.countIncarnation(id), m.silences[id]
 	m.workers[id] = w
 	return w
 }
