The end of a former run of a gang's member doesn't stop the run that goes on

Found while the soak's gangs were made to wait for each other: a late order starts a member of a former run of the gang on an executor that has restarted; it ends (alone, stopped, lapsed), and the holder stopped all members of the current run for it. Cause: any end but a success of a member aborted the gang, whichever run it was of. Change: only ends of the gang's current run do. Evidence: TestEndOfFormerRunDoesntAbortGang, 4 of 4 cases fail before (the gang starts anew) and pass; go test ./flow passes.

--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -165,7 +165,7 @@
 	if t.state >= taskSucceeded && t.run != nil {
 		m.stopRun(t.run, "an earlier run of the task has succeeded")
 	}
-	if end.Kind != endive.EndSucceeded {
+	if end.Kind != endive.EndSucceeded && end.Run == t.step.gang.run {
 		m.abortGang(t.step, "a member of the gang ended: "+string(end.Kind))
 	}
 }
