--- a/soak/soak.go
+++ b/soak/soak.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	advice, err := s.serve(stand.AdviceService{ValidityMillis: 2000})
+	advice, err := s.serve(stand.AdviceService{ValidityMillis: 2000, Life: s.life})
 	if err != nil {
 		return nil, err
 	}
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -47,6 +47,14 @@
 	return s.workers[slices.IndexFunc(s.workers, func(w *worker) bool { return w.id == id })]
 }
 
+// life returns the name of a worker's incarnation.
+func (s *soak) life(worker string) string {
+	w := s.worker(worker)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.incarnation.Life()
+}
+
 // startWorker starts a new incarnation of a worker behind its proxy.
 func (s *soak) startWorker(w *worker) {
 	fails := func(string) bool { return false }
