The members of a gang wait for late orders on workers that have restarted, too

Change: a task whose run is removed waits without a run, if an order to start it got no answer and its worker has restarted since: until the order can't be carried out any more, and for the longest lease if the worker hasn't answered after that. The gang's other members are stopped at once, as before. Long-running tasks don't wait.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -16,6 +16,14 @@
 // maxCallDelay is how much later a worker may carry out a call that got no answer.
 const maxCallDelay = 12 * time.Second
 
+// lateStart is the last order to start a task that got no answer.
+type lateStart struct {
+	// until is when it can't be carried out any more.
+	until time.Time
+	// sentTo is the number of the worker's incarnation that was known when no answer had come.
+	sentTo int
+}
+
 // longestLease returns the longest time for which a worker can hold a lease after it has carried out a call, by the
 // holder's clock.
 func (m *Machine) longestLease() time.Duration {
@@ -55,7 +63,7 @@
 		w.startAnsweredAt = m.now
 	case OrderUnknown:
 		w.lateCallsUntil = endive.Latest(w.lateCallsUntil, m.now.Add(maxCallDelay))
-		w.lateStarts[e.Task] = m.now.Add(maxCallDelay)
+		w.lateStarts[e.Task] = lateStart{until: m.now.Add(maxCallDelay), sentTo: w.incarnations}
 	case OrderNotSent, OrderRefused:
 	}
 }
@@ -84,21 +92,48 @@
 
 // isKnownPlace reports whether the run is on the known incarnation of its worker, and can be on no later one.
 func (r *run) isKnownPlace() bool {
-	return r.reported && !r.worker.lateStarts[r.id].After(r.worker.seenAliveAt())
+	return r.reported && !r.worker.lateStarts[r.id].until.After(r.worker.seenAliveAt())
 }
 
-// mayStartLate reports whether the task of a run waits until an order to start it on the run's worker can't be carried out
-// late any more. Long-running tasks don't wait for that, nor do gangs, whose other members would wait with them.
+// mayStartLate reports whether a run stays until an order to start it on its worker can't be carried out late any more.
+// Long-running tasks don't wait for that. Members of gangs wait without a run, so that the others can be stopped.
 func (m *Machine) mayStartLate(r *run) bool {
 	if r.spec == nil || r.spec.LongRunning || r.spec.Gang {
 		return false
 	}
-	return r.worker.lateStarts[r.id].After(m.now)
+	return r.worker.lateStarts[r.id].until.After(m.now)
+}
+
+// recordLateStart records that a task whose run is removed may be started late by the run's worker, if that has restarted
+// since: it may do so again, and the next incarnation refuses nothing. Long-running tasks don't wait for that.
+func (r *run) recordLateStart() {
+	late := r.worker.lateStarts[r.id]
+	if late.sentTo < r.worker.incarnations && !r.task.step.spec.LongRunning {
+		r.task.lateOn, r.task.lateUntil = r.worker, late.until
+	}
+}
+
+// awaitsLateStart reports whether a task without a run waits until an order to start it can't be carried out late any more.
+// If the worker hasn't answered since, the order may just have been carried out.
+func (m *Machine) awaitsLateStart(t *task) bool {
+	if t.lateOn == nil {
+		return false
+	}
+	until := t.lateUntil
+	if !until.After(m.now) && t.lateOn.seenAliveAt().Before(until) {
+		until = until.Add(m.longestLease())
+	}
+	if !until.After(m.now) {
+		t.lateOn = nil
+		return false
+	}
+	m.schedulePass(until)
+	return true
 }
 
 // forgetLateStarts forgets the orders to start that can't be carried out late any more, now that the worker has answered.
 func (w *worker) forgetLateStarts() {
-	maps.DeleteFunc(w.lateStarts, func(_ endive.TaskID, until time.Time) bool { return !until.After(w.seenAliveAt()) })
+	maps.DeleteFunc(w.lateStarts, func(_ endive.TaskID, late lateStart) bool { return !late.until.After(w.seenAliveAt()) })
 }
 
 // expiredRuns returns the runs of a worker whose leases have surely expired, in the order of these times.
--- a/flow/job.go
+++ b/flow/job.go
@@ -123,6 +123,9 @@
 	savedPercent int
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
+	// lateOn is the worker that may start the task late, until lateUntil; nil for none.
+	lateOn    *worker
+	lateUntil time.Time
 	// shortRuns counts the runs in a row that ended soon after their start without a result.
 	shortRuns int
 	// avoidWorker is the worker on which the last run failed, was refused or was too slow.
--- a/flow/latetakeover_test.go
+++ b/flow/latetakeover_test.go
@@ -43,11 +43,18 @@
 // the run. Then it restarts again, as the platform's list shows, and is cut off, so that no token reaches this incarnation,
 // which carries the order out late. Until it surely can't any more, the task must not start elsewhere.
 func TestLateOrderReachesIncarnationAfterFencedOne(t *testing.T) {
+	for name, step := range map[string]endive.Step{"a task": stepOfTasks(1, 30*time.Second), "a gang": gangOf(2, 30*time.Second)} {
+		t.Run(name, func(t *testing.T) { checkLateOrderAfterFence(t, step) })
+	}
+}
+
+func checkLateOrderAfterFence(t *testing.T, step endive.Step) {
+	t.Helper()
 	is := is.New(t)
 	w, _ := newLoneWorkerSimulation(t)
 	worker := w.workers["w0"]
 	w.faults.lateOrder, w.lateness = 1, maxLateness-2*time.Second
-	w.submit("job", urgentQueue, stepOfTasks(1, 30*time.Second))
+	w.submit("job", urgentQueue, step)
 	w.run(30050 * time.Millisecond)
 	w.faults.lateOrder = 0
 	worker.unreachable = true
@@ -65,5 +72,6 @@
 	w.addWorker("w9", testCapacity, endive.Label("rack0"))
 	w.run(90 * time.Second)
 	w.checkViolations()
-	is.True(w.starts >= 2) // the late start, and one elsewhere after its lease
+	is.Equal(len(w.unfencedStarts), 0)
+	is.True(w.starts >= 2*step.Tasks) // the late starts, and others elsewhere after their leases
 }
--- a/flow/run.go
+++ b/flow/run.go
@@ -177,6 +177,7 @@
 	if t.state == taskPlaced {
 		t.state = taskWaiting
 		t.step.waiting++
+		r.recordLateStart()
 	}
 	m.removeIfEnded(t.step.occ.job)
 }
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -214,7 +214,7 @@
 		m.schedulePass(t.notBefore)
 		return false
 	}
-	if m.mayBeHidden(t) || !m.settlePendingRun(t) || m.awaitsProof(t) {
+	if m.awaitsLateStart(t) || m.mayBeHidden(t) || !m.settlePendingRun(t) || m.awaitsProof(t) {
 		return false
 	}
 	m.judgeBeforeStart(t)
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -52,8 +52,8 @@
 	oldLeasesExpireAt time.Time
 	// lateCallsUntil is until when a call with a lease that got no answer may still be carried out.
 	lateCallsUntil time.Time
-	// lateStarts has the tasks of which an order to start that got no answer may still be carried out, and until when.
-	lateStarts map[endive.TaskID]time.Time
+	// lateStarts has the tasks of which an order to start that got no answer may still be carried out.
+	lateStarts map[endive.TaskID]lateStart
 	// lastLeaseAt is when the last call with a lease was sent.
 	lastLeaseAt time.Time
 	// startAnsweredAt is when the last answer to an order to start arrived, of whatever incarnation.
@@ -181,7 +181,7 @@
 }
 
 func newWorker(id endive.WorkerID) *worker {
-	w := &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool), lateStarts: make(map[endive.TaskID]time.Time)}
+	w := &worker{id: id, runs: make(map[endive.TaskID]*run), unrecordedEnds: make(map[endive.EndNumber]bool), lateStarts: make(map[endive.TaskID]lateStart)}
 	w.poll.open = make(map[PollID]openPoll)
 	return w
 }
