--- a/soak/soak.go
+++ b/soak/soak.go
@@ -174,16 +174,16 @@
 	if err != nil {
 		return err
 	}
-	var ports [4]string
-	for n := range ports {
-		if ports[n], err = freeAddress(entryPorts); err != nil {
+	var addresses [4]string
+	for n := range addresses {
+		if addresses[n], err = freeAddress(entryPorts); err != nil {
 			return err
 		}
 	}
-	e := &entry{name: fmt.Sprintf("entry-%d", i), clientAddress: ports[0], storeProxy: storeProxy}
+	e := &entry{name: fmt.Sprintf("entry-%d", i), clientAddress: addresses[0], storeProxy: storeProxy}
 	e.settings = filepath.Join(s.dir, e.name+".toml")
 	settings := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\n[listen]\ncallers = %q\nhealth = %q\npeers = %q\nmetrics = %q\n"+
-		"[platform]\nstore = %q\nadvice = %q\n[limits]\ncores = 1\n", e.name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), advice)
+		"[platform]\nstore = %q\nadvice = %q\n[limits]\ncores = 1\n", e.name, addresses[0], addresses[1], addresses[2], addresses[3], storeProxy.address(), advice)
 	settings += s.accounts.settings()
 	if err := os.WriteFile(e.settings, []byte(settings), 0o644); err != nil {
 		return err
