--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -23,8 +23,8 @@
 	m.recordLatePoll(w, sent, e.Result)
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
 	switch {
-	case e.Answer.Refused == endive.RefusalEpoch && sent.sentTo < w.incarnations:
-		// The poll was sent to an earlier incarnation, and the worker has received a higher epoch since.
+	case e.Answer.Refused == endive.RefusalEpoch && sent.sentEpochs < w.epochsUsed():
+		// The worker has received a call with a higher epoch of this tenure since.
 	case current && !answered:
 		m.handlePollFailure(w, e)
 	case current || answered && w.acceptsLateReport(e.Report):
@@ -165,7 +165,7 @@
 	if t.state >= taskSucceeded && t.run != nil {
 		m.stopRun(t.run, "an earlier run of the task has succeeded")
 	}
-	if end.Kind != endive.EndSucceeded {
+	if end.Kind != endive.EndSucceeded && end.Run == t.step.gang.run {
 		m.abortGang(t.step, "a member of the gang ended: "+string(end.Kind))
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,13 +39,17 @@
 	store     *stand.Store
 	peerLinks *peerLinks
 	entries   []*entry
-	workers   []*worker
-	checks    *checks
-	clients   *clients
-	hot       *clients
-	accounts  *accounts
-	cutter    *cutter
-	restarter *restarter
+	// workers are those of the main pool, mainWorkers in number, and those of the bulk pool.
+	workers     []*worker
+	mainWorkers int
+	gangs       *stand.Gangs
+	checks      *checks
+	clients     *clients
+	hot         *clients
+	accounts    *accounts
+	cutter      *cutter
+	restarter   *restarter
+	delayer     *delayer
 	// maxPause is the longest pause between two faults.
 	maxPause   time.Duration
 	faultCount int
@@ -100,17 +104,20 @@
 	}
 	s := &soak{
 		dir: dir, upgrade: upgrade, rand: rand.New(rand.NewSource(seed)), store: stand.NewStore(), checks: newChecks(&events{log: log}),
-		maxPause: maxFaultPause, stopped: make(chan struct{}),
+		mainWorkers: workers, maxPause: maxFaultPause, stopped: make(chan struct{}),
 	}
 	if seed%calmSeeds == 0 {
 		s.maxPause = maxCalmPause
 	}
+	s.gangs = stand.NewGangs(s.checks.gangSize)
 	s.accounts = newAccounts(s, accounts, seed)
 	s.checks.usage = s.accounts.usage
 	s.cutter = newCutter(s, seed+2)
 	s.checks.cutter = s.cutter
 	s.restarter = newRestarter(s, restarts, seed)
+	s.delayer = newDelayer(s, restarts, seed)
 	s.clients = newClients(s, steadyAccount, seed+1)
+	s.clients.maxTasks = max(fewTasks, workers/workersPerTask)
 	s.hot = newClients(s, hotAccount, -seed)
 	if err := s.accounts.change(hotCaps[0], true); err != nil {
 		return nil, err
@@ -120,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	advice, err := s.serve(stand.AdviceService{ValidityMillis: 2000})
+	advice, err := s.serve(stand.AdviceService{ValidityMillis: 2000, Life: s.life})
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +136,7 @@
 			return nil, err
 		}
 	}
-	for i := range bulkWorkers {
+	for i := range workers / workersPerBulk {
 		if err := s.addWorker(fmt.Sprintf("b-%d", i), bulkPool); err != nil {
 			return nil, err
 		}
@@ -167,16 +174,16 @@
 	if err != nil {
 		return err
 	}
-	var ports [4]string
-	for n := range ports {
-		if ports[n], err = freeAddress(entryPorts); err != nil {
+	var addresses [4]string
+	for n := range addresses {
+		if addresses[n], err = freeAddress(entryPorts); err != nil {
 			return err
 		}
 	}
-	e := &entry{name: fmt.Sprintf("entry-%d", i), clientAddress: ports[0], storeProxy: storeProxy}
+	e := &entry{name: fmt.Sprintf("entry-%d", i), clientAddress: addresses[0], storeProxy: storeProxy}
 	e.settings = filepath.Join(s.dir, e.name+".toml")
 	settings := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\n[listen]\ncallers = %q\nhealth = %q\npeers = %q\nmetrics = %q\n"+
-		"[platform]\nstore = %q\nadvice = %q\n[limits]\ncores = 1\n", e.name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), advice)
+		"[platform]\nstore = %q\nadvice = %q\n[limits]\ncores = 1\n", e.name, addresses[0], addresses[1], addresses[2], addresses[3], storeProxy.address(), advice)
 	settings += s.accounts.settings()
 	if err := os.WriteFile(e.settings, []byte(settings), 0o644); err != nil {
 		return err
@@ -254,6 +261,7 @@
 		s.cutter.beginSeries()
 	}
 	go s.restarter.run(ctx)
+	go s.delayer.run(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rand.Int63n(int64(s.maxPause))))
 		s.injectFault(time.Duration(s.rand.Int63n(int64(maxFaultDuration))))
