--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -26,7 +26,7 @@
 const (
 	// cellMaxConnections limits the connections to one address of the platform.
 	cellMaxConnections = 48
-	// workerMaxConnections limits the connections to one worker: one more than the polls that may wait there. A worker
+	// workerMaxConnections limits the connections to one worker: a poll takes one, and orders wait for the others. A worker
 	// doesn't learn that an entry has lost power, and its connections go on counting towards the worker's limit.
 	workerMaxConnections = 4
 	cellDialTimeout      = endive.Interval(700 * time.Millisecond)
