--- a/flow/progress.go
+++ b/flow/progress.go
@@ -95,13 +95,14 @@
 	if value = encodeRow(progress); len(value) <= maxRowBytes {
 		return value
 	}
-	packed := progress.encodePacked()
 	progress.dropFromTasks(dropUnprovenWorkers)
 	if value = encodeRow(progress); len(value) <= maxRowBytes {
 		return value
 	}
-	if len(packed) <= maxRowBytes {
-		return packed
+	whole := j.progress()
+	whole.packFinished()
+	if value = whole.encodePacked(); len(value) <= maxRowBytes {
+		return value
 	}
 	return progress.encodeCut()
 }
