Only silence uses up a worker's epochs; the latest late start counts

Cause: an answer that the worker is busy counted as silence, and when the sixteen epochs of a tenure for that were used up nothing said so. A task that two workers may start late waited for the one that was recorded last, which may have been none (both found by the review).

Change: as the subject says, with a log line (epochs used up).

--- a/flow/fencing.go
+++ b/flow/fencing.go
@@ -25,6 +25,10 @@
 	}
 	w.silences++
 	m.silences[w.id] = w.silences
+	if w.silences == maxSilenceEpochs {
+		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "epochs used up", Reason: "the worker has fallen silent " +
+			formatInt(int64(w.silences)) + " times in this tenure; its epoch is raised only with its restarts from now on"})
+	}
 }
 
 // countIncarnation counts an incarnation of a worker, and returns the number of earlier ones in this tenure.
--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -119,7 +119,7 @@
 // since: it may do so again, and the next incarnation refuses nothing. Long-running tasks don't wait for that.
 func (r *run) recordLateStart() {
 	late := r.worker.lateStarts[r.id]
-	if late.sentTo < r.worker.incarnations && !r.task.step.spec.LongRunning {
+	if late.sentTo < r.worker.incarnations && !r.task.step.spec.LongRunning && late.until.After(r.task.lateUntil) {
 		r.task.lateOn, r.task.lateUntil = r.worker, late.until
 	}
 }
--- a/flow/pollfailure.go
+++ b/flow/pollfailure.go
@@ -29,7 +29,9 @@
 		return
 	}
 	if w.failedPolls == 0 {
-		m.countSilence(w)
+		if e.Result != OrderAnswered {
+			m.countSilence(w)
+		}
 		m.logDecision(Decision{Kind: DecisionWorker, Worker: w.id, Outcome: "doesn't answer", Reason: m.describeFailure(w, e, reason)})
 	}
 	m.recordPollFailure(w, e.Result)
