flow's random plays: each incarnation's clock begins at a random number

The clocks of the fakes began at zero but in one test, so that a restarted worker's clock was always behind the former one's.

--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -23,12 +23,15 @@
 	failedTask, lostAdvice float64
 	// storePartitions is true if workers may lose the connection to the store and to later holders.
 	storePartitions bool
+	// randomClocks is true if the clock of each incarnation begins at a random number.
+	randomClocks bool
 }
 
 // drawFaults returns the faults of a seed.
 func drawFaults(seed int64) faults {
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
+		randomClocks: true,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
