flow's random plays: the clocks of four in ten incarnations are 2% slow

Only the play of cuts had slow clocks, on every third worker. Now each incarnation's clock is drawn, in each play.

--- a/flow/cutfaults_test.go
+++ b/flow/cutfaults_test.go
@@ -81,9 +81,6 @@
 	w := newSimulation(t, seed, cutFaults(seed))
 	w.trace, w.renewals = *followTasks, true
 	w.addWorkers(cutWorkers)
-	for i := 0; i < cutWorkers; i += 3 {
-		w.workers[endive.WorkerID(fmt.Sprintf("w%d", i))].slowClock = true
-	}
 	p := &cutPlay{
 		simulation: w, holder: w.startHolder(), cut: make(map[endive.WorkerID]bool),
 		rounds: make(map[endive.TaskID]int), crashed: make(map[endive.TaskID]int), unrecorded: make(map[endive.TaskID]int),
--- a/flow/fakeclock_test.go
+++ b/flow/fakeclock_test.go
@@ -17,13 +17,16 @@
 	return c.start.Add(time.Duration(t) * time.Millisecond)
 }
 
-// drawClockBase draws what the clock of an incarnation shows at its start: zero, or about what the clock of a former one shows,
-// or much more.
-func (w *simulation) drawClockBase() endive.WorkerTime {
-	if !w.faults.randomClocks {
-		return 0
+// drawClock draws the clock of the worker's incarnation: whether it has the lowest rate, and what it shows at the start, which is
+// zero, or about what the clock of a former one shows, or much more.
+func (f *fakeWorker) drawClock() {
+	f.clockBase = 0
+	if f.sim.faults.slowClock > 0 {
+		f.slowClock = f.sim.drawsOf("slowClock").Float64() < f.sim.faults.slowClock
+	}
+	if f.sim.faults.randomClocks {
+		draws := f.sim.drawsOf("clockBase")
+		most := []time.Duration{time.Millisecond, time.Minute, time.Hour}[draws.Intn(3)]
+		f.clockBase = endive.WorkerTime(draws.Int63n(most.Milliseconds()))
 	}
-	draws := w.drawsOf("clockBase")
-	most := []time.Duration{time.Millisecond, time.Minute, time.Hour}[draws.Intn(3)]
-	return endive.WorkerTime(draws.Int63n(most.Milliseconds()))
 }
--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -25,13 +25,15 @@
 	storePartitions bool
 	// randomClocks is true if the clock of each incarnation begins at a random number.
 	randomClocks bool
+	// slowClock is the probability that the clock of an incarnation has the lowest rate.
+	slowClock float64
 }
 
 // drawFaults returns the faults of a seed.
 func drawFaults(seed int64) faults {
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
-		randomClocks: true,
+		randomClocks: true, slowClock: 0.4,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -104,7 +104,8 @@
 	}
 	f.discardEnds()
 	f.incarnation++
-	f.startTime, f.clockBase = f.sim.now, f.sim.drawClockBase()
+	f.startTime = f.sim.now
+	f.drawClock()
 	f.seenAt, f.fenceableAt = time.Time{}, time.Time{}
 	f.epoch, f.leaseEnd, f.lastEnd, f.discardedEnd = 0, 0, 0, 0
 	for _, r := range f.runs {
