--- a/flow/fakeclock_test.go
+++ b/flow/fakeclock_test.go
@@ -22,7 +22,7 @@
 func (f *fakeWorker) drawClock() {
 	f.clockBase = 0
 	if f.sim.faults.slowClock > 0 {
-		f.slowClock = f.sim.drawsOf("slowClock").Float64() < f.sim.faults.slowClock
+		f.slowClock = f.sim.strikes("slowClock", f.sim.faults.slowClock)
 	}
 	if f.sim.faults.randomClocks {
 		draws := f.sim.drawsOf("clockBase")
--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math/rand"
 	"slices"
+	"time"
 )
 
 // faults are the faults that the random plays draw. Each play begins with those of drawFaults and names, with a reason, the
@@ -16,6 +17,9 @@
 	// lateOrder is the probability that an order to start or to stop gets no answer and is carried out seconds later, and
 	// latePoll that of a poll.
 	lateOrder, latePoll float64
+	// cutCall is the probability that a call that is sent while the worker is cut off gets no answer and is carried out after
+	// the cut.
+	cutCall float64
 	// lostWrite is the probability that a transaction doesn't arrive at the store, lostWriteAnswer that its answer is
 	// lost, and lateWrite that it is committed seconds later.
 	lostWrite, lostWriteAnswer, lateWrite float64
@@ -33,7 +37,7 @@
 func drawFaults(seed int64) faults {
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
-		randomClocks: true, slowClock: 0.4,
+		randomClocks: true, slowClock: 0.4, cutCall: 0.3,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
@@ -54,6 +58,20 @@
 	return w.draws[kind]
 }
 
+// strikes reports whether a fault of a kind with its own random numbers happens, and counts it.
+func (w *simulation) strikes(kind string, probability float64) bool {
+	happens := probability > 0 && w.drawsOf(kind).Float64() < probability
+	if happens {
+		w.drawn[kind]++
+	}
+	return happens
+}
+
+// durationOf draws a duration below most for a kind of fault.
+func (w *simulation) durationOf(kind string, most time.Duration) time.Duration {
+	return time.Duration(w.drawsOf(kind).Int63n(int64(most)))
+}
+
 // moreSeeds is the least number of seeds with which each test that draws faults runs.
 var moreSeeds = flag.Int64("seeds", 0, "play at least this number of seeds of each test that draws faults")
 
--- a/flow/fakelate_test.go
+++ b/flow/fakelate_test.go
@@ -6,6 +6,8 @@
 	// minLateness and maxLateness bound by how much later a worker carries out a call that got no answer.
 	minLateness = 2 * time.Second
 	maxLateness = 12 * time.Second
+	// maxAfterCut is the longest time from the end of a cut until a call is carried out that was sent during the cut.
+	maxAfterCut = time.Second
 	// maxUnseenRestart is the longest time for which no answer to a poll shows that a worker has restarted.
 	maxUnseenRestart = 3 * time.Second
 )
@@ -23,16 +25,43 @@
 		lateness = minLateness + w.upTo(maxLateness-minLateness)
 	}
 	worker.recordLostCall()
-	w.after(lateness, func() {
-		if worker.down {
-			return
+	w.after(lateness, func() { worker.takeLate(call) })
+}
+
+// takeLate carries out a call that is late, if an incarnation is up.
+func (f *fakeWorker) takeLate(call func()) {
+	if f.down {
+		return
+	}
+	f.executesLateOrder = true
+	call()
+	f.executesLateOrder = false
+}
+
+// loseCall loses a call to a worker that can't be reached, or lets the worker carry it out soon after it can be reached again.
+func (w *simulation) loseCall(h *holder, worker *fakeWorker, call func()) {
+	worker.recordLostCall()
+	if worker == nil || !worker.isCutOff(h) || !w.strikes("cutCall", w.faults.cutCall) {
+		return
+	}
+	lastAt := w.now.Add(maxLateness)
+	afterCut := w.durationOf("cutCall", maxAfterCut)
+	var retry func()
+	retry = func() {
+		switch {
+		case w.now.After(lastAt):
+		case worker.isCutOff(h):
+			w.after(cutCheckInterval, retry)
+		default:
+			w.after(min(afterCut, lastAt.Sub(w.now)), func() { worker.takeLate(call) })
 		}
-		worker.executesLateOrder = true
-		call()
-		worker.executesLateOrder = false
-	})
+	}
+	w.after(cutCheckInterval, retry)
 }
 
+// isCutOff reports whether calls of a holder don't reach the worker.
+func (f *fakeWorker) isCutOff(h *holder) bool { return f.unreachable || f.unreachableBy(h) }
+
 // restartUnseen starts a worker again under its id. It takes the calls that are meant for the former incarnation, but no
 // answer to a poll shows that for a while. Then the worker is cut off, or answers again.
 func (w *simulation) restartUnseen(worker *fakeWorker) {
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -29,12 +29,12 @@
 		w.after(timeout+time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderNotSent}) })
 		return
 	}
-	if worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder) {
-		worker.recordLostCall()
+	take := h.call(worker, func(f *fakeWorker) endive.OrderAnswer { return f.takePoll(order) })
+	if worker == nil || worker.isCutOff(h) || w.chance(w.faults.lostOrder) {
+		w.loseCall(h, worker, func() { take() })
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		return
 	}
-	take := h.call(worker, func(f *fakeWorker) endive.OrderAnswer { return f.takePoll(order) })
 	if w.chance(w.faults.latePoll) {
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		w.carryOutLate(worker, func() { take() })
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -101,8 +101,8 @@
 		w.after(latency, func() { h.step(answer(OrderAnswered, endive.OrderAnswer{Refused: endive.RefusalIncarnation})) })
 	case worker != nil && worker.terminated:
 		w.after(latency, func() { h.step(answer(OrderRefused, endive.OrderAnswer{})) })
-	case worker == nil || worker.unreachable || worker.unreachableBy(h) || w.chance(w.faults.lostOrder):
-		worker.recordLostCall()
+	case worker == nil || worker.isCutOff(h) || w.chance(w.faults.lostOrder):
+		w.loseCall(h, worker, func() { call() })
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 	case w.chance(w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
--- a/flow/newsimulation_test.go
+++ b/flow/newsimulation_test.go
@@ -11,7 +11,7 @@
 func newSimulation(t *testing.T, seed int64, f faults) *simulation {
 	start := time.Unix(1_800_000_000, 0)
 	return &simulation{
-		t: t, seed: seed, random: rand.New(rand.NewSource(seed)), draws: make(map[string]*rand.Rand), faults: f, start: start, now: start,
+		t: t, seed: seed, random: rand.New(rand.NewSource(seed)), draws: make(map[string]*rand.Rand), drawn: make(map[string]int), faults: f, start: start, now: start,
 		rows: make(map[string]endive.Row), refusedRows: make(map[string]int), workers: make(map[endive.WorkerID]*fakeWorker),
 		jobs: make(map[endive.JobID]*fakeJob), succeeded: make(map[endive.TaskID]bool), everSucceeded: make(map[endive.TaskID]bool), failures: make(map[endive.TaskID]int), failedRuns: make(map[endive.TaskID]int),
 		putAt: make(map[string]time.Time), successCount: make(map[endive.TaskID]int), crashes: make(map[endive.TaskID]int), endedUnder: make(map[endive.TaskID]int), startsAfter: make(map[endive.TaskID]int),
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -19,7 +19,9 @@
 	seed   int64
 	random *rand.Rand
 	// draws are the random numbers of the kinds of faults that have their own.
-	draws      map[string]*rand.Rand
+	draws map[string]*rand.Rand
+	// drawn counts the faults by kind.
+	drawn      map[string]int
 	faults     faults
 	start      time.Time
 	now        time.Time
