flow's random plays: calls are carried out twice, and calls and answers overtake each other

One in ten calls, and one in ten answers, arrive up to 0.2 s (orders) or 0.34 s (polls) later than others, so that newer calls and answers on other connections overtake them. A call whose worker is cut off or ends meanwhile is lost.

--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -20,6 +20,10 @@
 	// cutCall is the probability that a call that is sent while the worker is cut off gets no answer and is carried out after
 	// the cut.
 	cutCall float64
+	// repeatedCall is the probability that a call whose answer is lost is carried out once more seconds later.
+	repeatedCall float64
+	// delayedCall is the probability that a call, or its answer, arrives late but in time, after newer ones.
+	delayedCall float64
 	// lostWrite is the probability that a transaction doesn't arrive at the store, lostWriteAnswer that its answer is
 	// lost, and lateWrite that it is committed seconds later.
 	lostWrite, lostWriteAnswer, lateWrite float64
@@ -37,7 +41,7 @@
 func drawFaults(seed int64) faults {
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
-		randomClocks: true, slowClock: 0.4, cutCall: 0.3,
+		randomClocks: true, slowClock: 0.4, cutCall: 0.3, repeatedCall: 0.3, delayedCall: 0.1,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
--- a/flow/fakelate_test.go
+++ b/flow/fakelate_test.go
@@ -28,6 +28,22 @@
 	w.after(lateness, func() { worker.takeLate(call) })
 }
 
+// repeatLate lets a worker carry out a call whose answer is lost once more, some seconds later.
+func (w *simulation) repeatLate(worker *fakeWorker, call func()) {
+	if w.strikes("repeatedCall", w.faults.repeatedCall) {
+		lateness := minLateness + w.durationOf("repeatedCall", maxLateness-minLateness)
+		w.after(lateness, func() { worker.takeLate(call) })
+	}
+}
+
+// delay draws by how much a call or an answer is delayed, at most most.
+func (w *simulation) delay(most time.Duration) time.Duration {
+	if most <= 0 || !w.strikes("delayedCall", w.faults.delayedCall) {
+		return 0
+	}
+	return w.durationOf("delayedCall", most)
+}
+
 // takeLate carries out a call that is late, if an incarnation is up.
 func (f *fakeWorker) takeLate(call func()) {
 	if f.down {
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -6,6 +6,9 @@
 	"endiveroute.example/endive"
 )
 
+// maxPollDelay is by how much a poll or its answer may be delayed so that it is in time.
+const maxPollDelay = 340 * time.Millisecond
+
 // answerPoll answers a poll at once if the worker has ended runs to report, else when the next
 // run ends or the requested wait is over.
 func (w *simulation) answerPoll(h *holder, poll PollWorker) {
@@ -40,7 +43,12 @@
 		w.carryOutLate(worker, func() { take() })
 		return
 	}
-	w.after(worker.latency(), func() {
+	w.after(worker.latency()+w.delay(maxPollDelay), func() {
+		if worker.terminated || worker.isCutOff(h) {
+			w.loseCall(h, worker, func() { take() })
+			w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
+			return
+		}
 		if taken := take(); taken.Refused != endive.RefusalNone {
 			h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Answer: taken})
 			return
@@ -53,13 +61,14 @@
 			answered = true
 			if worker.unreachable || worker.answersLost || worker.incarnation != incarnation || w.chance(w.faults.lostAnswer) {
 				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
+				w.repeatLate(worker, func() { take() })
 				return
 			}
 			report := worker.report()
 			if worker.answerDelay > 0 {
 				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}) })
 			}
-			w.after(worker.latency()+worker.answerDelay, func() {
+			w.after(worker.latency()+max(worker.answerDelay, w.delay(maxPollDelay)), func() {
 				worker.markSeen(h, report.StartTime)
 				h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderAnswered, Report: report})
 			})
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -85,9 +85,12 @@
 	}
 }
 
+// orderTimeout is how long a holder waits for the answer to an order.
+const orderTimeout = 400 * time.Millisecond
+
 // sendOrder carries out an order at a worker, subject to the simulation's faults.
 func (w *simulation) sendOrder(h *holder, id endive.WorkerID, execute func(*fakeWorker) endive.OrderAnswer, answer func(OrderResult, endive.OrderAnswer) endive.Event) {
-	const timeout = 400 * time.Millisecond
+	const timeout = orderTimeout
 	worker := w.workers[id]
 	latency := worker.latency()
 	if worker != nil {
@@ -114,6 +117,7 @@
 			}
 		})
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
+		w.repeatLate(worker, func() { call() })
 	case 2*latency > timeout:
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 		w.after(latency, func() {
@@ -122,15 +126,35 @@
 			}
 		})
 	default:
-		w.after(latency, func() {
-			if worker.terminated {
-				h.step(answer(OrderUnknown, endive.OrderAnswer{}))
+		w.deliverOrder(h, worker, call, func(r OrderResult, a endive.OrderAnswer) { h.step(answer(r, a)) })
+	}
+}
+
+// deliverOrder lets a worker take an order and delivers the answer, both in time but maybe after newer ones.
+func (w *simulation) deliverOrder(h *holder, worker *fakeWorker, call func() endive.OrderAnswer, answer func(OrderResult, endive.OrderAnswer)) {
+	latency, most := worker.latency(), orderTimeout/2-worker.latency()
+	lose := func(late time.Duration) {
+		w.after(late, func() { answer(OrderUnknown, endive.OrderAnswer{}) })
+	}
+	w.after(latency+w.delay(most), func() {
+		switch {
+		case worker.terminated:
+			answer(OrderUnknown, endive.OrderAnswer{})
+			return
+		case worker.isCutOff(h):
+			w.loseCall(h, worker, func() { call() })
+			lose(orderTimeout - latency)
+			return
+		}
+		orderAnswer := call()
+		w.after(latency+w.delay(most), func() {
+			if worker.isCutOff(h) {
+				lose(orderTimeout / 2)
 				return
 			}
-			orderAnswer := call()
-			w.after(latency, func() { h.step(answer(OrderAnswered, orderAnswer)) })
+			answer(OrderAnswered, orderAnswer)
 		})
-	}
+	})
 }
 
 // load loads the rows for a new tenure, those read when it began or the current ones, or uses the snapshot that was
