flow's random plays: workers restart again soon after a restart, under the same id

The play of cuts counts crashed and unread runs at each end of an incarnation (incarnationEnds), so that these restarts count as well.

--- a/flow/cutfaults_test.go
+++ b/flow/cutfaults_test.go
@@ -86,6 +86,7 @@
 		rounds: make(map[endive.TaskID]int), crashed: make(map[endive.TaskID]int), unrecorded: make(map[endive.TaskID]int),
 		ended: make(map[endive.JobID]endive.WorkflowState),
 	}
+	w.incarnationEnds = p.endIncarnation
 	p.recordEnded()
 	for i := range cutJobs {
 		w.run(time.Second + time.Duration(i)*2*time.Second)
@@ -188,7 +189,6 @@
 	}
 	if p.chance(0.15) {
 		p.after(p.upTo(length), func() {
-			p.endIncarnation(worker)
 			worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
 		})
 	}
@@ -213,11 +213,9 @@
 	p.logCut(worker, "is back")
 	switch p.random.Intn(12) {
 	case 0:
-		p.endIncarnation(worker)
 		worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
 	case 1, 2:
 		// Another worker follows on the machine, at the same address or another.
-		p.endIncarnation(worker)
 		capacity, labels := worker.info.Capacity, worker.info.Labels
 		worker.goDown()
 		worker.unlisted, worker.addressReused = true, p.chance(0.5)
--- a/flow/fakelate_test.go
+++ b/flow/fakelate_test.go
@@ -8,6 +8,8 @@
 	maxLateness = 12 * time.Second
 	// maxAfterCut is the longest time from the end of a cut until a call is carried out that was sent during the cut.
 	maxAfterCut = time.Second
+	// maxUpTime is the longest time until a worker that has restarted restarts again.
+	maxUpTime = 2 * time.Second
 	// maxUnseenRestart is the longest time for which no answer to a poll shows that a worker has restarted.
 	maxUnseenRestart = 3 * time.Second
 )
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -99,6 +99,9 @@
 // startIncarnation resets the worker to a new incarnation.
 func (f *fakeWorker) startIncarnation(capacity endive.Resources, labels []endive.Label) {
 	f.logRuns("ends with its worker's incarnation")
+	if f.sim.incarnationEnds != nil {
+		f.sim.incarnationEnds(f)
+	}
 	for task := range f.runs {
 		f.sim.endedUnder[task]++
 	}
@@ -121,6 +124,23 @@
 	f.info = endive.FleetWorker{
 		ID: f.id, StartTime: f.startTime, Pool: testPool, Address: endive.Address(f.id), Capacity: capacity, Labels: labels, Machine: f.machine,
 	}
+	f.drawRestart()
+}
+
+// drawRestart draws whether another incarnation soon follows this one under the same id, and when the platform shows that.
+func (f *fakeWorker) drawRestart() {
+	w := f.sim
+	if f.incarnation == 1 || !w.strikes("restartAgain", w.faults.restartAgain) {
+		return
+	}
+	incarnation := f.incarnation
+	w.after(w.durationOf("restartAgain", maxUpTime), func() {
+		if f.down || f.incarnation != incarnation {
+			return
+		}
+		f.startIncarnation(f.capacity(), f.info.Labels)
+		w.after(w.durationOf("restartAgain", maxUnseenRestart), w.publishWorkers)
+	})
 }
 
 // restart kills the worker and starts it again at once under the same id, without its state.
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -97,6 +97,8 @@
 	scansFirst bool
 	// putAt is when rows were written by other processes than the holders.
 	putAt map[string]time.Time
+	// incarnationEnds is called before an incarnation of a worker ends; nil for nothing.
+	incarnationEnds func(*fakeWorker)
 	// earlyTakeovers draws takeovers from holders that live; nil for none.
 	earlyTakeovers *rand.Rand
 }
