flow's random plays: lists of workers reach a holder late

15 in a hundred lists arrive up to 3 s after they were read, and the newer ones behind them. Before, each came after 1 ms, or in the play of shrinking workers not at all for a while.

--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -37,6 +37,8 @@
 	slowClock float64
 	// restartAgain is the probability that an incarnation that isn't the worker's first one is soon followed by another.
 	restartAgain float64
+	// staleList is the probability that a list of workers reaches a holder seconds after it was read.
+	staleList float64
 }
 
 // drawFaults returns the faults of a seed.
@@ -44,7 +46,7 @@
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
 		randomClocks: true, slowClock: 0.4, cutCall: 0.3, repeatedCall: 0.3, delayedCall: 0.1,
-		restartAgain: 0.25,
+		restartAgain: 0.25, staleList: 0.15,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
--- a/flow/fakeholder_test.go
+++ b/flow/fakeholder_test.go
@@ -34,6 +34,8 @@
 	settled         string
 	// noListUntil is until when the holder can't read the list of workers.
 	noListUntil time.Time
+	// lastListAt is when the last list of workers arrives.
+	lastListAt time.Time
 	// clockOffset is by how much the process's clock is ahead.
 	clockOffset time.Duration
 	// storeAway is true while the holder doesn't reach the store.
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
-	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -165,37 +164,6 @@
 	return worker
 }
 
-// publishWorkers sends the list of workers to the holders.
-func (w *simulation) publishWorkers() {
-	w.listed = nil
-	for _, worker := range w.workers {
-		if !worker.unlisted {
-			w.listed = append(w.listed, worker.info)
-		}
-	}
-	sort.Slice(w.listed, func(i, j int) bool { return w.listed[i].ID < w.listed[j].ID })
-	w.sendLists()
-}
-
-// sendLists sends the list of workers to the holders that can read it.
-func (w *simulation) sendLists() {
-	for _, h := range w.holders {
-		if !w.now.Before(h.noListUntil) {
-			h.send(w.workersListed())
-			w.after(time.Millisecond, func() { w.markListed(h, w.listed) })
-		}
-	}
-}
-
-// workersListed returns the event with the list of workers.
-func (w *simulation) workersListed() WorkersListed {
-	event := WorkersListed{Workers: append([]endive.FleetWorker(nil), w.listed...)}
-	if w.pollsLists {
-		event.StartsUntil = w.now.Add(testListLifetime)
-	}
-	return event
-}
-
 // put writes a row as another process would, and sends it to the holders.
 func (w *simulation) put(key string, value any) {
 	w.version++
