flow's random plays: rows reach a holder late and twice

Of the rows that others write, 15 in a hundred come up to 1 s late, the newer ones behind them (the feed is in order), and 15 in a hundred come once more within 2 s if they are still the newest. Before, only the play of early takeovers had a feed that lags.

--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -39,6 +39,9 @@
 	restartAgain float64
 	// staleList is the probability that a list of workers reaches a holder seconds after it was read.
 	staleList float64
+	// lateRows is the probability that rows reach a holder up to a second late, with the newer ones behind them, and
+	// repeatedRows that they reach it once more if they are still the newest.
+	lateRows, repeatedRows float64
 }
 
 // drawFaults returns the faults of a seed.
@@ -46,7 +49,7 @@
 	f := faults{
 		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
 		randomClocks: true, slowClock: 0.4, cutCall: 0.3, repeatedCall: 0.3, delayedCall: 0.1,
-		restartAgain: 0.25, staleList: 0.15,
+		restartAgain: 0.25, staleList: 0.15, lateRows: 0.15, repeatedRows: 0.15,
 	}
 	f.storePartitions = seed%3 == 0 && !slices.Contains(regressionSeeds, seed)
 	if seed%2 == 0 {
--- a/flow/fakeholder_test.go
+++ b/flow/fakeholder_test.go
@@ -42,6 +42,8 @@
 	storeAway bool
 	// feedDelay is how late the holder learns of rows that others have written.
 	feedDelay time.Duration
+	// feedBlockedUntil is when the feed goes on that is late for once.
+	feedBlockedUntil time.Time
 }
 
 // startHolder starts a new process that holds the pool under the next epoch.
@@ -75,17 +77,3 @@
 	w.after(feedWait, h.readFeed)
 	return h
 }
-
-// feedWait is how long a holder waits for new rows in one call.
-const feedWait = time.Second
-
-// readFeed tells a holder to which that matters that it knows all rows that were written before the feed's delay.
-func (h *holder) readFeed() {
-	if h.dead {
-		return
-	}
-	if !h.storeAway && len(h.machine.unreadReports) > 0 {
-		h.step(WorkChanged{Epoch: h.epoch, ReadAt: h.sim.now.Add(-h.feedDelay)})
-	}
-	h.sim.after(feedWait, h.readFeed)
-}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -170,8 +170,7 @@
 	row := endive.Row{Key: key, Version: w.version, Value: encodeRow(value)}
 	w.rows[key], w.putAt[key] = row, w.now
 	for _, h := range w.holders {
-		changed := WorkChanged{Epoch: h.epoch, Rows: []endive.Row{row}, Revision: endive.Revision(w.version), ReadAt: w.now}
-		w.after(h.feedDelay, func() { h.send(changed) })
+		h.sendRow(row)
 	}
 }
 
