flow's random plays: each test checks that it draws each kind of fault

playSeeds plays the seeds of the seven tests, counts what is drawn by the names of the fields of faults, and fails if a kind isn't drawn and the play doesn't name it as one that it can't bear, or if it draws one that it names. It found two: lost advice was drawn in no random play, and the play of deadly tasks cut no worker off from the store; both are drawn now.

Each kind is drawn in each play but failedTask in the play of deadly tasks, and storePartitions and lostAdvice in that of cuts, with the reasons there.

--- a/flow/capacityfaults_test.go
+++ b/flow/capacityfaults_test.go
@@ -107,15 +107,14 @@
 // Workers shrink and grow again beside the other faults. No start may bring a worker over a
 // capacity that it had within capacityAllowance, and all work must end.
 func TestCapacityHoldsWhileWorkersShrink(t *testing.T) {
-	for _, seed := range append(faultPlaySeeds(faultSeeds), capacityRegressionSeeds...) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			skipKnownRedSeed(t, knownRedCapacitySeeds, seed)
-			w := newSimulation(t, seed, drawFaults(seed))
-			w.scheduleShrinking(14 * time.Second)
-			if seed%4 != 1 {
-				w.startListPolls(time.Minute)
-			}
-			playFaults(w)
-		})
-	}
+	seeds := append(faultPlaySeeds(faultSeeds), capacityRegressionSeeds...)
+	playSeeds(t, seeds, nil, func(t *testing.T, seed int64) *simulation {
+		skipKnownRedSeed(t, knownRedCapacitySeeds, seed)
+		w := newSimulation(t, seed, drawFaults(seed))
+		w.scheduleShrinking(14 * time.Second)
+		if seed%4 != 1 {
+			w.startListPolls(time.Minute)
+		}
+		return playFaults(w)
+	})
 }
--- a/flow/cutfaults_test.go
+++ b/flow/cutfaults_test.go
@@ -47,13 +47,12 @@
 // away, and workers restart or are followed by others. No invariant may be violated, no workflow may fail
 // without cause, and all work must end after the faults.
 func TestInvariantsHoldUnderCuts(t *testing.T) {
-	seeds := faultPlaySeeds(cutFaultSeeds)
-	for _, seed := range slices.Concat(seeds, cutRegressionSeeds, knownRedCutSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			skipKnownRedSeed(t, knownRedCutSeeds, seed)
-			playCutFaults(t, seed)
-		})
-	}
+	seeds := slices.Concat(faultPlaySeeds(cutFaultSeeds), cutRegressionSeeds, knownRedCutSeeds)
+	without := unbearable{"storePartitions": "the cuts are between workers and the store as well", "lostAdvice": "no queue of the play needs advice"}
+	playSeeds(t, seeds, without, func(t *testing.T, seed int64) *simulation {
+		skipKnownRedSeed(t, knownRedCutSeeds, seed)
+		return playCutFaults(t, seed)
+	})
 }
 
 // cutRegressionSeeds are seeds that once failed:
@@ -65,8 +64,7 @@
 // knownRedCutSeeds are the seeds of the test that KNOWN-RED.txt lists, of 900.
 var knownRedCutSeeds = []int64{60, 111, 134, 451, 538, 545, 866}
 
-// cutFaults returns the faults of a seed. Cuts lose and delay calls themselves, so fewer are lost or late besides. The workers
-// are cut off from the store by the cuts. Few runs fail, since most must last until the cut.
+// cutFaults returns the faults of a seed. Cuts lose and delay calls themselves, so fewer are lost or late besides. Few runs fail, since most must last until the cut.
 func cutFaults(seed int64) faults {
 	f := drawFaults(seed)
 	f.lostOrder, f.lateOrder, f.lateWrite = 0.01, 0.01, 0.02
@@ -77,7 +75,7 @@
 	return f
 }
 
-func playCutFaults(t *testing.T, seed int64) {
+func playCutFaults(t *testing.T, seed int64) *simulation {
 	w := newSimulation(t, seed, cutFaults(seed))
 	w.trace, w.renewals = *followTasks, true
 	w.addWorkers(cutWorkers)
@@ -104,6 +102,7 @@
 	w.faults = faults{}
 	w.run(cutPlayEnd)
 	p.check()
+	return w
 }
 
 // submitLong submits a workflow with tasks that are longer than a lease, and cuts off the workers of one or two
--- a/flow/deadlyfaults_test.go
+++ b/flow/deadlyfaults_test.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -11,18 +10,16 @@
 // Deadly tasks beside lost and late orders, lost writes, workers that crash for other reasons or are
 // cut off, and a takeover mustn't be started again and again, nor make harmless workflows fail.
 func TestDeadlyTasksUnderFaults(t *testing.T) {
-	for _, seed := range append(faultPlaySeeds(deadlySeeds), 0) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDeadlyFaults(t, seed) })
-	}
+	without := unbearable{"failedTask": "no run fails by itself, so that a harmless workflow may not fail"}
+	playSeeds(t, append(faultPlaySeeds(deadlySeeds), 0), without, runDeadlyFaults)
 }
 
 // deadlySeeds is the number of seeds of TestDeadlyTasksUnderFaults, besides 0.
 const deadlySeeds = 59
 
-func runDeadlyFaults(t *testing.T, seed int64) {
+func runDeadlyFaults(t *testing.T, seed int64) *simulation {
 	f := drawFaults(seed)
-	// No run fails by itself, so that a harmless workflow may not fail. This play doesn't cut workers off from the store.
-	f.failedTask, f.storePartitions = 0, false
+	f.failedTask = 0
 	w := newSimulation(t, seed, f)
 	w.trace = *followTasks
 	w.eligibleShare = map[endive.QueueName]float64{adviceQueue.Name: 0.8}
@@ -38,7 +35,7 @@
 		} else {
 			harmless = append(harmless, id)
 		}
-		w.injectWorkerFault()
+		w.injectWorkerFault(current)
 		if i == 12 && seed%2 == 0 {
 			current.kill()
 			current = w.startHolder()
@@ -55,6 +52,7 @@
 			t.Errorf("job %s is %s", id, state)
 		}
 	}
+	return w
 }
 
 // checkDeadlyFailed fails the test if a deadly job hasn't failed.
--- a/flow/fakeclock_test.go
+++ b/flow/fakeclock_test.go
@@ -25,6 +25,7 @@
 		f.slowClock = f.sim.strikes("slowClock", f.sim.faults.slowClock)
 	}
 	if f.sim.faults.randomClocks {
+		f.sim.drawn["randomClocks"]++
 		draws := f.sim.drawsOf("clockBase")
 		most := []time.Duration{time.Millisecond, time.Minute, time.Hour}[draws.Intn(3)]
 		f.clockBase = endive.WorkerTime(draws.Int63n(most.Milliseconds()))
--- a/flow/fakefaults_test.go
+++ b/flow/fakefaults_test.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"flag"
 	"hash/fnv"
 	"math/rand"
 	"slices"
@@ -9,8 +8,9 @@
 )
 
 // faults are the faults that the random plays draw. Each play begins with those of drawFaults and names, with a reason, the
-// ones that it can't bear; what draws a fault is a method of the simulation that all plays pass through. So a new kind of
-// fault is a field here, a value in drawFaults and a draw where the fault happens. The zero value has no faults.
+// ones that it can't bear. What draws a fault is a method of the simulation that all plays pass through. So a new kind of
+// fault is a field here, a value in drawFaults, and a draw where the fault happens by strikes with the field's name; playSeeds
+// checks that each play draws it. The zero value has no faults.
 type faults struct {
 	// lostOrder is the probability that a call doesn't arrive, and lostAnswer that its answer doesn't.
 	lostOrder, lostAnswer float64
@@ -47,7 +47,7 @@
 // drawFaults returns the faults of a seed.
 func drawFaults(seed int64) faults {
 	f := faults{
-		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03,
+		lostOrder: 0.02, lostAnswer: 0.02, lateOrder: 0.03, latePoll: 0.01, lostWrite: 0.02, lostWriteAnswer: 0.03, lateWrite: 0.03, failedTask: 0.03, lostAdvice: 0.05,
 		randomClocks: true, slowClock: 0.4, cutCall: 0.3, repeatedCall: 0.3, delayedCall: 0.1,
 		restartAgain: 0.25, staleList: 0.15, lateRows: 0.15, repeatedRows: 0.15,
 	}
@@ -70,6 +70,15 @@
 	return w.draws[kind]
 }
 
+// happens reports whether a fault happens that shares the simulation's random numbers, and counts it.
+func (w *simulation) happens(kind string, probability float64) bool {
+	happens := w.chance(probability)
+	if happens {
+		w.drawn[kind]++
+	}
+	return happens
+}
+
 // strikes reports whether a fault of a kind with its own random numbers happens, and counts it.
 func (w *simulation) strikes(kind string, probability float64) bool {
 	happens := probability > 0 && w.drawsOf(kind).Float64() < probability
@@ -83,15 +92,3 @@
 func (w *simulation) durationOf(kind string, most time.Duration) time.Duration {
 	return time.Duration(w.drawsOf(kind).Int63n(int64(most)))
 }
-
-// moreSeeds is the least number of seeds with which each test that draws faults runs.
-var moreSeeds = flag.Int64("seeds", 0, "play at least this number of seeds of each test that draws faults")
-
-// faultPlaySeeds returns the seeds from 1 to count, or to the number that the flag gives if it is larger.
-func faultPlaySeeds(count int64) []int64 {
-	var seeds []int64
-	for seed := int64(1); seed <= max(count, *moreSeeds); seed++ {
-		seeds = append(seeds, seed)
-	}
-	return seeds
-}
--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -33,12 +33,12 @@
 		return
 	}
 	take := h.call(worker, func(f *fakeWorker) endive.OrderAnswer { return f.takePoll(order) })
-	if worker == nil || worker.isCutOff(h) || w.chance(w.faults.lostOrder) {
+	if worker == nil || worker.isCutOff(h) || w.happens("lostOrder", w.faults.lostOrder) {
 		w.loseCall(h, worker, func() { take() })
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		return
 	}
-	if w.chance(w.faults.latePoll) {
+	if w.happens("latePoll", w.faults.latePoll) {
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 		w.carryOutLate(worker, func() { take() })
 		return
@@ -59,7 +59,7 @@
 				return
 			}
 			answered = true
-			if worker.unreachable || worker.answersLost || worker.incarnation != incarnation || w.chance(w.faults.lostAnswer) {
+			if worker.unreachable || worker.answersLost || worker.incarnation != incarnation || w.happens("lostAnswer", w.faults.lostAnswer) {
 				w.after(700*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown}) })
 				w.repeatLate(worker, func() { take() })
 				return
--- a/flow/fakestore_test.go
+++ b/flow/fakestore_test.go
@@ -13,12 +13,12 @@
 	const oneWay, timeout = 4 * time.Millisecond, 300 * time.Millisecond
 	w := h.sim
 	switch {
-	case h.storeAway || w.chance(w.faults.lostWrite):
+	case h.storeAway || w.happens("lostWrite", w.faults.lostWrite):
 		w.after(timeout, func() { h.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown}) })
-	case w.chance(w.faults.lateWrite):
+	case w.happens("lateWrite", w.faults.lateWrite):
 		w.after(time.Second+time.Duration(w.random.Int63n(int64(3*time.Second))), func() { w.apply(txn) })
 		w.after(timeout, func() { h.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown}) })
-	case w.chance(w.faults.lostWriteAnswer):
+	case w.happens("lostWriteAnswer", w.faults.lostWriteAnswer):
 		w.after(oneWay, func() { w.apply(txn) })
 		w.after(timeout, func() { h.step(endive.Committed{WriteID: txn.WriteID, Status: endive.CommitUnknown}) })
 	default:
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -218,7 +218,7 @@
 		return
 	}
 	kind := endive.EndSucceeded
-	if w.chance(w.faults.failedTask) {
+	if w.happens("failedTask", w.faults.failedTask) {
 		kind, duration = endive.EndFailed, duration/2
 	}
 	if job.lapses {
--- a/flow/faults_test.go
+++ b/flow/faults_test.go
@@ -32,9 +32,9 @@
 // changes its holder. No invariant may be violated at any time, and all work must end after
 // the faults have ended.
 func TestInvariantsHoldUnderFaults(t *testing.T) {
-	for _, seed := range append(faultPlaySeeds(faultSeeds), regressionSeeds...) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed) })
-	}
+	playSeeds(t, append(faultPlaySeeds(faultSeeds), regressionSeeds...), nil, func(t *testing.T, seed int64) *simulation {
+		return playFaults(newSimulation(t, seed, drawFaults(seed)))
+	})
 }
 
 // faultSeeds is the number of seeds that the fault test runs with, besides regressionSeeds.
@@ -57,25 +57,21 @@
 // The same with workers that list only one to three ends in one answer: no list of ends is whole at once, at a takeover
 // nor while the store is away.
 func TestInvariantsHoldWithShortLists(t *testing.T) {
-	for _, seed := range faultPlaySeeds(shortListSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newSimulation(t, seed, drawFaults(seed))
-			w.shortLists = rand.New(rand.NewSource(seed))
-			playFaults(w)
-		})
-	}
+	playSeeds(t, faultPlaySeeds(shortListSeeds), nil, func(t *testing.T, seed int64) *simulation {
+		w := newSimulation(t, seed, drawFaults(seed))
+		w.shortLists = rand.New(rand.NewSource(seed))
+		return playFaults(w)
+	})
 }
 
 // The same with holders that are replaced while they live, and go on to start what they learn of. The feed of the next
 // one lags.
 func TestInvariantsHoldUnderEarlyTakeovers(t *testing.T) {
-	for _, seed := range faultPlaySeeds(earlyTakeoverSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newSimulation(t, seed, drawFaults(seed))
-			w.scansFirst, w.earlyTakeovers = true, rand.New(rand.NewSource(seed))
-			playFaults(w)
-		})
-	}
+	playSeeds(t, faultPlaySeeds(earlyTakeoverSeeds), nil, func(t *testing.T, seed int64) *simulation {
+		w := newSimulation(t, seed, drawFaults(seed))
+		w.scansFirst, w.earlyTakeovers = true, rand.New(rand.NewSource(seed))
+		return playFaults(w)
+	})
 }
 
 // earlyTakeoverSeeds is the number of seeds that the fault test runs with early takeovers.
@@ -84,11 +80,9 @@
 // shortListSeeds is the number of seeds that the fault test runs with short lists of ends.
 const shortListSeeds = 60
 
-func runFaults(t *testing.T, seed int64) { playFaults(newSimulation(t, seed, drawFaults(seed))) }
-
 // playFaults runs 24 workflows while faults are injected, and checks that no invariant is violated
 // and that all work ends after the faults.
-func playFaults(w *simulation) {
+func playFaults(w *simulation) *simulation {
 	w.trace = *followTasks
 	w.accounts = faultAccounts()
 	w.addWorkers(6)
@@ -115,6 +109,7 @@
 			w.t.Errorf("workflow %s has not ended: its state is %s", id, state)
 		}
 	}
+	return w
 }
 
 // faultAccounts returns two accounts: a's gang fits its cap only if little else runs, and b's
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -104,13 +104,13 @@
 		w.after(latency, func() { h.step(answer(OrderAnswered, endive.OrderAnswer{Refused: endive.RefusalIncarnation})) })
 	case worker != nil && worker.terminated:
 		w.after(latency, func() { h.step(answer(OrderRefused, endive.OrderAnswer{})) })
-	case worker == nil || worker.isCutOff(h) || w.chance(w.faults.lostOrder):
+	case worker == nil || worker.isCutOff(h) || w.happens("lostOrder", w.faults.lostOrder):
 		w.loseCall(h, worker, func() { call() })
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
-	case w.chance(w.faults.lateOrder):
+	case w.happens("lateOrder", w.faults.lateOrder):
 		w.after(timeout, func() { h.step(answer(OrderUnknown, endive.OrderAnswer{})) })
 		w.carryOutLate(worker, func() { call() })
-	case worker.ordersUnanswered || w.chance(w.faults.lostAnswer):
+	case worker.ordersUnanswered || w.happens("lostAnswer", w.faults.lostAnswer):
 		w.after(latency, func() {
 			if !worker.terminated {
 				call()
@@ -253,7 +253,7 @@
 
 // answerAdvice answers an advice request, unless the answer is lost.
 func (h *holder) answerAdvice(a RequestAdvice) {
-	if h.sim.chance(h.sim.faults.lostAdvice) {
+	if h.sim.strikes("lostAdvice", h.sim.faults.lostAdvice) {
 		return
 	}
 	event := AdviceResult{Step: a.Step, Workers: a.Workers, Cost: a.Cost, OK: true, Expiry: h.sim.now.Add(2 * time.Second)}
--- a/flow/injectedfaults_test.go
+++ b/flow/injectedfaults_test.go
@@ -57,6 +57,7 @@
 // partitionFromStore cuts a worker off from the store and from later holders, while the current
 // holder still reaches it.
 func (w *simulation) partitionFromStore(worker *fakeWorker, epoch endive.Epoch) {
+	w.drawn["storePartitions"]++
 	worker.unlisted, worker.unreachableFrom = true, epoch+1
 	w.publishWorkers()
 	w.after(8*time.Second, func() {
@@ -78,8 +79,8 @@
 	})
 }
 
-// injectWorkerFault crashes a worker, cuts one off for a while, or does nothing.
-func (w *simulation) injectWorkerFault() {
+// injectWorkerFault crashes a worker, starts one again unseen, cuts one off for a while, or does nothing.
+func (w *simulation) injectWorkerFault(current *holder) {
 	worker := w.workers[endive.WorkerID(fmt.Sprintf("w%d", w.random.Intn(10)))]
 	switch w.random.Intn(8) {
 	case 0:
@@ -89,5 +90,9 @@
 		w.after(3*time.Second, func() { worker.unreachable = false })
 	case 3:
 		w.restartUnseen(worker)
+	case 4:
+		if w.faults.storePartitions {
+			w.partitionFromStore(worker, current.epoch)
+		}
 	}
 }
--- a/flow/silentfaults_test.go
+++ b/flow/silentfaults_test.go
@@ -31,14 +31,12 @@
 // Workers fall silent or answer late for some seconds each, besides the faults of
 // TestInvariantsHoldUnderFaults. No invariant may be violated.
 func TestInvariantsHoldUnderSilence(t *testing.T) {
-	for _, seed := range faultPlaySeeds(silenceSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newSimulation(t, seed, drawFaults(seed))
-			w.renewals = true
-			w.injectSilence()
-			playFaults(w)
-		})
-	}
+	playSeeds(t, faultPlaySeeds(silenceSeeds), nil, func(t *testing.T, seed int64) *simulation {
+		w := newSimulation(t, seed, drawFaults(seed))
+		w.renewals = true
+		w.injectSilence()
+		return playFaults(w)
+	})
 }
 
 // injectSilence makes each of six workers silent once and late once.
