An idle worker's end that needs no record is acknowledged at once, not a second later

Cause: after an answer that lists an end of an idle worker whose end is recorded already, or needs no record (a stopped run), the next poll, with the acknowledgement, was sent after pollWait (1 s). A worker that restarts unseen in that second gets the number meant for its former incarnation, also when the call is carried out seconds later, and forgets ends of its own; the task starts again (TWICE). Change: such a poll is sent at once, unless the last poll sent the number already (then each second, as before).

--- a/flow/poll.go
+++ b/flow/poll.go
@@ -143,6 +143,12 @@
 	return w.recordedEnd()
 }
 
+// hasNewAcknowledgement reports whether the worker lists ends that the next poll acknowledges, and the last poll didn't. It is
+// sent at once: later it might reach an incarnation that the holder hasn't seen.
+func (w *worker) hasNewAcknowledgement() bool {
+	return w.firstListedEnd > 0 && w.poll.recorded < w.firstListedEnd && w.firstListedEnd <= w.recordedEnd()
+}
+
 // recordedEnd returns the number of the newest reported end of a run up to which all ends on
 // the worker are recorded.
 func (w *worker) recordedEnd() endive.EndNumber {
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -87,7 +87,7 @@
 	m.learn(w, e.Report, w.lastEnd > knownEnd, recorded)
 	w.poll.nextAt = m.now
 	switch {
-	case w.awaitsFence(), e.Report.More && w.lastEnd > knownEnd:
+	case w.awaitsFence(), e.Report.More && w.lastEnd > knownEnd, len(w.runs) == 0 && w.hasNewAcknowledgement():
 	case w.hasOpenEnds() && len(w.runs) > 0:
 		w.poll.nextAt = m.now.Add(unrecordedPollInterval)
 	case w.hasOpenEnds(), len(w.runs) == 0 && w.firstListedEnd > 0:
