--- a/flow/tickets.go
+++ b/flow/tickets.go
@@ -19,7 +19,9 @@
 	// requestAfter is the earliest time of the holder's next own advice request: it waits for
 	// forwarded advice at first, and after a failed request.
 	requestAfter time.Time
-	inFlight     bool
+	// surveyDue is true if the next request is to name workers without free capacity as well.
+	surveyDue bool
+	inFlight  bool
 	// requests counts the holder's own advice requests.
 	requests    int
 	requestedAt time.Time
