--- a/flow/fakepoll_test.go
+++ b/flow/fakepoll_test.go
@@ -23,7 +23,7 @@
 		w.after(3*time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderRefused}) })
 		return
 	}
-	if worker != nil && (worker.poweredOff || worker.noConnection) {
+	if worker != nil && worker.poweredOff {
 		// The answer is overdue before it is known that the poll couldn't be sent.
 		w.after(timeout, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderUnknown, Overdue: true}) })
 		w.after(timeout+time.Millisecond, func() { h.step(PollResult{Worker: id, Poll: poll.Poll, Result: OrderNotSent}) })
--- a/flow/fakeworker_test.go
+++ b/flow/fakeworker_test.go
@@ -50,8 +50,6 @@
 	down bool
 	// poweredOff is true if the worker's machine is off: connections to it time out.
 	poweredOff bool
-	// noConnection is true if the worker is cut off from the holder, but not from the platform: connections to it time out.
-	noConnection bool
 	// addressReused is true if this worker has terminated and another listens at its address.
 	addressReused bool
 	// slowLink is the one-way latency of a congested link to the worker; 0 for none.
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -95,7 +95,7 @@
 	}
 	call := h.call(worker, execute)
 	switch {
-	case worker != nil && (worker.noConnection || worker.unsentFrom > 0 && worker.orders >= worker.unsentFrom):
+	case worker != nil && worker.unsentFrom > 0 && worker.orders >= worker.unsentFrom:
 		w.after(timeout, func() { h.step(answer(OrderNotSent, endive.OrderAnswer{})) })
 	case worker != nil && worker.addressReused:
 		w.after(latency, func() { h.step(answer(OrderAnswered, endive.OrderAnswer{Refused: endive.RefusalIncarnation})) })
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -83,14 +83,12 @@
 		maxWait = suspectPollWait(m.now, w.suspectsUntil())
 	}
 	order := endive.PollOrder{Worker: w.ref(), Epoch: m.epochFor(w), Recorded: w.acknowledgedEnd(m.now), Wait: maxWait}
-	lease := grantedLease{before: w.leaseEnd}
 	if w.renewsLeases(m.now) && m.mayRenew() {
 		order.LeaseEnd = m.newLeaseEnd(w)
 	}
-	lease.call = w.leaseCalls
 	w.poll.inFlight = true
 	w.poll.id = PollID(m.stepCount)
-	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, sentTo: w.incarnations, renews: order.LeaseEnd > 0, lease: lease}
+	w.poll.open[w.poll.id] = openPoll{sentAt: m.now, sentTo: w.incarnations, renews: order.LeaseEnd > 0}
 	m.probes.calls[pollCall{w.id, w.poll.id}] = true
 	w.poll.sentAt, w.poll.immediate, w.poll.recorded = m.now, maxWait == 0, order.Recorded
 	m.emit(PollWorker{Order: order, Poll: w.poll.id})
@@ -123,7 +121,6 @@
 func (m *Machine) newLeaseEnd(w *worker) endive.WorkerTime {
 	end := w.clock.estimate(m.now) + endive.WorkerTime(time.Duration(m.settings.LeaseDuration).Milliseconds())
 	w.leaseEnd, w.lastLeaseAt = max(w.leaseEnd, end), m.now
-	w.leaseCalls++
 	return end
 }
 
--- a/flow/pollresult.go
+++ b/flow/pollresult.go
@@ -21,7 +21,6 @@
 	m.markChanged(w)
 	sent, current := w.poll.end(e)
 	m.recordLatePoll(w, sent, e.Result)
-	w.recordUnsentPoll(sent, e.Result)
 	answered := e.Result == OrderAnswered && e.Answer.Refused == endive.RefusalNone
 	switch {
 	case e.Answer.Refused == endive.RefusalEpoch && sent.sentTo < w.incarnations:
--- a/flow/pollstate.go
+++ b/flow/pollstate.go
@@ -31,7 +31,6 @@
 	sentTo int
 	// renews is true if the poll renews the worker's leases.
 	renews bool
-	lease  grantedLease
 }
 
 // lateUntil returns until when the worker may carry out the poll if there is no answer, as far as that matters to its
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -78,9 +78,9 @@
 func (w *worker) reportsUntil() time.Time { return w.answeredAt.Add(maxSilence) }
 
 // mayStillReport reports whether a worker that doesn't answer is expected to report how its runs
-// have ended. One that can't be reached isn't: its report comes after its leases have expired.
+// have ended.
 func (w *worker) mayStillReport(now time.Time) bool {
-	return !w.unsent && w.failedPolls > 0 && len(w.runs) > 0 && w.aliveButSilent() && now.Before(w.reportsUntil())
+	return w.failedPolls > 0 && len(w.runs) > 0 && w.aliveButSilent() && now.Before(w.reportsUntil())
 }
 
 // waitsForReport reports whether the task of a run must not start elsewhere before its worker has
--- a/flow/worker.go
+++ b/flow/worker.go
@@ -39,11 +39,8 @@
 	roundTrip time.Duration
 	// clock is the newest reading of the worker's clock.
 	clock clockReading
-	// leaseEnd is the latest end of a lease in all orders sent to the worker, and leaseCalls their number.
-	leaseEnd   endive.WorkerTime
-	leaseCalls uint64
-	// unsent is true if the last poll couldn't be sent.
-	unsent bool
+	// leaseEnd is the latest end of a lease in all orders sent to the worker.
+	leaseEnd endive.WorkerTime
 
 	// incarnations counts the earlier incarnations of the worker that this tenure has known. fenced is true once the newest
 	// incarnation has answered a poll that was sent to it: from then on it refuses calls to earlier ones.
