--- a/flow/overrun.go
+++ b/flow/overrun.go
@@ -95,7 +95,9 @@
 	stopped := 0
 	for _, unplaced := range m.overruns.unplaced {
 		if m.needsTicket(unplaced.step) && !unplaced.step.tickets.surveyed() {
-			m.surveyWithoutRoom(unplaced.step)
+			if plan.hasVictimFor(unplaced.step) {
+				m.surveyWithoutRoom(unplaced.step)
+			}
 			continue
 		}
 		for _, victim := range plan.makeRoom(unplaced) {
