--- a/flow/overrun.go
+++ b/flow/overrun.go
@@ -95,9 +95,7 @@
 	stopped := 0
 	for _, unplaced := range m.overruns.unplaced {
 		if m.needsTicket(unplaced.step) && !unplaced.step.tickets.surveyed() {
-			if plan.hasVictimFor(unplaced.step) {
-				m.surveyWithoutRoom(unplaced.step)
-			}
+			m.surveyWithoutRoom(unplaced.step)
 			continue
 		}
 		for _, victim := range plan.makeRoom(unplaced) {
--- a/flow/roomplan.go
+++ b/flow/roomplan.go
@@ -1,10 +1,6 @@
 package flow
 
-import (
-	"slices"
-
-	"endiveroute.example/endive"
-)
+import "endiveroute.example/endive"
 
 // roomPlan is the capacity that workers have or will have soon, after runs have been stopped for some steps.
 type roomPlan struct {
@@ -106,19 +102,6 @@
 	return best, victims
 }
 
-// hasVictimFor reports whether a run would give way to a task of a step.
-func (p *roomPlan) hasVictimFor(s *step) bool {
-	for w, runs := range p.candidates {
-		if !w.couldRun(s) {
-			continue
-		}
-		if slices.ContainsFunc(runs, func(r *run) bool { return !p.chosen[r] && p.machine.givesWayTo(r, s) }) {
-			return true
-		}
-	}
-	return false
-}
-
 // victimsOn returns the runs that have to be stopped so that a task of a step fits on a worker, and whether it then does.
 func (p *roomPlan) victimsOn(w *worker, s *step) ([]*run, bool) {
 	need, room := s.spec.Reserved(), p.on(w)
