--- a/flow/roomplan.go
+++ b/flow/roomplan.go
@@ -50,7 +50,7 @@
 	var made []madeRoom
 	taken := make(map[*worker]int64)
 	for range unplaced.tasks {
-		w, stopped := p.findRoom(s, taken)
+		w, stopped := p.findRoom(s)
 		if w == nil {
 			break
 		}
@@ -82,15 +82,12 @@
 }
 
 // findRoom returns a worker with room for a task of a step, and the runs that have to be stopped there, as few as
-// possible; nil if there is none. taken counts the tasks of the step that have room on workers already.
-func (p *roomPlan) findRoom(s *step, taken map[*worker]int64) (best *worker, victims []*run) {
+// possible; nil if there is none.
+func (p *roomPlan) findRoom(s *step) (best *worker, victims []*run) {
 	for _, w := range p.machine.candidateWorkers(s) {
 		if !p.machine.meetsConstraints(s, w) || !w.couldRun(s) {
 			continue
 		}
-		if s.spec.MaxPerWorker > 0 && int64(s.runsPerWorker[w.id])+taken[w] >= int64(s.spec.MaxPerWorker) {
-			continue
-		}
 		stopped, ok := p.victimsOn(w, s)
 		if ok && (best == nil || len(stopped) < len(victims)) {
 			best, victims = w, stopped
