--- a/flow/advice.go
+++ b/flow/advice.go
@@ -158,10 +158,6 @@
 	if s.spec.Gang {
 		return m.gangAdviceCandidates(s)
 	}
-	if s.tickets.surveyDue {
-		s.tickets.surveyDue = false
-		return m.surveyCandidates(s)
-	}
 	var withCapacity, others []endive.WorkerID
 	places := 0
 	for _, w := range m.sortedWorkers {
--- a/flow/gangreserve.go
+++ b/flow/gangreserve.go
@@ -54,7 +54,6 @@
 	case !m.needsTicket(s):
 		m.delayGangSearch(s)
 		m.drainForGang(s)
-		m.addUnplacedOnTime(s, len(s.tasks))
 	case m.awaitsTakeover(s):
 	case s.tickets.requestInFlight(m.now):
 		m.schedulePass(s.tickets.requestedAt.Add(adviceTimeout))
@@ -80,7 +79,6 @@
 		m.gangsWaiting = true
 		m.advice.shortOfCapacity = true
 		m.drainForGang(s)
-		m.addUnplacedOnTime(s, len(s.tasks))
 		if m.fewEligible(s) || m.mayResurvey(s) {
 			m.planRequest(s, m.surveySize(s))
 		}
--- a/flow/job.go
+++ b/flow/job.go
@@ -72,13 +72,11 @@
 
 // step is a step of one occurrence.
 type step struct {
-	// madeRoom is the room that overrunning runs are giving up for tasks of the step.
-	madeRoom []madeRoom
-	occ      *occurrence
-	index    int
-	id       endive.StepID
-	spec     *endive.Step
-	tasks    []*task
+	occ   *occurrence
+	index int
+	id    endive.StepID
+	spec  *endive.Step
+	tasks []*task
 	// waiting counts the tasks in state taskWaiting. unfinished counts the tasks that
 	// haven't succeeded. unrecorded counts the tasks whose success isn't recorded.
 	waiting    int
--- a/flow/machine.go
+++ b/flow/machine.go
@@ -58,7 +58,6 @@
 	// unplacedUrgent are the urgent steps with tasks for which the current scheduling pass
 	// found no free capacity.
 	unplacedUrgent []unplacedStep
-	overruns       overruns
 	// gangDrains counts the workers that are drained for gangs in the current scheduling
 	// pass while tasks still run there.
 	gangDrains int
@@ -121,7 +120,6 @@
 	m.earlyAdvice = make(map[endive.StepID]ForwardedAdvice)
 	m.quotas = quotas{division: m.quotas.division, due: true, uses: make(map[endive.AccountName]*accountUse)}
 	m.quotas.division.Begin(0)
-	m.overruns = overruns{}
 	m.status = statusReport{}
 	m.endedJobs = endedJobs{knownIDs: make(map[endive.JobID]bool)}
 	m.changedWorkers, m.workersDueAt = nil, time.Time{}
--- a/flow/schedule.go
+++ b/flow/schedule.go
@@ -24,7 +24,7 @@
 	m.prevLowSlack, m.lowSlack = m.lowSlack, false
 	m.prevGangsWaiting, m.gangsWaiting = m.gangsWaiting, false
 	m.gangDrains, m.maxGangDrains = 0, m.maxDrains()
-	m.unplacedUrgent, m.overruns.unplaced = m.unplacedUrgent[:0], m.overruns.unplaced[:0]
+	m.unplacedUrgent = m.unplacedUrgent[:0]
 	m.reservedTotals = reservedTotals{}
 	m.unfitNeeds = m.unfitNeeds[:0]
 	for _, w := range m.sortedWorkers {
@@ -43,7 +43,6 @@
 		}
 	}
 	m.preempt()
-	m.stopOverruns()
 	m.status.updateSaturation(m.advice.shortOfCapacity, m.now)
 	// Reservations apply to one pass only. Otherwise they would keep a gang from
 	// requesting advice about the workers that it waits for.
@@ -135,7 +134,6 @@
 		case w != nil:
 			allowed--
 			p.started++
-			s.useMadeRoom(w)
 			m.startRun(t, w, m.nextRun(t), m.placeReason(s, w))
 			m.advice.freeCapacity = m.advice.freeCapacity.Sub(s.spec.Reserved())
 		case isolating:
@@ -167,8 +165,6 @@
 			reason = m.adviceWaitReason(s)
 		} else {
 			m.addUnplaced(s, p.unplaced)
-			m.addUnplacedOnTime(s, p.unplaced)
-			m.keepMadeRoom(s, p.unplaced)
 		}
 		m.waits(s, p.unplaced, reason)
 		m.waitLog.position++
--- a/flow/tickets.go
+++ b/flow/tickets.go
@@ -19,9 +19,7 @@
 	// requestAfter is the earliest time of the holder's next own advice request: it waits for
 	// forwarded advice at first, and after a failed request.
 	requestAfter time.Time
-	// surveyDue is true if the next request is to name workers without free capacity as well.
-	surveyDue bool
-	inFlight  bool
+	inFlight     bool
 	// requests counts the holder's own advice requests.
 	requests    int
 	requestedAt time.Time
