One queue of timed functions for the simulations

elect's new simulation had the heap of fakes.Simulation again, as those of flow and place had before. fakes.Timers serves all four.

--- a/elect/simulation_test.go
+++ b/elect/simulation_test.go
@@ -1,7 +1,6 @@
 package elect
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/fakes"
 )
 
 // faults are the probabilities of the faults that a simulation draws, each for one call, message or tick.
@@ -49,8 +49,7 @@
 	random     *rand.Rand
 	faults     faults
 	start, now time.Time
-	events     eventHeap
-	eventCount int
+	timers     fakes.Timers
 	version    endive.Version
 	value      []byte
 	entries    []*entry
@@ -117,19 +116,18 @@
 
 // after calls do after a delay.
 func (w *simulation) after(delay time.Duration, do func()) {
-	w.eventCount++
-	heap.Push(&w.events, simulatedEvent{at: w.now.Add(delay), number: w.eventCount, do: do})
+	w.timers.Add(w.now.Add(delay), do)
 }
 
 // run plays the simulation until the given time after its start.
 func (w *simulation) run(until time.Duration) {
-	for len(w.events) > 0 && !w.events[0].at.After(w.start.Add(until)) {
-		next := heap.Pop(&w.events).(simulatedEvent)
-		w.now = next.at
-		next.do()
+	end := w.start.Add(until)
+	for at, do, ok := w.timers.Next(end); ok; at, do, ok = w.timers.Next(end) {
+		w.now = at
+		do()
 		w.check()
 	}
-	w.now = w.start.Add(until)
+	w.now = end
 }
 
 // check records a violation if an earlier holder acts for longer than a later one has been told.
--- a/fakes/simulation.go
+++ b/fakes/simulation.go
@@ -1,7 +1,6 @@
 package fakes
 
 import (
-	"container/heap"
 	"math/rand"
 	"time"
 
@@ -24,10 +23,9 @@
 	// After is called after each step of a machine, unless it is nil.
 	After func()
 
-	nodes    []*Node
-	timers   timerQueue
-	now      time.Time
-	sequence uint64
+	nodes  []*Node
+	timers Timers
+	now    time.Time
 }
 
 // Faults holds the probabilities of faults, in percent.
@@ -84,18 +82,16 @@
 // Run advances the simulation's time by duration and runs the functions due by then.
 func (g *Simulation) Run(duration time.Duration) {
 	end := g.now.Add(duration)
-	for len(g.timers) > 0 && !g.timers[0].at.After(end) {
-		next := heap.Pop(&g.timers).(*timer)
-		g.now = next.at
-		next.run()
+	for at, run, ok := g.timers.Next(end); ok; at, run, ok = g.timers.Next(end) {
+		g.now = at
+		run()
 	}
 	g.now = end
 }
 
 // At schedules run after a delay of simulated time.
 func (g *Simulation) At(after time.Duration, run func()) {
-	g.sequence++
-	heap.Push(&g.timers, &timer{at: g.now.Add(after), sequence: g.sequence, run: run})
+	g.timers.Add(g.now.Add(after), run)
 }
 
 // randomPercent returns true with the given probability in percent.
--- a/fakes/timers.go
+++ b/fakes/timers.go
@@ -1,6 +1,31 @@
 package fakes
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
+
+// Timers are functions that are due at times of simulated time. Those of one time are due in the order in which they were
+// added. The zero value has none.
+type Timers struct {
+	queue    timerQueue
+	sequence uint64
+}
+
+// Add adds a function that is due at a time.
+func (t *Timers) Add(at time.Time, run func()) {
+	t.sequence++
+	heap.Push(&t.queue, &timer{at: at, sequence: t.sequence, run: run})
+}
+
+// Next removes the first function that is due by end, and returns it with its time. ok is false if none is.
+func (t *Timers) Next(end time.Time) (at time.Time, run func(), ok bool) {
+	if len(t.queue) == 0 || t.queue[0].at.After(end) {
+		return time.Time{}, nil, false
+	}
+	next := heap.Pop(&t.queue).(*timer)
+	return next.at, next.run, true
+}
 
 // timer is a function scheduled for a time. Timers with equal times run in the order of
 // their sequence numbers.
--- a/flow/fakejob_test.go
+++ b/flow/fakejob_test.go
@@ -44,32 +44,3 @@
 	})
 	return workflow.ID
 }
-
-// timedEvent is a function that is called at a time.
-type timedEvent struct {
-	at       time.Time
-	order    int
-	callback func()
-}
-
-// eventHeap is a heap of events in the order of their times.
-type eventHeap []timedEvent
-
-func (a eventHeap) Len() int { return len(a) }
-
-func (a eventHeap) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-func (a eventHeap) Less(i, j int) bool {
-	if !a[i].at.Equal(a[j].at) {
-		return a[i].at.Before(a[j].at)
-	}
-	return a[i].order < a[j].order
-}
-
-func (a *eventHeap) Push(x any) { *a = append(*a, x.(timedEvent)) }
-
-func (a *eventHeap) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"strings"
@@ -9,6 +8,7 @@
 	"time"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/fakes"
 )
 
 // simulation is a pool in virtual time: its workers, the store and a sequence of holders. It
@@ -20,12 +20,11 @@
 	// draws are the random numbers of the kinds of faults that have their own.
 	draws map[string]*rand.Rand
 	// drawn counts the faults by kind.
-	drawn      map[string]int
-	faults     faults
-	start      time.Time
-	now        time.Time
-	events     eventHeap
-	eventCount int
+	drawn  map[string]int
+	faults faults
+	start  time.Time
+	now    time.Time
+	timers fakes.Timers
 
 	rows    map[string]endive.Row
 	version endive.Version
@@ -125,19 +124,14 @@
 
 // after schedules a callback after the given duration.
 func (w *simulation) after(d time.Duration, callback func()) {
-	w.eventCount++
-	heap.Push(&w.events, timedEvent{at: w.now.Add(d), order: w.eventCount, callback: callback})
+	w.timers.Add(w.now.Add(d), callback)
 }
 
 // run advances the simulation until a time after its start.
 func (w *simulation) run(until time.Duration) {
-	for len(w.events) > 0 {
-		next := w.events[0]
-		if next.at.Sub(w.start) > until {
-			break
-		}
-		heap.Pop(&w.events)
-		if next.at.Equal(w.now) {
+	end := w.start.Add(until)
+	for at, callback, ok := w.timers.Next(end); ok; at, callback, ok = w.timers.Next(end) {
+		if at.Equal(w.now) {
 			w.simultaneousEvents++
 		} else {
 			w.simultaneousEvents = 0
@@ -145,10 +139,10 @@
 		if w.simultaneousEvents > maxSimultaneousEvents {
 			w.t.Fatalf("after %s: more than %d events at one time: a machine wakes itself in an endless loop", w.now.Sub(w.start), maxSimultaneousEvents)
 		}
-		w.now = next.at
-		next.callback()
+		w.now = at
+		callback()
 	}
-	w.now = w.start.Add(until)
+	w.now = end
 }
 
 // addWorker adds a worker and sends the new list to the holders.
--- a/place/cluster_test.go
+++ b/place/cluster_test.go
@@ -1,13 +1,13 @@
 package place
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand"
 	"time"
 
 	"endiveroute.example/endive"
+	"endiveroute.example/endive/fakes"
 	"endiveroute.example/endive/rows"
 )
 
@@ -21,27 +21,6 @@
 
 var testSlice = endive.Slice{ID: "p.r", Pool: "p", Region: "r"}
 
-// scheduledEvent is a function that runs at a point in simulated time.
-type scheduledEvent struct {
-	at  time.Time
-	seq int
-	fn  func()
-}
-
-type eventHeap []scheduledEvent
-
-func (d eventHeap) Len() int { return len(d) }
-func (d eventHeap) Less(i, k int) bool {
-	return d[i].at.Before(d[k].at) || d[i].at.Equal(d[k].at) && d[i].seq < d[k].seq
-}
-func (d eventHeap) Swap(i, k int) { d[i], d[k] = d[k], d[i] }
-func (d *eventHeap) Push(x any)   { *d = append(*d, x.(scheduledEvent)) }
-func (d *eventHeap) Pop() any {
-	last := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return last
-}
-
 // entry is a simulated entry process that may hold the slice.
 type entry struct {
 	c        *cluster
@@ -63,8 +42,7 @@
 // with faults.
 type cluster struct {
 	now      time.Time
-	events   eventHeap
-	seq      int
+	timers   fakes.Timers
 	random   *rand.Rand
 	table    *fakeTable
 	workers  []*fakeWorker
@@ -107,24 +85,22 @@
 }
 
 func (c *cluster) schedule(d time.Duration, do func()) {
-	c.seq++
-	heap.Push(&c.events, scheduledEvent{at: c.now.Add(d), seq: c.seq, fn: do})
+	c.timers.Add(c.now.Add(d), do)
 }
 
 // run advances the simulated time.
 func (c *cluster) run(d time.Duration) {
 	end := c.now.Add(d)
 	eventsNow := 0
-	for len(c.events) > 0 && !c.events[0].at.After(end) {
-		next := heap.Pop(&c.events).(scheduledEvent)
+	for at, do, ok := c.timers.Next(end); ok; at, do, ok = c.timers.Next(end) {
 		eventsNow++
-		if next.at.After(c.now) {
-			c.now, eventsNow = next.at, 0
+		if at.After(c.now) {
+			c.now, eventsNow = at, 0
 		}
 		if eventsNow > maxEventsAtOnce {
 			panic("too many events at one point in time: a machine requests endless wake-ups")
 		}
-		next.fn()
+		do()
 	}
 	c.now = end
 }
