What other pools use of a cap is added up once for each allowance

The limit takes the sum now, as a method of amounts.

go test ./quota passes; behaviour is the same.

--- a/quota/amounts.go
+++ b/quota/amounts.go
@@ -22,3 +22,12 @@
 	}
 	return a
 }
+
+// leftBy returns a part, or what the other pools leave of the account's cap if that is less. The other pools may not know
+// of this pool's part yet, so they count in full.
+func (a amounts) leftBy(others amounts, limit endive.Resources) amounts {
+	for i, most := range amountsOf(limit) {
+		a[i] = min(a[i], max(0, most-others[i]))
+	}
+	return a
+}
--- a/quota/stored.go
+++ b/quota/stored.go
@@ -85,22 +85,13 @@
 	handedOver := make(map[endive.AccountName]endive.Resources)
 	for name := range s.rows[s.pool].Parts {
 		if account, ok := s.accounts.Named(name); ok {
-			handedOver[name] = s.leftByOthers(account, s.part(name)).resources()
+			others, _, _ := s.others(name)
+			handedOver[name] = s.part(name).leftBy(others, account.Cap).resources()
 		}
 	}
 	return handedOver
 }
 
-// leftByOthers returns a part, or what the other pools leave of the account's cap if that is less.
-func (s *Stored) leftByOthers(account endive.Account, part amounts) amounts {
-	others, _, _ := s.others(account.Name)
-	for i, most := range amountsOf(account.Cap) {
-		// The other pools may not know of this pool's part yet, so they count in full.
-		part[i] = min(part[i], max(0, most-others[i]))
-	}
-	return part
-}
-
 // TakeOver implements endive.QuotaDivision. The previous holder writes nothing more, so its parts
 // hold until this holder's epoch is in the row.
 func (s *Stored) TakeOver(handedOver map[endive.AccountName]endive.Resources) {
@@ -148,7 +139,7 @@
 			large[i] = min(large[i], max(0, most-others[i]))
 		}
 	}
-	allowance.Limit, allowance.Large = s.leftByOthers(account, limit).resources(), large.resources()
+	allowance.Limit, allowance.Large = limit.leftBy(others, account.Cap).resources(), large.resources()
 	return allowance, true
 }
 
