Lease ends and recorded ends are asked for once

The times at which a silent worker's leases end were calculated twice for each look at it, and two methods had the condition under which a worker's ends can be acknowledged.

--- a/flow/formercalls.go
+++ b/flow/formercalls.go
@@ -148,8 +148,7 @@
 }
 
 // expiredRuns returns the runs of a worker whose leases have surely expired, in the order of these times.
-func (m *Machine) expiredRuns(w *worker) []*run {
-	leases := m.leaseEndsOf(w)
+func (m *Machine) expiredRuns(w *worker, leases leaseEnds) []*run {
 	expired := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
 		expiresAt := leases.of(r)
 		return expiresAt.IsZero() || m.now.Before(expiresAt)
--- a/flow/poll.go
+++ b/flow/poll.go
@@ -134,7 +134,7 @@
 // holder hasn't received. A late answer may be as old as its poll. A number is sent only while the worker
 // lists an end up to it: the poll may be carried out late, by an incarnation that the holder hasn't seen.
 func (w *worker) acknowledgedEnd(now time.Time) endive.EndNumber {
-	if w.firstListedEnd == 0 || w.firstListedEnd > w.recordedEnd() {
+	if !w.listsRecordedEnd() {
 		return 0
 	}
 	if !w.answered() || w.failedPolls > 0 && !w.answersLate || now.Sub(w.seenAliveAt()) > maxAckAge {
@@ -143,10 +143,15 @@
 	return w.recordedEnd()
 }
 
+// listsRecordedEnd reports whether the worker lists an end up to which all are recorded.
+func (w *worker) listsRecordedEnd() bool {
+	return w.firstListedEnd > 0 && w.firstListedEnd <= w.recordedEnd()
+}
+
 // hasNewAcknowledgement reports whether the worker lists ends that the next poll acknowledges, and the last poll didn't. It is
 // sent at once: later it might reach an incarnation that the holder hasn't seen.
 func (w *worker) hasNewAcknowledgement() bool {
-	return w.firstListedEnd > 0 && w.poll.recorded < w.firstListedEnd && w.firstListedEnd <= w.recordedEnd()
+	return w.listsRecordedEnd() && w.poll.recorded < w.firstListedEnd
 }
 
 // recordedEnd returns the number of the newest reported end of a run up to which all ends on
--- a/flow/silence.go
+++ b/flow/silence.go
@@ -98,8 +98,9 @@
 // dropExpiredRuns removes the runs of a silent worker whose leases have expired, but not those whose
 // end the worker may still report.
 func (m *Machine) dropExpiredRuns(w *worker) {
-	expired := m.expiredRuns(w)
-	if len(expired) == 0 || !m.surelySilent(w, m.leaseEndsOf(w).of(expired[0])) {
+	leases := m.leaseEndsOf(w)
+	expired := m.expiredRuns(w, leases)
+	if len(expired) == 0 || !m.surelySilent(w, leases.of(expired[0])) {
 		return
 	}
 	expired = m.removeEndedWithFormer(expired)
