--- a/entry/cellprogram.go
+++ b/entry/cellprogram.go
@@ -26,10 +26,7 @@
 const (
 	// cellMaxConnections limits the connections to one address of the platform.
 	cellMaxConnections = 48
-	// workerMaxConnections limits the connections to one worker: a poll takes one, and orders wait for the others. A worker
-	// doesn't learn that an entry has lost power, and its connections go on counting towards the worker's limit.
-	workerMaxConnections = 4
-	cellDialTimeout      = endive.Interval(700 * time.Millisecond)
+	cellDialTimeout    = endive.Interval(700 * time.Millisecond)
 	// cellIdleTimeout is how long an unused connection to a worker is kept open.
 	cellIdleTimeout = endive.Interval(time.Minute)
 	// idleShare is the divisor that gives the limit of idle connections from that of open files.
@@ -108,7 +105,7 @@
 func (p *cellProgram) newCell(scope tally.Scope) *cell.Cell {
 	counts := cell.NewCounters(p.metricsPage, scope)
 	p.client = plat.NewClient(p.clientSettings(cellMaxConnections), p.clock, counts)
-	p.workers = plat.NewClient(p.clientSettings(workerMaxConnections), p.clock, counts)
+	p.workers = plat.NewClient(p.clientSettings(plat.MaxWorkerConnections), p.clock, counts)
 	clock := plat.NewStoreClock(p.clock)
 	rows := cell.NewStore(plat.NewStore(p.client, p.settings.Platform.Store, clock), p.clock, p.log)
 	return cell.New(cell.Deps{
