--- a/elect/faults_test.go
+++ b/elect/faults_test.go
@@ -10,8 +10,8 @@
 // seedCount is the number of seeds that the fault test plays.
 var seedCount = flag.Int("seeds", 100, "the number of seeds of the fault test")
 
-// Calls of the store, messages and processes fail in all ways. No holder acts for longer than the next ones are told, no
-// epoch is used twice, and the pool is held soon after the faults have ended.
+// Calls of the store, messages and processes fail as the fields of faults say. No holder acts after the lease end that the
+// next ones know, no epoch is used twice, and the pool is held soon after the faults have ended.
 func TestHoldersUnderFaults(t *testing.T) {
 	for seed := range uint64(*seedCount) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/elect/simulation_test.go
+++ b/elect/simulation_test.go
@@ -38,7 +38,7 @@
 	longestDelay = 6 * time.Second
 	// clockError is the most by which an entry's bounds of the store's clock are apart.
 	clockError = 40 * time.Millisecond
-	// stopTime is how long a process goes on after it was told to stop.
+	// stopTime is how long a process runs after it has received the signal to terminate.
 	stopTime = 3 * time.Second
 )
 
@@ -130,7 +130,7 @@
 	w.now = end
 }
 
-// check records a violation if an earlier holder acts for longer than a later one has been told.
+// check records a violation if an earlier holder acts after the time that a later one has as the end of its lease.
 func (w *simulation) check() {
 	holders := w.holders()
 	for _, early := range holders {
--- a/flow/formercalls_test.go
+++ b/flow/formercalls_test.go
@@ -45,16 +45,11 @@
 
 // The same with a takeover: the next holder knows neither the restart nor the lease.
 func TestTakeoverAfterUnseenRestartOfWorker(t *testing.T) {
-	for _, how := range []string{"killed", "hands over"} {
-		t.Run(how, func(t *testing.T) {
+	for _, tt := range replacements {
+		t.Run(tt.name, func(t *testing.T) {
 			w, h, worker := simulationWithUnseenRestart(t)
 			w.cutOffBeside(worker)
-			if how == "killed" {
-				h.kill()
-				w.startHolder()
-			} else {
-				h.handOver()
-			}
+			tt.replace(h)
 			w.run(90 * time.Second)
 			w.checkViolations()
 			is.New(t).True(w.starts >= 2) // the task starts again once its lease has expired
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -251,6 +251,18 @@
 	return h.sim.startHolder()
 }
 
+// replacements are the ways in which the next holder replaces one.
+var replacements = []struct {
+	name    string
+	replace func(h *holder)
+}{
+	{"killed", func(h *holder) {
+		h.kill()
+		h.sim.startHolder()
+	}},
+	{"hands over", func(h *holder) { h.handOver() }},
+}
+
 // answerAdvice answers an advice request, unless the answer is lost.
 func (h *holder) answerAdvice(a RequestAdvice) {
 	if h.sim.happens("lostAdvice", h.sim.faults.lostAdvice) {
--- a/flow/latetakeover_test.go
+++ b/flow/latetakeover_test.go
@@ -14,8 +14,8 @@
 // and must not start the task elsewhere before the longest lease that a late call may have granted has expired.
 func TestTakeoverAfterLateOrderToUnseenIncarnation(t *testing.T) {
 	skipKnownRed(t)
-	for _, how := range []string{"killed", "hands over"} {
-		t.Run(how, func(t *testing.T) {
+	for _, tt := range replacements {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			w, h := newLoneWorkerSimulation(t)
 			worker := w.workers["w0"]
@@ -26,12 +26,7 @@
 			worker.startIncarnation(worker.info.Capacity, worker.info.Labels)
 			w.cutOffBeside(worker)
 			w.run(32 * time.Second)
-			if how == "killed" {
-				h.kill()
-				w.startHolder()
-			} else {
-				h.handOver()
-			}
+			tt.replace(h)
 			w.run(90 * time.Second)
 			w.checkViolations()
 			is.True(w.starts >= 2) // the late start, and one elsewhere after its lease
--- a/flow/restartwait_test.go
+++ b/flow/restartwait_test.go
@@ -35,6 +35,14 @@
 	return step
 }
 
+// restartUnreachable restarts the worker w0, which is listed and never answers again, beside another one.
+func (w *simulation) restartUnreachable() {
+	worker := w.workers["w0"]
+	worker.restart()
+	worker.unreachable = true
+	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+}
+
 // A worker crashes for good while an order to start a long-running task is in flight. The task waits for a later incarnation
 // that nothing has shown.
 func TestUnansweredStartOnCrashedWorkerDelaysLongRunningTask(t *testing.T) {
@@ -60,10 +68,7 @@
 	w.submit("job", urgentQueue, longRunningStep())
 	w.run(30 * time.Second)
 	is.Equal(w.starts, 1)
-	worker := w.workers["w0"]
-	worker.restart()
-	worker.unreachable = true
-	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.restartUnreachable()
 	w.run(30*time.Second + longRunningRestart)
 	is.Equal(w.starts, 2)
 }
@@ -107,10 +112,7 @@
 	w.submit("job", urgentQueue, longRunningStep())
 	w.run(30 * time.Second)
 	is.Equal(w.starts, 3)
-	worker := w.workers["w0"]
-	worker.restart()
-	worker.unreachable = true
-	w.addWorker("w9", testCapacity, endive.Label("rack0"))
+	w.restartUnreachable()
 	w.cancel(first)
 	w.run(30250 * time.Millisecond)
 	w.cancel(second)
--- a/peer/watcher_test.go
+++ b/peer/watcher_test.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// A peer has restarted at its address, and its second process ends. The watcher must be told of that process, not of the
+// A peer has restarted at its address, and its second process ends. The watcher must be notified of that process, not of the
 // first one: the pools that it held can be acquired.
-func TestWatcherIsToldOfRestartedPeer(t *testing.T) {
+func TestWatcherIsNotifiedOfRestartedPeer(t *testing.T) {
 	is := is.New(t)
 	a, b := newTestPeer(t, "entry-1"), newTestPeer(t, "entry-2")
 	refused := make(refusals, 1)
@@ -39,6 +39,6 @@
 	case peer := <-refused:
 		is.Equal(peer.Incarnation, endive.Incarnation("2"))
 	case <-time.After(10 * time.Second):
-		t.Fatal("the watcher wasn't told of the end")
+		t.Fatal("the watcher wasn't notified of the end")
 	}
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -29,14 +29,18 @@
 	c.RunEnded(run)
 }
 
+// startAndEnd records that a run starts and ends.
+func (c *checks) startAndEnd(run stand.Run, reason string) {
+	c.RunStarted(run)
+	c.end(run, reason)
+}
+
 func TestLostEndsOfOneWorkerDontHideAnother(t *testing.T) {
 	is := is.New(t)
 	c := newTestChecks()
 	cutOff, other := testRun("i-0", 1, 0), testRun("i-1", 2, 5)
-	c.RunStarted(cutOff)
-	c.end(cutOff, "lapsed")
-	c.RunStarted(other)
-	c.end(other, "done")
+	c.startAndEnd(cutOff, "lapsed")
+	c.startAndEnd(other, "done")
 	c.LeaseExpired([]stand.Run{cutOff})
 	is.Equal(len(c.findings()), 0)
 
@@ -49,8 +53,7 @@
 	is := is.New(t)
 	c := newTestChecks()
 	run := testRun("i-0", 1, 0)
-	c.RunStarted(run)
-	c.end(run, "done")
+	c.startAndEnd(run, "done")
 	c.LeaseExpired([]stand.Run{run})
 	c.RunStarted(testRun("i-1", 2, 5))
 	is.Equal(len(c.findings()), 0)
@@ -73,8 +76,7 @@
 	is := is.New(t)
 	c := newTestChecks()
 	run := testRun("i-0", 1, 0)
-	c.RunStarted(run)
-	c.end(run, "done")
+	c.startAndEnd(run, "done")
 	c.jobCompleted(jobOf(testTask))
 	c.LeaseExpired([]stand.Run{run})
 
@@ -87,8 +89,7 @@
 func TestSameRunElsewhereAfterItIsDone(t *testing.T) {
 	is := is.New(t)
 	c := newTestChecks()
-	c.RunStarted(testRun("i-0", 1, 0))
-	c.end(testRun("i-0", 1, 0), "done")
+	c.startAndEnd(testRun("i-0", 1, 0), "done")
 	c.RunStarted(testRun("i-1", 1, 1))
 	is.Equal(len(c.findings()), 1)
 }
@@ -97,8 +98,7 @@
 	is := is.New(t)
 	c := newTestChecks()
 	c.addJob(jobOf(testTask), stand.Job{Steps: []stand.Step{{Tasks: 2}}})
-	c.RunStarted(testRun("i-0", 1, 0))
-	c.end(testRun("i-0", 1, 0), "done")
+	c.startAndEnd(testRun("i-0", 1, 0), "done")
 	c.jobCompleted(jobOf(testTask))
 	is.Equal(len(c.findings()), 1)
 	is.True(strings.HasSuffix(c.findings()[0], stepOf(testTask)+".0 has never been done"))
@@ -110,10 +110,8 @@
 	c.addJob(jobOf(testTask), stand.Job{Steps: []stand.Step{{Tasks: 2, Gang: true}}})
 	first, second := testRun("i-0", 1, 0), testRun("i-1", 1, 0)
 	second.Task = stepOf(testTask) + ".0"
-	c.RunStarted(first)
-	c.end(first, "done")
-	c.RunStarted(second)
-	c.end(second, "stopped")
+	c.startAndEnd(first, "done")
+	c.startAndEnd(second, "stopped")
 	is.Equal(len(c.findings()), 0) // the members of one run start at different times
 
 	second.Number = 2
--- a/soak/restarter_test.go
+++ b/soak/restarter_test.go
@@ -87,11 +87,9 @@
 	is := is.New(t)
 	c := newTestChecks()
 	first, second := runsOfTwoIncarnations()
-	c.RunStarted(first)
-	c.end(first, "done")
+	c.startAndEnd(first, "done")
 	c.markEndsLost([]stand.Run{first})
-	c.RunStarted(second)
-	c.end(second, "done")
+	c.startAndEnd(second, "done")
 	is.Equal(len(c.findings()), 0)
 	c.markEndsLost([]stand.Run{first})
 
@@ -104,8 +102,7 @@
 	is := is.New(t)
 	c := newTestChecks()
 	first, second := runsOfTwoIncarnations()
-	c.RunStarted(first)
-	c.end(first, "died")
+	c.startAndEnd(first, "died")
 	c.RunStarted(second) // a late order
 	is.Equal(len(c.findings()), 0)
 
@@ -119,8 +116,7 @@
 	is := is.New(t)
 	c := newTestChecks()
 	first, second := runsOfTwoIncarnations()
-	c.RunStarted(first)
-	c.end(first, "done")
+	c.startAndEnd(first, "done")
 	c.EndsAcknowledged([]stand.Run{first}, false)
 	c.markEndsLost(nil) // killed after the acknowledgement
 
@@ -140,8 +136,7 @@
 	is := is.New(t)
 	c := newTestChecks()
 	first := testRun("i-0", 1, 0)
-	c.RunStarted(first)
-	c.end(first, "done")
+	c.startAndEnd(first, "done")
 	c.EndsAcknowledged([]stand.Run{first}, false)
 	c.jobCompleted(jobOf(testTask))
 	stray := strayRun(first)
@@ -156,18 +151,14 @@
 func TestOtherStrayStartsAreFindings(t *testing.T) {
 	for name, before := range map[string]func(c *checks, former stand.Run){
 		"the task has ended elsewhere": func(c *checks, _ stand.Run) {
-			c.RunStarted(testRun("i-1", 2, 0))
-			c.end(testRun("i-1", 2, 0), "done")
+			c.startAndEnd(testRun("i-1", 2, 0), "done")
 		},
 		"the order was carried out, and the task has ended elsewhere": func(c *checks, former stand.Run) {
-			c.RunStarted(former)
-			c.end(former, "died")
-			c.RunStarted(testRun("i-1", 2, 0))
-			c.end(testRun("i-1", 2, 0), "done")
+			c.startAndEnd(former, "died")
+			c.startAndEnd(testRun("i-1", 2, 0), "done")
 		},
 		"the order was carried out, and the task runs elsewhere": func(c *checks, former stand.Run) {
-			c.RunStarted(former)
-			c.end(former, "died")
+			c.startAndEnd(former, "died")
 			c.RunStarted(testRun("i-1", 2, 0))
 		},
 	} {
@@ -187,8 +178,7 @@
 		is := is.New(t)
 		c := newTestChecks()
 		first := testRun("i-0", 1, 0)
-		c.RunStarted(first)
-		c.end(first, "done")
+		c.startAndEnd(first, "done")
 		c.EndsAcknowledged([]stand.Run{first}, stray)
 		c.RunStarted(testRun("i-1", 2, 1))
 		is.Equal(len(c.strayStarts()) == 1, stray)
